--- a/api.go
+++ b/api.go
@@ -101,6 +101,32 @@
 	LatencyMS, Rate, Errors float64
 }
 
+// LoadField finds a field of a load report by the name that reports give it; 0: no such field.
+func LoadField(name string) LoadFields {
+	return map[string]LoadFields{"inflight": HasInflight, "queue": HasQueue, "util": HasUtil,
+		"latency_ms": HasLatency, "qps": HasRate, "eps": HasErrors}[name]
+}
+
+// Set puts a value into the report; one with an unknown name is passed over.
+func (l *Load) Set(name string, v float64) {
+	field := LoadField(name)
+	l.Has |= field
+	switch field {
+	case HasInflight:
+		l.Inflight = v
+	case HasQueue:
+		l.Queue = v
+	case HasUtil:
+		l.Util = v
+	case HasLatency:
+		l.LatencyMS = v
+	case HasRate:
+		l.Rate = v
+	case HasErrors:
+		l.Errors = v
+	}
+}
+
 // ReportSource says where load reports come from.
 type ReportSource int
 
--- /dev/null
+++ b/cmd/dewhitch/main.go
@@ -0,0 +1,61 @@
+// Command dewhitch is the gateway on real sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"starlingcourse/internal/config"
+)
+
+// version is set at the build by -ldflags "-X main.version=...".
+var version = "dev"
+
+var cli struct {
+	Serve   serveCmd   `cmd:"" help:"Serve as one gateway."`
+	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and end."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	fmt.Printf("dewhitch %s (revision %s)\n", version, revision)
+	return nil
+}
+
+type checkCmd struct{}
+
+func (checkCmd) Run() error {
+	n, err := config.LoadNode(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("configuration of %s is good\n", n.Name)
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Name("dewhitch"), kong.Description("A gateway that keeps every haulier inside its quota."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// logger writes to standard error, one line a record.
+func logger() (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Sampling = &zap.SamplingConfig{Initial: 20, Thereafter: 200}
+	c.DisableStacktrace = true
+	return c.Build()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,154 @@
+// Package config is the one place where configuration is read, checked and given defaults: the environment,
+// the node's JSON and the limits file. Every message names the key at fault; unknown keys are skipped.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	sc "starlingcourse"
+	"starlingcourse/internal/config/settings"
+)
+
+// Node is what one gateway is told at its start.
+type Node struct {
+	Name, Listen, Discovery, Counter string
+	Seed                             uint64
+	Cores                            float64
+	MemoryMB, Sockets                int
+	Known                            json.RawMessage // the list as last held, in discovery's form; may be nil
+	Settings                         sc.Settings
+	Words                            settings.Words
+}
+
+// The defaults, where the configuration leaves a limit out.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 32
+	leastSockets    = 64
+)
+
+// file mirrors the node's JSON.
+type file struct {
+	Name, Listen, Discovery, Seed, Counter string
+	Limits                                 struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// fault is an error that names its key.
+func fault(key, format string, a ...any) error {
+	return fmt.Errorf("configuration: %s: %s", key, fmt.Sprintf(format, a...))
+}
+
+// LoadNode reads the environment through getenv, and the file that it names.
+func LoadNode(getenv func(string) string) (*Node, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, fault("NODE_CONFIG", "not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault("NODE_CONFIG", "%v", err)
+	}
+	return parseNode(text, getenv)
+}
+
+func parseNode(text []byte, getenv func(string) string) (*Node, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) && wrong.Field != "" {
+			return nil, fault(wrong.Field, "a %s does not belong here", wrong.Value)
+		}
+		return nil, fault("NODE_CONFIG", "not JSON: %v", err)
+	}
+	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	for _, v := range []struct {
+		to  *string
+		env string
+	}{{&n.Name, "NODE_NAME"}, {&n.Listen, "NODE_LISTEN"}, {&n.Discovery, "NODE_DISCOVERY"}} {
+		if s := getenv(v.env); s != "" { // the environment is nearer than the file
+			*v.to = s
+		}
+	}
+	var err error
+	if n.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fault("seed", "%q is not a number of up to 16 hex digits", f.Seed)
+	}
+	if len(f.Settings) == 0 {
+		return nil, fault("settings", "missing")
+	}
+	if n.Settings, n.Words, err = settings.Decode(f.Settings); err != nil {
+		return nil, fault("settings", "%v", err)
+	}
+	return n, n.check()
+}
+
+func (n *Node) check() error {
+	if n.Name == "" {
+		return fault("name (NODE_NAME)", "missing")
+	}
+	for _, v := range []struct{ key, addr string }{{"listen (NODE_LISTEN)", n.Listen},
+		{"discovery (NODE_DISCOVERY)", n.Discovery}} {
+		if err := address(v.key, v.addr); err != nil {
+			return err
+		}
+	}
+	if n.Counter != "" || n.Settings.Counter {
+		if err := address("counter", n.Counter); err != nil {
+			return err
+		}
+	}
+	n.Cores, n.MemoryMB, n.Sockets = or(n.Cores, defaultCores), or(n.MemoryMB, defaultMemoryMB), or(n.Sockets, defaultSockets)
+	switch {
+	case n.Cores < 0:
+		return fault("limits.cores", "%v is below 0", n.Cores)
+	case n.MemoryMB < leastMemoryMB:
+		return fault("limits.memory_mb", "%d; it needs %d at least", n.MemoryMB, leastMemoryMB)
+	case n.Sockets < leastSockets:
+		return fault("limits.sockets", "%d; it needs %d at least", n.Sockets, leastSockets)
+	}
+	return nil
+}
+
+func or[T int | float64](v, standard T) T {
+	if v == 0 {
+		return standard
+	}
+	return v
+}
+
+func address(key, s string) error {
+	if s == "" {
+		return fault(key, "missing")
+	}
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return fault(key, "%q is not host:port", s)
+	}
+	if p, err := strconv.ParseUint(port, 10, 16); err != nil || p == 0 {
+		return fault(key, "%q has no port from 1 to 65535", s)
+	}
+	return nil
+}
+
+// Longest is the longest deadline of a class.
+func (n *Node) Longest() (longest time.Duration) {
+	for _, c := range n.Settings.Classes {
+		longest = max(longest, time.Duration(c.Deadline))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/config/settings/settings.go
@@ -0,0 +1,123 @@
+// Package settings reads the settings object, which the simulator and a real gateway's configuration share.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	sc "starlingcourse"
+)
+
+// object mirrors the settings object; keys not listed are skipped.
+type object struct {
+	Az    int
+	Areas []string
+	Caps  struct {
+		ConnIdle, ConnectTimeout, MaxRetryAfter                    int64
+		MayCancel, ParallelTries, PeerMessages, Probes, RetryAfter bool
+		TryLimit                                                   int
+	}
+	Contracts []struct {
+		Name                                                                            string
+		BeyondEarns, CapRate, Depth, HardBurst, OverrunCost, Pays, QuotaRate, Tolerance float64
+		Open                                                                            int
+	}
+	FamilyInfo struct {
+		CountFee              float64
+		CountLimit, UsePeriod int64
+		Counter, TruedUp      bool
+		UnitsTop              float64
+	}
+	Feedback struct {
+		Fields []string
+		Source string
+	}
+	Kinds          []string
+	MembershipMode string
+	MyNumber       int
+	NInstances     int
+	RequestClasses []struct {
+		Aim, Deadline, DedupWindow    int64
+		AimStretch, LateWorth, Points float64
+		Effect, Group, Name           string
+		Streaming                     bool
+	}
+	Rules struct {
+		AnswerSlack, AskWithin, Cold, Fall, StopSendingWithin int64
+		FallMultiple, StartCapacity                           float64
+	}
+	Tariffs struct{ CrossZone, LateFail, Probe, Waste float64 }
+	Tick    int64
+	Weights string
+}
+
+func word[T any](key, s string, m map[string]T) (T, error) {
+	v, ok := m[s]
+	if !ok {
+		return v, fmt.Errorf("%s: unknown word %q", key, s)
+	}
+	return v, nil
+}
+
+// Words are the names in the settings, which the module does without, and what connections need to know.
+type Words struct {
+	Zones, Kinds, Classes, Plans []string
+	ConnIdle                     time.Duration // a backend closes a connection that was idle for so long
+}
+
+// Decode reads the settings object.
+func Decode(text []byte) (s sc.Settings, w Words, err error) {
+	var c object
+	if err := json.Unmarshal(text, &c); err != nil {
+		return s, w, err
+	}
+	w = Words{Zones: c.Areas, Kinds: c.Kinds, ConnIdle: time.Duration(c.Caps.ConnIdle)}
+	s = sc.Settings{Instances: c.NInstances, Self: c.MyNumber, Zones: len(c.Areas), Zone: c.Az, Tick: sc.Span(c.Tick),
+		Counter: c.FamilyInfo.Counter, CounterTimeout: sc.Span(c.FamilyInfo.CountLimit),
+		CounterFee: c.FamilyInfo.CountFee, MeterPeriod: sc.Span(c.FamilyInfo.UsePeriod),
+		MaxUnits: c.FamilyInfo.UnitsTop, TruedUp: c.FamilyInfo.TruedUp,
+		MaxAttempts: c.Caps.TryLimit, ParallelTries: c.Caps.ParallelTries, MayCancel: c.Caps.MayCancel,
+		MayProbe: c.Caps.Probes, MayTell: c.Caps.PeerMessages, ConnectTimeout: sc.Span(c.Caps.ConnectTimeout),
+		RatingsTell: c.Weights != "none" && c.Weights != "",
+		AnswerSlack: sc.Span(c.Rules.AnswerSlack), DrainGrace: sc.Span(c.Rules.StopSendingWithin),
+		AskWithin: sc.Span(c.Rules.AskWithin), ColdSpan: sc.Span(c.Rules.Cold), FallSpan: sc.Span(c.Rules.Fall),
+		StartCapacity: c.Rules.StartCapacity, FallMultiple: c.Rules.FallMultiple,
+		CrossZonePrice: c.Tariffs.CrossZone, WastePrice: c.Tariffs.Waste, ProbePrice: c.Tariffs.Probe,
+		LatePrice: c.Tariffs.LateFail}
+	if c.Caps.RetryAfter {
+		s.MaxRetryAfter = sc.Span(c.Caps.MaxRetryAfter)
+	}
+	if s.ListOnRequest, err = word("MembershipMode", c.MembershipMode,
+		map[string]bool{"": false, "pushed": false, "on_request": true}); err != nil {
+		return s, w, err
+	}
+	if s.Reports, err = word("Feedback.Source", c.Feedback.Source, map[string]sc.ReportSource{"": sc.ReportsNone,
+		"none": sc.ReportsNone, "answers": sc.ReportsInAnswers, "probe": sc.ReportsInProbes}); err != nil {
+		return s, w, err
+	}
+	for _, name := range c.Feedback.Fields {
+		s.ReportFields |= sc.LoadField(name)
+	}
+	for _, p := range c.Contracts {
+		w.Plans = append(w.Plans, p.Name)
+		s.Plans = append(s.Plans, sc.Plan{Rate: p.QuotaRate, Burst: p.Depth, Open: p.Open, CeilingRate: p.CapRate,
+			CeilingBurst: p.HardBurst, Tolerance: p.Tolerance, Price: p.Pays, BeyondEarns: p.BeyondEarns,
+			OverrunCost: p.OverrunCost})
+	}
+	for _, p := range c.RequestClasses {
+		w.Classes = append(w.Classes, p.Name)
+		k := sc.Class{Aim: sc.Span(p.Aim), AimStretch: p.AimStretch, Deadline: sc.Span(p.Deadline),
+			LateWorth: p.LateWorth, Points: p.Points, DedupWindow: sc.Span(p.DedupWindow), Streaming: p.Streaming}
+		if k.Effect, err = word("RequestClasses.Effect", p.Effect,
+			map[string]sc.Effect{"safe": sc.Safe, "keyed": sc.Keyed, "unsafe": sc.Unsafe}); err != nil {
+			return s, w, err
+		}
+		if k.Group, err = word("RequestClasses.Group", p.Group, map[string]sc.Group{"": sc.GroupAll,
+			"all": sc.GroupAll, "zone": sc.GroupZone, "cell": sc.GroupCell}); err != nil {
+			return s, w, err
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	return s, w, nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,89 @@
+// Package core carries out what the decision module decides. It deals in reqs, fetches and outcomes, and
+// knows no wire: the fronts hand it reqs, and what it needs of the world it asks for through Backends and
+// Counter.
+//
+// A req passes the stages take in, admit, route, send, relay and book, each in a file of its own.
+package core
+
+import (
+	"time"
+
+	sc "starlingcourse"
+)
+
+// Req is one try of a client.
+type Req struct {
+	Came     time.Time // when its last byte had been read
+	Class    int       // index in the settings, as is
+	Plan     int
+	Customer sc.CustomerID
+	Wait     time.Duration // from Came, how long the client will wait
+	Units    float64
+	Spread   int // the customer's gateways: so many in a row
+	First    int // from this one on
+	Repeat   bool
+	Message  Message
+	Answer   func(Answer) // called once, on the planner; it may not block
+}
+
+// Message is what a backend is sent, unchanged by any gateway.
+type Message struct {
+	Name string // of the req, in the client's words
+	Key  string // idempotency key, or empty
+	Body []byte // nil: none
+}
+
+// Verdict is how a req ended.
+type Verdict int
+
+// The verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // nothing is promised
+)
+
+// Answer is the one final answer to a req.
+type Answer struct {
+	Verdict    Verdict
+	Value      []byte        // of a served req
+	RetryAfter time.Duration // of a refused one; 0: no advice
+}
+
+// Backend is a server as the director's list has it.
+type Backend struct {
+	ID   sc.ServerID
+	Addr string
+}
+
+// Fetch is one attempt at a req.
+type Fetch struct {
+	Req     sc.RequestID
+	Attempt int
+	Backend Backend
+	Until   time.Time // when to stop waiting
+	Source  *Req
+}
+
+// FetchEnd is the one end of a fetch.
+type FetchEnd struct {
+	Outcome sc.Outcome // tells truly whether the fetch may have run
+	Value   []byte
+	Load    sc.Load
+}
+
+// Backends starts fetches; none of its methods may block.
+type Backends interface {
+	// Start begins f and calls done once, from any goroutine but the caller's.
+	Start(f Fetch, done func(FetchEnd))
+	// Cancel gives a fetch up, if it is still out.
+	Cancel(req sc.RequestID, attempt int)
+	// Forget closes the idle connections to an address.
+	Forget(addr string)
+}
+
+// Counter adds to shared numbers; it may not block.
+type Counter interface {
+	// Add calls done once, from any goroutine but the caller's; for one name, in the order of the calls.
+	Add(name string, amount float64, life time.Duration, done func(sc.Outcome, float64))
+}
--- /dev/null
+++ b/internal/core/planner.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	sc "starlingcourse"
+)
+
+// inboxSize bounds what waits for the planner. Whoever posts beyond it waits: a session then reads no more.
+const inboxSize = 1024
+
+// epoch is where the planner's clock starts, so that servers which started before it have an instant too.
+const epoch = sc.Instant(time.Hour)
+
+// Clock is the planner's time: monotonic, with the Unix time of its start fixed once. The fixed offset
+// matters: an instant that moved with the system's clock would look like a restart of the server.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Instant is t on this clock.
+func (c Clock) Instant(t time.Time) sc.Instant { return epoch + sc.Instant(t.Sub(c.start)) }
+
+// Time is the other way round.
+func (c Clock) Time(i sc.Instant) time.Time { return c.start.Add(time.Duration(i - epoch)) }
+
+// FromUnixMS turns Unix time into an instant; what lies before the clock's hour of grace is 0: long ago.
+func (c Clock) FromUnixMS(ms int64) sc.Instant {
+	if ms <= 0 {
+		return 0
+	}
+	return max(0, epoch+sc.Instant(ms*1e6-c.start.UnixNano()))
+}
+
+// Planner owns one Gateway of the module, its timers and its clock. All of its state belongs to the goroutine
+// of Run; others reach it through its inbox.
+type Planner struct {
+	Clock
+	gate     *sc.Gateway
+	backends Backends
+	counter  Counter
+	log      *zap.Logger
+
+	inbox  chan message
+	stop   chan struct{} // closed when Run ends: nobody may wait for it then
+	timers timers
+	reqs   map[sc.RequestID]*taken
+	routes map[sc.ServerID]Backend
+	lastID uint64
+	acts   []sc.Action
+}
+
+// message is something that happened, told to the planner.
+type message interface{ handle(*Planner) }
+
+// ErrStopped says that the planner takes nothing any more.
+var ErrStopped = errors.New("core: the planner has stopped")
+
+// NewPlanner makes a planner that knows no backends yet.
+func NewPlanner(s sc.Settings, seed uint64, c Clock, b Backends, n Counter, log *zap.Logger) (*Planner, error) {
+	g, err := sc.New(s, seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Planner{Clock: c, gate: g, backends: b, counter: n, log: log, inbox: make(chan message, inboxSize),
+		stop: make(chan struct{}), reqs: map[sc.RequestID]*taken{}, routes: map[sc.ServerID]Backend{}}, nil
+}
+
+// post hands the planner a message, and waits while its inbox is full.
+func (p *Planner) post(m message) error {
+	select {
+	case p.inbox <- m:
+		return nil
+	case <-p.stop:
+		return ErrStopped
+	}
+}
+
+// Run works until the context ends.
+func (p *Planner) Run(ctx context.Context) error {
+	defer close(p.stop)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		p.fire()
+		if len(p.timers) > 0 {
+			wake.Reset(time.Until(p.Time(p.timers[0].At)))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wake.C:
+		case m := <-p.inbox:
+			m.handle(p)
+		}
+	}
+}
+
+// fire tells the module of the timers that are due.
+func (p *Planner) fire() {
+	now := p.Instant(time.Now())
+	for len(p.timers) > 0 && p.timers[0].At <= now {
+		t := heap.Pop(&p.timers).(sc.SetTimer)
+		p.tell(sc.TimerFired{ID: t.ID})
+	}
+}
+
+// tell hands an event to the module and carries out what it decides.
+func (p *Planner) tell(e sc.Event) {
+	now := time.Now()
+	acts := p.gate.Handle(p.Instant(now), e, p.acts[:0])
+	p.acts = nil // an action may lead to an event of its own
+	for _, a := range acts {
+		switch a := a.(type) {
+		case sc.Send:
+			p.send(now, a)
+		case sc.Cancel:
+			p.backends.Cancel(a.Request, a.Attempt)
+		case sc.Refuse:
+			p.answer(a.Request, Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
+		case sc.Fail:
+			p.answer(a.Request, Answer{Verdict: Failed})
+		case sc.SetTimer:
+			heap.Push(&p.timers, a)
+		case sc.Count:
+			p.count(now, a)
+		case sc.Subscribe: // the director is subscribed at all times
+		default:
+			p.log.Error("no such action on this platform", zap.String("action", fmt.Sprintf("%T", a)))
+		}
+	}
+	clear(acts)
+	p.acts = acts
+}
+
+// timers is a heap, the soonest first.
+type timers []sc.SetTimer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].At < t[j].At }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(sc.SetTimer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,22 @@
+package core
+
+import (
+	"time"
+
+	sc "starlingcourse"
+)
+
+// handle passes the value of a good fetch on to the client, and the outcome to the module, which may send again.
+func (m fetchEnded) handle(p *Planner) {
+	t := p.reqs[m.fetch.Req]
+	if t == nil {
+		return
+	}
+	t.out--
+	if m.end.Outcome == sc.OutcomeOK {
+		p.answer(t.id, Answer{Verdict: Served, Value: m.end.Value})
+	}
+	p.tell(sc.Ended{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Outcome: m.end.Outcome,
+		Final: t.answered, Latency: sc.Span(time.Since(m.began)), Load: m.end.Load})
+	p.drop(t)
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	sc "starlingcourse"
+)
+
+// Listing is news of the director's list, with the addresses of the backends named in it.
+type Listing struct {
+	List  sc.ServerList
+	Addrs []string // in the order of List.Servers
+}
+
+// Listed passes on what the director told, in the order told.
+func (p *Planner) Listed(l Listing) error { return p.post(l) }
+
+func (l Listing) handle(p *Planner) {
+	named := make(map[sc.ServerID]bool, len(l.List.Servers))
+	for i, s := range l.List.Servers {
+		named[s.ID] = true
+		old, known := p.routes[s.ID]
+		p.routes[s.ID] = Backend{ID: s.ID, Addr: l.Addrs[i]}
+		if known && (old.Addr != l.Addrs[i] || s.State == sc.Gone) {
+			p.backends.Forget(old.Addr)
+		}
+		if s.State == sc.Gone {
+			delete(p.routes, s.ID)
+		}
+	}
+	if l.List.Kind != sc.ListDelta {
+		for id, b := range p.routes {
+			if !named[id] {
+				delete(p.routes, id)
+				p.backends.Forget(b.Addr)
+			}
+		}
+	}
+	p.tell(l.List)
+}
+
+// route finds the backend that the module named.
+func (p *Planner) route(id sc.ServerID) (Backend, bool) {
+	b, ok := p.routes[id]
+	return b, ok
+}
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"time"
+
+	sc "starlingcourse"
+)
+
+type fetchEnded struct {
+	fetch Fetch
+	began time.Time
+	end   FetchEnd
+}
+
+// send starts a fetch. The module alone decides to send again: nothing here does.
+func (p *Planner) send(now time.Time, a sc.Send) {
+	t := p.reqs[a.Request]
+	if t == nil {
+		return
+	}
+	f := Fetch{Req: t.id, Attempt: t.attempts, Source: t.req, Until: t.req.Came.Add(t.req.Wait)}
+	if until := now.Add(time.Duration(a.Timeout)); a.Timeout != 0 && until.Before(f.Until) {
+		f.Until = until
+	}
+	t.attempts++
+	t.out++
+	backend, known := p.route(a.Server)
+	f.Backend = backend
+	if t.answered || !known || !now.Before(f.Until) { // it never left; told later, as any end is
+		f.Backend.ID = a.Server
+		end := fetchEnded{f, now, FetchEnd{Outcome: sc.OutcomeNotSent}}
+		go func() { _ = p.post(end) }()
+		return
+	}
+	p.backends.Start(f, func(end FetchEnd) { _ = p.post(fetchEnded{f, now, end}) })
+}
--- /dev/null
+++ b/internal/core/takein.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"strconv"
+
+	sc "starlingcourse"
+)
+
+// taken is a req from take in until its answer is given and its last fetch has ended.
+type taken struct {
+	id       sc.RequestID
+	req      *Req
+	attempts int // fetches asked for
+	out      int // fetches that have not ended
+	answered bool
+}
+
+// Ticket names a req that was taken in.
+type Ticket struct{ id sc.RequestID }
+
+type takeIn struct {
+	req    *Req
+	ticket *Ticket
+}
+
+type clientGone struct{ ticket *Ticket }
+
+// Take hands a req over: from now on it gets one final answer, unless Leave is called first. The ticket is
+// for Leave alone.
+func (p *Planner) Take(r *Req) (*Ticket, error) {
+	t := &Ticket{}
+	return t, p.post(takeIn{r, t})
+}
+
+// Leave tells that the client has gone; no answer is owed any more.
+func (p *Planner) Leave(t *Ticket) {
+	_ = p.post(clientGone{t}) // a planner that has stopped owes nothing
+}
+
+func (m takeIn) handle(p *Planner) {
+	m.ticket.id = p.nextID()
+	t := &taken{id: m.ticket.id, req: m.req}
+	p.reqs[t.id] = t
+	p.admit(t)
+}
+
+// nextID names a req for the module. The clients' own ids are not used: two clients could send the same.
+func (p *Planner) nextID() sc.RequestID {
+	p.lastID++
+	return sc.RequestID(strconv.FormatUint(p.lastID, 36))
+}
+
+func (m clientGone) handle(p *Planner) {
+	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
+		t.answered = true
+		p.tell(sc.ClientGone{Request: t.id})
+		p.drop(t)
+	}
+}
+
+// drop forgets a req that nothing is owed to and nothing is out for.
+func (p *Planner) drop(t *taken) {
+	if t.answered && t.out == 0 {
+		delete(p.reqs, t.id)
+	}
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,135 @@
+package director
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"starlingcourse/internal/core"
+	"starlingcourse/internal/http1"
+)
+
+const (
+	path        = "/api/targets"
+	silence     = 5 * time.Second // a watch writes at least an empty line every 2 s
+	dialTime    = time.Second
+	backoffFrom = 50 * time.Millisecond
+	backoffTo   = 2 * time.Second
+	lineSize    = 256 << 10 // of one line of a watch
+)
+
+// Sockets is how many descriptors a director holds at most.
+const Sockets = 1
+
+// Director keeps a planner told of the list: first all of it, then each change as it comes.
+type Director struct {
+	addr     string
+	decoder  *Decoder
+	listed   func(core.Listing) error
+	log      *zap.Logger
+	have     bool // a whole list has been read
+	revision int64
+}
+
+// New makes a director; listed is called for each message, in order.
+func New(addr string, d *Decoder, listed func(core.Listing) error, log *zap.Logger) *Director {
+	return &Director{addr: addr, decoder: d, listed: listed, log: log}
+}
+
+// Run follows the list until the context ends.
+func (d *Director) Run(ctx context.Context) error {
+	pause := backoffFrom
+	for ctx.Err() == nil {
+		told, err := d.follow(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if told {
+			pause = backoffFrom
+		}
+		d.log.Warn("the director's list broke off", zap.Error(err), zap.Duration("again_in", pause))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, backoffTo)
+	}
+	return nil
+}
+
+// follow reads the list, unless it has one, and then a watch until that ends. It tells whether anything came.
+func (d *Director) follow(ctx context.Context) (told bool, err error) {
+	conn, err := (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", d.addr)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	r := bufio.NewReaderSize(conn, http1.MaxLine+2)
+	if !d.have {
+		head, err := d.ask(conn, r, path)
+		if err != nil {
+			return false, err
+		}
+		body, err := http1.ReadBody(r, head)
+		if err != nil {
+			return false, err
+		}
+		if err := d.take(body); err != nil {
+			return false, err
+		}
+		d.have, told = true, true
+		if head.Close || head.Length < 0 && !head.Chunked {
+			return true, fmt.Errorf("the connection ended with the list")
+		}
+	}
+	head, err := d.ask(conn, r, path+"?follow=1&since="+strconv.FormatInt(d.revision, 10))
+	if err != nil {
+		return told, err
+	}
+	lines := bufio.NewScanner(http1.Body(r, head))
+	lines.Buffer(nil, lineSize)
+	for {
+		conn.SetReadDeadline(time.Now().Add(silence))
+		if !lines.Scan() {
+			if err = lines.Err(); err == nil {
+				err = fmt.Errorf("the watch ended")
+			}
+			return told, err
+		}
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			if err := d.take(line); err != nil {
+				d.have = false // what it said is lost: read the whole list again
+				return told, err
+			}
+		}
+		told = true
+	}
+}
+
+func (d *Director) ask(conn net.Conn, r *bufio.Reader, target string) (http1.Answer, error) {
+	conn.SetDeadline(time.Now().Add(silence))
+	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, d.addr)); err != nil {
+		return http1.Answer{}, err
+	}
+	head, err := http1.ReadAnswer(r)
+	if err == nil && head.Status != 200 {
+		err = fmt.Errorf("status %d", head.Status)
+	}
+	return head, err
+}
+
+func (d *Director) take(text []byte) error {
+	l, err := d.decoder.Decode(text)
+	if err != nil {
+		return err
+	}
+	d.revision = l.List.Version
+	return d.listed(l)
+}
--- /dev/null
+++ b/internal/director/list.go
@@ -0,0 +1,117 @@
+// Package director follows discovery's list of the backends.
+package director
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	sc "starlingcourse"
+	"starlingcourse/internal/core"
+)
+
+// list is one message of discovery.
+type list struct {
+	Revision int64   `json:"revision"`
+	Complete bool    `json:"complete"`
+	Members  []entry `json:"members"`
+}
+
+type entry struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]sc.ServerState{"up": sc.Ready, "draining": sc.Draining, "removed": sc.Gone}
+
+// Names are the settings' words for zones and kinds, in their order.
+type Names struct{ Zones, Kinds []string }
+
+// Decoder turns discovery's messages into the module's terms.
+type Decoder struct {
+	names Names
+	clock core.Clock
+	ids   map[string]sc.ServerID
+}
+
+// NewDecoder makes a decoder.
+func NewDecoder(n Names, c core.Clock) *Decoder {
+	return &Decoder{names: n, clock: c, ids: map[string]sc.ServerID{}}
+}
+
+// id is the number in an id such as s-5be2a07c, which is the same at all gateways; an id of another form gets
+// the next number that is free.
+func (d *Decoder) id(s string) sc.ServerID {
+	if n, ok := d.ids[s]; ok {
+		return n
+	}
+	_, digits, _ := strings.Cut(s, "-")
+	v, err := strconv.ParseUint(digits, 16, 32)
+	n := sc.ServerID(v)
+	for taken := err != nil; ; taken = true {
+		if taken {
+			n++
+		}
+		if !d.holds(n) {
+			break
+		}
+	}
+	d.ids[s] = n
+	return n
+}
+
+func (d *Decoder) holds(n sc.ServerID) bool {
+	for _, old := range d.ids {
+		if old == n {
+			return true
+		}
+	}
+	return false
+}
+
+// place is the index of a zone or kind. Discovery may give the whole word, or its part behind a dash.
+func place(words []string, s string) int {
+	i := slices.IndexFunc(words, func(w string) bool { return w == s || strings.HasSuffix(w, "-"+s) })
+	return max(0, i)
+}
+
+// Decode reads one message.
+func (d *Decoder) Decode(text []byte) (core.Listing, error) {
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		return core.Listing{}, err
+	}
+	out := core.Listing{List: sc.ServerList{Kind: sc.ListDelta, Version: l.Revision}}
+	if l.Complete {
+		out.List.Kind = sc.ListFull
+	}
+	for _, m := range l.Members {
+		state, known := phases[m.Phase]
+		if m.ID == "" || !known || m.HostPort == "" && state != sc.Gone {
+			return core.Listing{}, fmt.Errorf("members: id %q has host_port %q, phase %q", m.ID, m.HostPort, m.Phase)
+		}
+		out.List.Servers = append(out.List.Servers, sc.ServerEntry{ID: d.id(m.ID), Cell: m.Cell,
+			Zone: place(d.names.Zones, m.Locality), Kind: place(d.names.Kinds, m.Flavor),
+			Since: d.clock.FromUnixMS(m.UpSinceMS), Rating: m.Size, State: state})
+		out.Addrs = append(out.Addrs, m.HostPort)
+	}
+	return out, nil
+}
+
+// Known reads the list that the configuration holds, which may be out of date, or missing.
+func (d *Decoder) Known(text []byte) (core.Listing, error) {
+	if len(text) == 0 {
+		return core.Listing{List: sc.ServerList{Kind: sc.ListCached}}, nil
+	}
+	l, err := d.Decode(text)
+	l.List.Kind = sc.ListCached
+	return l, err
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Server takes client sessions in at one address.
+type Server struct {
+	Listener net.Listener
+	Open     func() Commands // for each session
+	Sessions int             // most at once; more wait in the listener's line
+	Log      *zap.Logger
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	all      sync.WaitGroup
+}
+
+// Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
+// as nothing is owed to its client, and returns when the last has.
+func (f *Server) Serve(ctx context.Context) error {
+	f.sessions = map[*session]struct{}{}
+	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
+	defer stop()
+	places := make(chan struct{}, f.Sessions)
+	for {
+		places <- struct{}{}
+		conn, err := f.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				break
+			}
+			// Out of descriptors, or the client left at once: neither ends the gateway.
+			f.Log.Warn("a client session could not be taken in", zap.Error(err))
+			<-places
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s := newSession(conn, f.Open())
+		f.mu.Lock()
+		f.sessions[s] = struct{}{}
+		f.mu.Unlock()
+		f.all.Go(func() {
+			s.run()
+			f.mu.Lock()
+			delete(f.sessions, s)
+			f.mu.Unlock()
+			<-places
+		})
+	}
+	f.mu.Lock()
+	for s := range f.sessions {
+		s.finish()
+	}
+	f.mu.Unlock()
+	f.all.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,239 @@
+// Package resp reads and writes RESP2, with a bound on everything it reads.
+package resp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+)
+
+// The bounds. A peer that passes one has broken the protocol.
+const (
+	MaxBulk  = 64 << 10 // bytes of one value
+	MaxArgs  = 16       // words of a command, or elements of an answer
+	MaxLine  = 1 << 10  // bytes of a line: a length, a number, an error
+	maxDepth = 2        // arrays within arrays
+)
+
+// ErrProtocol is what every breach of the protocol wraps: the stream can't be read any further.
+var ErrProtocol = errors.New("protocol error")
+
+func breach(format string, a ...any) error {
+	return fmt.Errorf("%w: %s", ErrProtocol, fmt.Sprintf(format, a...))
+}
+
+// Command is a client's command: its name and its arguments, at least the name.
+type Command [][]byte
+
+// Kind is the type of a value.
+type Kind byte
+
+// The kinds.
+const (
+	Bulk    Kind = '$'
+	Array   Kind = '*'
+	Status  Kind = '+'
+	Failure Kind = '-'
+	Integer Kind = ':'
+)
+
+// Value is one answer.
+type Value struct {
+	Kind  Kind
+	Null  bool
+	Text  []byte // of a bulk string, a status or a failure
+	Int   int64
+	Items []Value
+}
+
+// Reader reads commands or answers from a stream.
+type Reader struct{ b *bufio.Reader }
+
+// NewReader reads from r through a buffer of the given size.
+func NewReader(r io.Reader, size int) *Reader {
+	return &Reader{bufio.NewReaderSize(r, max(size, MaxLine+2))}
+}
+
+// Buffered is how many bytes have been read ahead.
+func (r *Reader) Buffered() int { return r.b.Buffered() }
+
+// line returns the next line without its end; it is valid until the next read.
+func (r *Reader) line() ([]byte, error) {
+	s, err := r.b.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || err == nil && len(s) > MaxLine+2 {
+		return nil, breach("line of over %d bytes", MaxLine)
+	}
+	if err != nil {
+		return nil, cut(err, len(s) > 0)
+	}
+	if len(s) < 2 || s[len(s)-2] != '\r' {
+		return nil, breach("line does not end in CR LF")
+	}
+	return s[:len(s)-2], nil
+}
+
+// cut tells an end inside a message from one between two.
+func cut(err error, inside bool) error {
+	if inside && errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func number(s []byte) (int64, error) {
+	v, err := strconv.ParseInt(string(s), 10, 64)
+	if err != nil || len(s) > 0 && s[0] == '+' {
+		return 0, breach("bad number %.20q", s)
+	}
+	return v, nil
+}
+
+// length reads the length in a header line; -1 stands for null.
+func length(s []byte, most int64) (int, error) {
+	n, err := number(s)
+	if err != nil {
+		return 0, err
+	}
+	if n < -1 || n > most {
+		return 0, breach("length %d, %d at most", n, most)
+	}
+	return int(n), nil
+}
+
+func (r *Reader) bulk(n int) ([]byte, error) {
+	b := make([]byte, n+2)
+	if _, err := io.ReadFull(r.b, b); err != nil {
+		return nil, cut(err, true)
+	}
+	if b[n] != '\r' || b[n+1] != '\n' {
+		return nil, breach("bulk string does not end in CR LF")
+	}
+	return b[:n:n], nil
+}
+
+// ReadCommand reads an array of bulk strings. io.EOF means that the stream ended between commands.
+func (r *Reader) ReadCommand() (Command, error) {
+	head, err := r.line()
+	if err != nil {
+		return nil, err
+	}
+	if len(head) == 0 || head[0] != byte(Array) {
+		return nil, breach("a command is an array")
+	}
+	n, err := length(head[1:], MaxArgs)
+	if err != nil {
+		return nil, err
+	}
+	if n < 1 {
+		return nil, breach("empty command")
+	}
+	c := make(Command, n)
+	for i := range c {
+		head, err := r.line()
+		if err != nil {
+			return nil, cut(err, true)
+		}
+		if len(head) == 0 || head[0] != byte(Bulk) {
+			return nil, breach("a command holds bulk strings")
+		}
+		size, err := length(head[1:], MaxBulk)
+		if err != nil {
+			return nil, err
+		}
+		if size < 0 {
+			return nil, breach("null in a command")
+		}
+		if c[i], err = r.bulk(size); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// ReadValue reads one answer.
+func (r *Reader) ReadValue() (Value, error) { return r.value(0) }
+
+func (r *Reader) value(depth int) (v Value, err error) {
+	head, err := r.line()
+	if err != nil {
+		return v, cut(err, depth > 0)
+	}
+	if len(head) == 0 {
+		return v, breach("empty line")
+	}
+	v.Kind = Kind(head[0])
+	rest := head[1:]
+	switch v.Kind {
+	case Status, Failure:
+		v.Text = append([]byte(nil), rest...)
+	case Integer:
+		v.Int, err = number(rest)
+	case Bulk:
+		var n int
+		if n, err = length(rest, MaxBulk); err == nil && n >= 0 {
+			v.Text, err = r.bulk(n)
+		}
+		v.Null = n < 0
+	case Array:
+		var n int
+		if n, err = length(rest, MaxArgs); err != nil {
+			return v, err
+		}
+		if v.Null = n < 0; n > 0 && depth >= maxDepth {
+			return v, breach("arrays too deep")
+		}
+		for range n {
+			item, err := r.value(depth + 1)
+			if err != nil {
+				return v, err
+			}
+			v.Items = append(v.Items, item)
+		}
+	default:
+		err = breach("unknown type %q", head[0])
+	}
+	return v, err
+}
+
+func appendHead(b []byte, k Kind, n int64) []byte {
+	return append(strconv.AppendInt(append(b, byte(k)), n, 10), '\r', '\n')
+}
+
+// AppendArray appends the head of an array of n.
+func AppendArray(b []byte, n int) []byte { return appendHead(b, Array, int64(n)) }
+
+// AppendInt appends an integer.
+func AppendInt(b []byte, v int64) []byte { return appendHead(b, Integer, v) }
+
+// AppendBulk appends a bulk string.
+func AppendBulk[T string | []byte](b []byte, s T) []byte {
+	b = appendHead(b, Bulk, int64(len(s)))
+	return append(append(b, s...), '\r', '\n')
+}
+
+// AppendStatus appends a status line.
+func AppendStatus(b []byte, s string) []byte { return appendLine(b, Status, s) }
+
+// AppendFailure appends an error line, such as "BUSY 20" or "ERR failed".
+func AppendFailure(b []byte, s string) []byte { return appendLine(b, Failure, s) }
+
+// appendLine keeps line ends out of a line: what a peer sent may stand in it.
+func appendLine(b []byte, k Kind, s string) []byte {
+	b = append(b, byte(k))
+	for i := range min(len(s), MaxLine-1) {
+		if c := s[i]; c == '\r' || c == '\n' {
+			b = append(b, ' ')
+		} else {
+			b = append(b, c)
+		}
+	}
+	return append(b, '\r', '\n')
+}
+
+// AppendNumber appends a decimal number as a bulk string, RESP2 having no other form for it.
+func AppendNumber(b []byte, v float64) []byte {
+	return AppendBulk(b, strconv.FormatFloat(math.Round(v*1e3)/1e3, 'f', -1, 64))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"strings"
 
 	sc "starlingcourse"
+	"starlingcourse/internal/config/settings"
 )
 
 // Hello starts an instance.
@@ -212,27 +212,11 @@
 			f.fail("Metrics", fmt.Sprintf("bad pair %q", pair))
 			return l
 		}
-		switch has := loadFields[name]; has {
-		case sc.HasInflight:
-			l.Inflight, l.Has = v, l.Has|has
-		case sc.HasQueue:
-			l.Queue, l.Has = v, l.Has|has
-		case sc.HasUtil:
-			l.Util, l.Has = v, l.Has|has
-		case sc.HasLatency:
-			l.LatencyMS, l.Has = v, l.Has|has
-		case sc.HasRate:
-			l.Rate, l.Has = v, l.Has|has
-		case sc.HasErrors:
-			l.Errors, l.Has = v, l.Has|has
-		}
+		l.Set(name, v)
 	}
 	return l
 }
 
-var loadFields = map[string]sc.LoadFields{"inflight": sc.HasInflight, "queue": sc.HasQueue, "util": sc.HasUtil,
-	"latency_ms": sc.HasLatency, "qps": sc.HasRate, "eps": sc.HasErrors}
-
 // counts is how many fields each message has behind its name.
 var counts = map[string]int{"hello": 3, "kill": 1, "peers_known": 4, "submit": 10, "established": 5, "response": 10,
 	"vanished": 2, "ring": 2, "health": 5, "peer": 3, "ledger_reply": 5}
@@ -265,7 +249,7 @@
 		}
 		h.Seed = v
 		if f.err == nil {
-			if h.Settings, err = settings(config); err != nil {
+			if h.Settings, _, err = settings.Decode([]byte(config)); err != nil {
 				f.fail("Config", err.Error())
 			}
 		}
@@ -358,107 +342,6 @@
 	return e, f.err
 }
 
-// config mirrors the settings object; keys not listed are skipped.
-type config struct {
-	Az    int
-	Areas []string
-	Caps  struct {
-		ConnectTimeout, MaxRetryAfter                              int64
-		MayCancel, ParallelTries, PeerMessages, Probes, RetryAfter bool
-		TryLimit                                                   int
-	}
-	Contracts []struct {
-		BeyondEarns, CapRate, Depth, HardBurst, OverrunCost, Pays, QuotaRate, Tolerance float64
-		Open                                                                            int
-	}
-	FamilyInfo struct {
-		CountFee              float64
-		CountLimit, UsePeriod int64
-		Counter, TruedUp      bool
-		UnitsTop              float64
-	}
-	Feedback struct {
-		Fields []string
-		Source string
-	}
-	MembershipMode string
-	MyNumber       int
-	NInstances     int
-	RequestClasses []struct {
-		Aim, Deadline, DedupWindow    int64
-		AimStretch, LateWorth, Points float64
-		Effect, Group                 string
-		Streaming                     bool
-	}
-	Rules struct {
-		AnswerSlack, AskWithin, Cold, Fall, StopSendingWithin int64
-		FallMultiple, StartCapacity                           float64
-	}
-	Tariffs struct{ CrossZone, LateFail, Probe, Waste float64 }
-	Tick    int64
-	Weights string
-}
-
-func word[T any](key, s string, m map[string]T) (T, error) {
-	v, ok := m[s]
-	if !ok {
-		return v, fmt.Errorf("%s: unknown word %q", key, s)
-	}
-	return v, nil
-}
-
-func settings(text string) (s sc.Settings, err error) {
-	var c config
-	if err := json.Unmarshal([]byte(text), &c); err != nil {
-		return s, err
-	}
-	s = sc.Settings{Instances: c.NInstances, Self: c.MyNumber, Zones: len(c.Areas), Zone: c.Az, Tick: sc.Span(c.Tick),
-		Counter: c.FamilyInfo.Counter, CounterTimeout: sc.Span(c.FamilyInfo.CountLimit),
-		CounterFee: c.FamilyInfo.CountFee, MeterPeriod: sc.Span(c.FamilyInfo.UsePeriod),
-		MaxUnits: c.FamilyInfo.UnitsTop, TruedUp: c.FamilyInfo.TruedUp,
-		MaxAttempts: c.Caps.TryLimit, ParallelTries: c.Caps.ParallelTries, MayCancel: c.Caps.MayCancel,
-		MayProbe: c.Caps.Probes, MayTell: c.Caps.PeerMessages, ConnectTimeout: sc.Span(c.Caps.ConnectTimeout),
-		RatingsTell: c.Weights != "none" && c.Weights != "",
-		AnswerSlack: sc.Span(c.Rules.AnswerSlack), DrainGrace: sc.Span(c.Rules.StopSendingWithin),
-		AskWithin: sc.Span(c.Rules.AskWithin), ColdSpan: sc.Span(c.Rules.Cold), FallSpan: sc.Span(c.Rules.Fall),
-		StartCapacity: c.Rules.StartCapacity, FallMultiple: c.Rules.FallMultiple,
-		CrossZonePrice: c.Tariffs.CrossZone, WastePrice: c.Tariffs.Waste, ProbePrice: c.Tariffs.Probe,
-		LatePrice: c.Tariffs.LateFail}
-	if c.Caps.RetryAfter {
-		s.MaxRetryAfter = sc.Span(c.Caps.MaxRetryAfter)
-	}
-	if s.ListOnRequest, err = word("MembershipMode", c.MembershipMode,
-		map[string]bool{"": false, "pushed": false, "on_request": true}); err != nil {
-		return s, err
-	}
-	if s.Reports, err = word("Feedback.Source", c.Feedback.Source, map[string]sc.ReportSource{"": sc.ReportsNone,
-		"none": sc.ReportsNone, "answers": sc.ReportsInAnswers, "probe": sc.ReportsInProbes}); err != nil {
-		return s, err
-	}
-	for _, name := range c.Feedback.Fields {
-		s.ReportFields |= loadFields[name]
-	}
-	for _, p := range c.Contracts {
-		s.Plans = append(s.Plans, sc.Plan{Rate: p.QuotaRate, Burst: p.Depth, Open: p.Open, CeilingRate: p.CapRate,
-			CeilingBurst: p.HardBurst, Tolerance: p.Tolerance, Price: p.Pays, BeyondEarns: p.BeyondEarns,
-			OverrunCost: p.OverrunCost})
-	}
-	for _, p := range c.RequestClasses {
-		k := sc.Class{Aim: sc.Span(p.Aim), AimStretch: p.AimStretch, Deadline: sc.Span(p.Deadline),
-			LateWorth: p.LateWorth, Points: p.Points, DedupWindow: sc.Span(p.DedupWindow), Streaming: p.Streaming}
-		if k.Effect, err = word("RequestClasses.Effect", p.Effect,
-			map[string]sc.Effect{"safe": sc.Safe, "keyed": sc.Keyed, "unsafe": sc.Unsafe}); err != nil {
-			return s, err
-		}
-		if k.Group, err = word("RequestClasses.Group", p.Group, map[string]sc.Group{"": sc.GroupAll,
-			"all": sc.GroupAll, "zone": sc.GroupZone, "cell": sc.GroupCell}); err != nil {
-			return s, err
-		}
-		s.Classes = append(s.Classes, k)
-	}
-	return s, nil
-}
-
 // AppendAction appends the line of one action of gateway gw to b.
 func AppendAction(b []byte, gw string, a sc.Action) []byte {
 	line := func(name string) { b = append(append(append(b, name...), ' '), gw...) }
