--- a/api.go
+++ b/api.go
@@ -1,8 +1,8 @@
-// Package starlingcourse decides, for one gateway of a shared API, which
+// Package dewhitch decides, for one gateway of a shared API, which
 // requests go on to which server while every customer stays inside a quota
 // that all gateways keep together. It does no input or output and reads no
 // clock: the caller hands it events and carries out the actions it returns.
-package starlingcourse
+package dewhitch
 
 import "fmt"
 
@@ -178,7 +178,7 @@
 		if ok {
 			return nil
 		}
-		return fmt.Errorf("starlingcourse: impossible setting %s", field)
+		return fmt.Errorf("dewhitch: impossible setting %s", field)
 	}
 	errs := []error{check(s.Instances > 0, "Instances"), check(s.Self >= 0 && s.Self < s.Instances, "Self"),
 		check(s.Tick >= 0, "Tick"), check(s.CounterTimeout >= 0, "CounterTimeout"),
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
-	"starlingcourse/internal/config"
+	"dewhitch/internal/config"
 )
 
 // version is set at the build by -ldflags "-X main.version=...".
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -15,14 +15,14 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/backend"
-	"starlingcourse/internal/config"
-	"starlingcourse/internal/core"
-	"starlingcourse/internal/counter"
-	"starlingcourse/internal/director"
-	"starlingcourse/internal/front"
-	"starlingcourse/internal/front/platform"
+	dw "dewhitch"
+	"dewhitch/internal/backend"
+	"dewhitch/internal/config"
+	"dewhitch/internal/core"
+	"dewhitch/internal/counter"
+	"dewhitch/internal/director"
+	"dewhitch/internal/front"
+	"dewhitch/internal/front/platform"
 )
 
 const (
@@ -59,7 +59,7 @@
 	clock := core.NewClock()
 	names := backend.Names{Classes: n.Words.Classes, Plans: n.Words.Plans}
 	for _, c := range n.Settings.Classes {
-		names.Safe = append(names.Safe, c.Effect == sc.Safe)
+		names.Safe = append(names.Safe, c.Effect == dw.Safe)
 	}
 	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle,
 		Connect: time.Duration(n.Settings.ConnectTimeout)})
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command simadapter hosts gateways of package starlingcourse on the
+// Command simadapter hosts gateways of package dewhitch on the
 // simulator's wire. The instances share nothing, and it decides nothing.
 package main
 
@@ -9,8 +9,8 @@
 	"os"
 
 	"bufio"
-	sc "starlingcourse"
-	"starlingcourse/internal/wire"
+	dw "dewhitch"
+	"dewhitch/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), bufio.NewWriter(out)
-	gateways := map[string]*sc.Gateway{}
+	gateways := map[string]*dw.Gateway{}
 	var buf []byte
 	for {
 		round, err := r.Read()
@@ -45,20 +45,20 @@
 	}
 }
 
-func apply(gateways map[string]*sc.Gateway, now sc.Instant, m wire.Message, buf []byte) ([]byte, error) {
+func apply(gateways map[string]*dw.Gateway, now dw.Instant, m wire.Message, buf []byte) ([]byte, error) {
 	bad := func(field, problem string) error {
 		return &wire.Error{Line: m.Line, Message: fmt.Sprintf("%T", m.Body), Field: field, Problem: problem}
 	}
 	switch body := m.Body.(type) {
 	case wire.Hello:
-		g, err := sc.New(body.Settings, body.Seed)
+		g, err := dw.New(body.Settings, body.Seed)
 		if err != nil {
 			return buf, bad("Config", err.Error())
 		}
 		gateways[m.Gateway] = g
 	case wire.Kill:
 		delete(gateways, m.Gateway)
-	case sc.Event:
+	case dw.Event:
 		g := gateways[m.Gateway]
 		if g == nil {
 			return buf, bad("Gateway", "no such instance: "+m.Gateway)
@@ -75,7 +75,7 @@
 }
 
 // handle turns a panic of the module into a text for the report.
-func handle(g *sc.Gateway, now sc.Instant, e sc.Event) (acts []sc.Action, failure string) {
+func handle(g *dw.Gateway, now dw.Instant, e dw.Event) (acts []dw.Action, failure string) {
 	defer func() {
 		if p := recover(); p != nil {
 			failure = fmt.Sprintf("panic: %v", p)
--- a/example_test.go
+++ b/example_test.go
@@ -1,32 +1,32 @@
-package starlingcourse_test
+package dewhitch_test
 
 import (
 	"fmt"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // A gateway is handed what happens and answers with what is to be done.
 func Example() {
-	g, err := sc.New(sc.Settings{
+	g, err := dw.New(dw.Settings{
 		Instances: 2, Zones: 1, Tick: 1e6, MaxAttempts: 3, MayCancel: true,
 		Counter: true, CounterTimeout: 50e6, MaxUnits: 1,
-		Classes: []sc.Class{{Aim: 400e6, Deadline: 800e6, Points: 1, Effect: sc.Safe}},
-		Plans:   []sc.Plan{{Rate: 1, Burst: 2, Price: 1, OverrunCost: 1}},
+		Classes: []dw.Class{{Aim: 400e6, Deadline: 800e6, Points: 1, Effect: dw.Safe}},
+		Plans:   []dw.Plan{{Rate: 1, Burst: 2, Price: 1, OverrunCost: 1}},
 	}, 1)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	now := sc.Instant(1e9)
-	g.Handle(now, sc.ServerList{Servers: []sc.ServerEntry{{ID: 7}}}, nil)
-	for _, id := range []sc.RequestID{"a", "b", "c"} {
-		e := sc.Arrival{ID: id, Customer: 42, Remaining: 800e6, Units: 1, Spread: 1}
+	now := dw.Instant(1e9)
+	g.Handle(now, dw.ServerList{Servers: []dw.ServerEntry{{ID: 7}}}, nil)
+	for _, id := range []dw.RequestID{"a", "b", "c"} {
+		e := dw.Arrival{ID: id, Customer: 42, Remaining: 800e6, Units: 1, Spread: 1}
 		for _, a := range g.Handle(now, e, nil) {
 			switch a := a.(type) {
-			case sc.Send:
+			case dw.Send:
 				fmt.Println(a.Request, "goes to server", a.Server)
-			case sc.Refuse:
+			case dw.Refuse:
 				fmt.Println(a.Request, "is refused")
 			}
 		}
--- a/gateway.go
+++ b/gateway.go
@@ -1,4 +1,4 @@
-package starlingcourse
+package dewhitch
 
 // This file holds every decision of a gateway and all of its state; api.go has the types, events and
 // actions. In order: the tuned values; a request's life; the quota of a customer; the counter; the servers.
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -1,4 +1,4 @@
-package starlingcourse_test
+package dewhitch_test
 
 import (
 	"fmt"
@@ -6,77 +6,77 @@
 	"strings"
 	"testing"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 const (
-	ms  = sc.Span(1e6)
-	sec = sc.Span(1e9)
+	ms  = dw.Span(1e6)
+	sec = dw.Span(1e9)
 )
 
-func settings() sc.Settings {
-	return sc.Settings{Instances: 2, Zones: 1, Tick: ms, Counter: true, CounterTimeout: 50 * ms, MaxUnits: 1,
+func settings() dw.Settings {
+	return dw.Settings{Instances: 2, Zones: 1, Tick: ms, Counter: true, CounterTimeout: 50 * ms, MaxUnits: 1,
 		MaxAttempts: 3, MayCancel: true, MaxRetryAfter: 500 * ms, AnswerSlack: 16 * ms, DrainGrace: sec,
 		ColdSpan: 15 * sec, FallSpan: 2 * sec, StartCapacity: 0.2, FallMultiple: 2.5,
-		Classes: []sc.Class{{Aim: 400 * ms, Deadline: 800 * ms, Points: 3, Effect: sc.Safe},
-			{Aim: 400 * ms, Deadline: 800 * ms, Points: 5, Effect: sc.Unsafe}},
-		Plans: []sc.Plan{{Rate: 2, Burst: 6, Price: 1, OverrunCost: 1}}}
+		Classes: []dw.Class{{Aim: 400 * ms, Deadline: 800 * ms, Points: 3, Effect: dw.Safe},
+			{Aim: 400 * ms, Deadline: 800 * ms, Points: 5, Effect: dw.Unsafe}},
+		Plans: []dw.Plan{{Rate: 2, Burst: 6, Price: 1, OverrunCost: 1}}}
 }
 
 // bed drives one gateway by hand: it keeps its timers and answers its counter calls as it is told to.
 type bed struct {
 	t      *testing.T
-	g      *sc.Gateway
-	now    sc.Instant
-	timers []sc.SetTimer
-	sent   []sc.Send
-	over   map[sc.RequestID]sc.Action // final answers
-	cancel []sc.Cancel
-	calls  []sc.Count
-	answer func(sc.Count) *sc.Counted // nil: silence until the time-out
+	g      *dw.Gateway
+	now    dw.Instant
+	timers []dw.SetTimer
+	sent   []dw.Send
+	over   map[dw.RequestID]dw.Action // final answers
+	cancel []dw.Cancel
+	calls  []dw.Count
+	answer func(dw.Count) *dw.Counted // nil: silence until the time-out
 	replys []reply
 	next   int
 }
 
 type reply struct {
-	at sc.Instant
-	e  sc.Counted
+	at dw.Instant
+	e  dw.Counted
 }
 
-func newBed(t *testing.T, s sc.Settings, servers ...sc.ServerEntry) *bed {
+func newBed(t *testing.T, s dw.Settings, servers ...dw.ServerEntry) *bed {
 	t.Helper()
-	g, err := sc.New(s, 1)
+	g, err := dw.New(s, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	totals := map[string]float64{}
-	b := &bed{t: t, g: g, now: sc.Instant(100 * sec), over: map[sc.RequestID]sc.Action{}}
-	b.answer = func(c sc.Count) *sc.Counted {
+	b := &bed{t: t, g: g, now: dw.Instant(100 * sec), over: map[dw.RequestID]dw.Action{}}
+	b.answer = func(c dw.Count) *dw.Counted {
 		totals[c.Name] += c.Add
-		return &sc.Counted{Name: c.Name, Total: totals[c.Name]}
+		return &dw.Counted{Name: c.Name, Total: totals[c.Name]}
 	}
-	b.do(sc.ServerList{Kind: sc.ListCached, Servers: servers})
+	b.do(dw.ServerList{Kind: dw.ListCached, Servers: servers})
 	return b
 }
 
-func (b *bed) do(e sc.Event) {
+func (b *bed) do(e dw.Event) {
 	for _, a := range b.g.Handle(b.now, e, nil) {
 		switch a := a.(type) {
-		case sc.SetTimer:
+		case dw.SetTimer:
 			b.timers = append(b.timers, a)
-		case sc.Send:
+		case dw.Send:
 			b.sent = append(b.sent, a)
-		case sc.Refuse:
+		case dw.Refuse:
 			b.over[a.Request] = a
-		case sc.Fail:
+		case dw.Fail:
 			b.over[a.Request] = a
-		case sc.Cancel:
+		case dw.Cancel:
 			b.cancel = append(b.cancel, a)
-		case sc.Count:
+		case dw.Count:
 			b.calls = append(b.calls, a)
-			r := reply{b.now + sc.Instant(50*ms), sc.Counted{Name: a.Name, Outcome: sc.OutcomeTimeout}}
+			r := reply{b.now + dw.Instant(50*ms), dw.Counted{Name: a.Name, Outcome: dw.OutcomeTimeout}}
 			if e := b.answer(a); e != nil {
-				r = reply{b.now + sc.Instant(2*ms), *e}
+				r = reply{b.now + dw.Instant(2*ms), *e}
 			}
 			b.replys = append(b.replys, r)
 		}
@@ -84,14 +84,14 @@
 }
 
 // pass lets time go by, with timers and counter answers coming when they are due.
-func (b *bed) pass(d sc.Span) {
-	for end := b.now + sc.Instant(d); b.now < end; {
-		b.now += sc.Instant(ms)
+func (b *bed) pass(d dw.Span) {
+	for end := b.now + dw.Instant(d); b.now < end; {
+		b.now += dw.Instant(ms)
 		due := b.timers
 		b.timers = nil
 		for _, t := range due {
 			if t.At <= b.now {
-				b.do(sc.TimerFired{ID: t.ID})
+				b.do(dw.TimerFired{ID: t.ID})
 			} else {
 				b.timers = append(b.timers, t)
 			}
@@ -109,9 +109,9 @@
 }
 
 // ask sends one request in and returns its id and whether an attempt started.
-func (b *bed) ask(a sc.Arrival) (sc.RequestID, bool) {
+func (b *bed) ask(a dw.Arrival) (dw.RequestID, bool) {
 	b.next++
-	a.ID = sc.RequestID(fmt.Sprint("q", b.next))
+	a.ID = dw.RequestID(fmt.Sprint("q", b.next))
 	if a.Remaining == 0 {
 		a.Remaining = 800 * ms
 	}
@@ -127,13 +127,13 @@
 }
 
 // serve asks for n requests d apart, answers each at once, and returns how many were let in.
-func (b *bed) serve(n int, d sc.Span, a sc.Arrival) (in int) {
+func (b *bed) serve(n int, d dw.Span, a dw.Arrival) (in int) {
 	for range n {
 		id, ok := b.ask(a)
 		if ok {
 			in++
 			s := b.sent[len(b.sent)-1]
-			b.do(sc.Ended{Request: id, Server: s.Server, Final: true, Latency: 10 * ms})
+			b.do(dw.Ended{Request: id, Server: s.Server, Final: true, Latency: 10 * ms})
 		}
 		b.pass(d)
 	}
@@ -143,54 +143,54 @@
 func TestImpossibleSettings(t *testing.T) {
 	cases := []struct {
 		field string
-		spoil func(*sc.Settings)
+		spoil func(*dw.Settings)
 	}{
-		{"Instances", func(s *sc.Settings) { s.Instances = 0 }},
-		{"Self", func(s *sc.Settings) { s.Self = 2 }},
-		{"Tick", func(s *sc.Settings) { s.Tick = -1 }},
-		{"CounterTimeout", func(s *sc.Settings) { s.CounterTimeout = 0 }},
-		{"Classes", func(s *sc.Settings) { s.Classes = nil }},
-		{"Classes[1].Aim", func(s *sc.Settings) { s.Classes[1].Aim = 0 }},
-		{"Plans[0].Rate", func(s *sc.Settings) { s.Plans[0].Rate = -1 }},
-		{"Plans[0].CeilingRate", func(s *sc.Settings) { s.Plans[0].CeilingRate = -1 }},
-		{"ColdSpan", func(s *sc.Settings) { s.ColdSpan = -1 }},
-		{"StartCapacity", func(s *sc.Settings) { s.StartCapacity = 2 }},
+		{"Instances", func(s *dw.Settings) { s.Instances = 0 }},
+		{"Self", func(s *dw.Settings) { s.Self = 2 }},
+		{"Tick", func(s *dw.Settings) { s.Tick = -1 }},
+		{"CounterTimeout", func(s *dw.Settings) { s.CounterTimeout = 0 }},
+		{"Classes", func(s *dw.Settings) { s.Classes = nil }},
+		{"Classes[1].Aim", func(s *dw.Settings) { s.Classes[1].Aim = 0 }},
+		{"Plans[0].Rate", func(s *dw.Settings) { s.Plans[0].Rate = -1 }},
+		{"Plans[0].CeilingRate", func(s *dw.Settings) { s.Plans[0].CeilingRate = -1 }},
+		{"ColdSpan", func(s *dw.Settings) { s.ColdSpan = -1 }},
+		{"StartCapacity", func(s *dw.Settings) { s.StartCapacity = 2 }},
 	}
 	for _, c := range cases {
 		s := settings()
 		c.spoil(&s)
-		if _, err := sc.New(s, 1); err == nil || !strings.HasSuffix(err.Error(), " "+c.field) {
+		if _, err := dw.New(s, 1); err == nil || !strings.HasSuffix(err.Error(), " "+c.field) {
 			t.Errorf("%s: got error %v", c.field, err)
 		}
 	}
 }
 
 func TestOddEvents(t *testing.T) {
-	odd := []sc.Event{
-		sc.Ended{Request: "none", Attempt: 3}, sc.ClientGone{Request: "none"}, sc.TimerFired{ID: "none"},
-		sc.Counted{Name: "none", Total: 3}, sc.Started{Request: "none"}, sc.Probed{Server: 5}, sc.Told{From: 1},
-		sc.ServerList{Kind: sc.ListFull}, sc.ServerList{Kind: sc.ListFailed},
-		sc.ServerList{Kind: sc.ListDelta, Servers: []sc.ServerEntry{{ID: 7}, {ID: 7}}},
+	odd := []dw.Event{
+		dw.Ended{Request: "none", Attempt: 3}, dw.ClientGone{Request: "none"}, dw.TimerFired{ID: "none"},
+		dw.Counted{Name: "none", Total: 3}, dw.Started{Request: "none"}, dw.Probed{Server: 5}, dw.Told{From: 1},
+		dw.ServerList{Kind: dw.ListFull}, dw.ServerList{Kind: dw.ListFailed},
+		dw.ServerList{Kind: dw.ListDelta, Servers: []dw.ServerEntry{{ID: 7}, {ID: 7}}},
 	}
-	b := newBed(t, settings(), sc.ServerEntry{ID: 7})
+	b := newBed(t, settings(), dw.ServerEntry{ID: 7})
 	for _, e := range odd {
 		b.do(e)
 	}
-	if _, ok := b.ask(sc.Arrival{Spread: 9, First: 5}); !ok {
+	if _, ok := b.ask(dw.Arrival{Spread: 9, First: 5}); !ok {
 		t.Error("nothing is served after odd events")
 	}
-	for name, a := range map[string]sc.Arrival{"no time left": {Remaining: -1}, "no such class": {Class: 9},
+	for name, a := range map[string]dw.Arrival{"no time left": {Remaining: -1}, "no such class": {Class: 9},
 		"no such plan": {Plan: -1}} {
 		if id, _ := b.ask(a); b.over[id] == nil {
 			t.Errorf("%s: not refused", name)
 		}
 	}
-	if id, _ := newBed(t, settings()).ask(sc.Arrival{}); id == "" {
+	if id, _ := newBed(t, settings()).ask(dw.Arrival{}); id == "" {
 		t.Error("no server at all")
 	}
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	if in := newBed(t, s, sc.ServerEntry{ID: 7}).serve(50, ms, sc.Arrival{}); in != 50 {
+	s.Plans[0] = dw.Plan{Price: 1}
+	if in := newBed(t, s, dw.ServerEntry{ID: 7}).serve(50, ms, dw.Arrival{}); in != 50 {
 		t.Errorf("a plan with no quota lets in %d of 50", in)
 	}
 }
@@ -199,7 +199,7 @@
 	cases := []struct {
 		name     string
 		n        int
-		d        sc.Span
+		d        dw.Span
 		min, max int
 	}{
 		{"a burst", 20, ms, 5, 6},
@@ -207,7 +207,7 @@
 		{"three times the rate, over two windows' edges", 150, 166 * ms, 50, 57}, // 6 + 2 a second for 25 s
 	}
 	for _, c := range cases {
-		in := newBed(t, settings(), sc.ServerEntry{ID: 7}).serve(c.n, c.d, sc.Arrival{Customer: 1})
+		in := newBed(t, settings(), dw.ServerEntry{ID: 7}).serve(c.n, c.d, dw.Arrival{Customer: 1})
 		if in < c.min || in > c.max {
 			t.Errorf("%s: %d let in, want %d to %d", c.name, in, c.min, c.max)
 		}
@@ -216,19 +216,19 @@
 
 // A counter that is silent, refuses or forgets gives neither free passage nor a wall.
 func TestCounterTrouble(t *testing.T) {
-	timeout := func(sc.Count) *sc.Counted { return nil }
-	refuse := func(c sc.Count) *sc.Counted { return &sc.Counted{Name: c.Name, Outcome: sc.OutcomeRejected} }
-	forget := func(c sc.Count) *sc.Counted { return &sc.Counted{Name: c.Name, Total: c.Add} }
-	for name, answer := range map[string]func(sc.Count) *sc.Counted{"silent": timeout, "refusing": refuse,
+	timeout := func(dw.Count) *dw.Counted { return nil }
+	refuse := func(c dw.Count) *dw.Counted { return &dw.Counted{Name: c.Name, Outcome: dw.OutcomeRejected} }
+	forget := func(c dw.Count) *dw.Counted { return &dw.Counted{Name: c.Name, Total: c.Add} }
+	for name, answer := range map[string]func(dw.Count) *dw.Counted{"silent": timeout, "refusing": refuse,
 		"forgetting": forget} {
 		for _, heavy := range []bool{false, true} {
-			b := newBed(t, settings(), sc.ServerEntry{ID: 7})
+			b := newBed(t, settings(), dw.ServerEntry{ID: 7})
 			b.answer = answer
 			d, n := 1500*ms, 20 // a third of the rate
 			if heavy {
 				d, n = 100*ms, 300 // five times the rate
 			}
-			in := b.serve(n, d, sc.Arrival{Customer: 1, Spread: 2})
+			in := b.serve(n, d, dw.Arrival{Customer: 1, Spread: 2})
 			if !heavy && in < n {
 				t.Errorf("%s: a calm customer is let in %d of %d times", name, in, n)
 			}
@@ -244,12 +244,12 @@
 
 // What others have used shows in the total, and is not let in again.
 func TestOthersUse(t *testing.T) {
-	b := newBed(t, settings(), sc.ServerEntry{ID: 7})
-	b.answer = func(c sc.Count) *sc.Counted { return &sc.Counted{Name: c.Name, Total: c.Add + 6} }
-	if in := b.serve(1, 500*ms, sc.Arrival{Customer: 1, Spread: 2}); in != 1 {
+	b := newBed(t, settings(), dw.ServerEntry{ID: 7})
+	b.answer = func(c dw.Count) *dw.Counted { return &dw.Counted{Name: c.Name, Total: c.Add + 6} }
+	if in := b.serve(1, 500*ms, dw.Arrival{Customer: 1, Spread: 2}); in != 1 {
 		t.Fatal("the first request is refused")
 	}
-	if in := b.serve(20, ms, sc.Arrival{Customer: 1, Spread: 2}); in > 1 {
+	if in := b.serve(20, ms, dw.Arrival{Customer: 1, Spread: 2}); in > 1 {
 		t.Errorf("%d let in though others have used the burst", in)
 	}
 }
@@ -257,21 +257,21 @@
 func TestRepeats(t *testing.T) {
 	for _, c := range []struct {
 		class   int
-		outcome sc.Outcome
+		outcome dw.Outcome
 		want    string
 	}{
-		{0, sc.OutcomeReset, "sent"}, {0, sc.OutcomeRejected, "sent"},
-		{1, sc.OutcomeRejected, "sent"}, {1, sc.OutcomeConnectFailed, "sent"}, {1, sc.OutcomeNotSent, "sent"},
-		{1, sc.OutcomeReset, "failed"}, {1, sc.OutcomeError, "failed"}, {1, sc.OutcomeTimeout, "failed"},
+		{0, dw.OutcomeReset, "sent"}, {0, dw.OutcomeRejected, "sent"},
+		{1, dw.OutcomeRejected, "sent"}, {1, dw.OutcomeConnectFailed, "sent"}, {1, dw.OutcomeNotSent, "sent"},
+		{1, dw.OutcomeReset, "failed"}, {1, dw.OutcomeError, "failed"}, {1, dw.OutcomeTimeout, "failed"},
 	} {
-		b := newBed(t, settings(), sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
-		id, _ := b.ask(sc.Arrival{Class: c.class})
+		b := newBed(t, settings(), dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
+		id, _ := b.ask(dw.Arrival{Class: c.class})
 		b.pass(5 * ms)
-		b.do(sc.Ended{Request: id, Server: b.sent[0].Server, Outcome: c.outcome, Latency: 5 * ms})
+		b.do(dw.Ended{Request: id, Server: b.sent[0].Server, Outcome: c.outcome, Latency: 5 * ms})
 		got := "nothing"
 		if len(b.sent) == 2 && b.sent[1].Server != b.sent[0].Server {
 			got = "sent"
-		} else if _, ok := b.over[id].(sc.Fail); ok {
+		} else if _, ok := b.over[id].(dw.Fail); ok {
 			got = "failed"
 		}
 		if got != c.want {
@@ -284,16 +284,16 @@
 // again, and the repeats made the overload. A silent server is another matter.
 func TestMovesOnOnlyFromSilence(t *testing.T) {
 	for _, silent := range []bool{false, true} {
-		b := newBed(t, settings(), sc.ServerEntry{ID: 7})
-		for c := range sc.CustomerID(50) { // the servers are known to be at ease
-			b.serve(1, 10*ms, sc.Arrival{Customer: c + 10})
+		b := newBed(t, settings(), dw.ServerEntry{ID: 7})
+		for c := range dw.CustomerID(50) { // the servers are known to be at ease
+			b.serve(1, 10*ms, dw.Arrival{Customer: c + 10})
 		}
-		slow, _ := b.ask(sc.Arrival{Customer: 1})
+		slow, _ := b.ask(dw.Arrival{Customer: 1})
 		b.pass(100 * ms)
-		other, _ := b.ask(sc.Arrival{Customer: 2})
+		other, _ := b.ask(dw.Arrival{Customer: 2})
 		b.pass(50 * ms)
 		if !silent {
-			b.do(sc.Ended{Request: other, Server: 7, Final: true, Latency: 50 * ms})
+			b.do(dw.Ended{Request: other, Server: 7, Final: true, Latency: 50 * ms})
 		}
 		b.pass(150 * ms)
 		moved := len(b.cancel) > 0
@@ -307,31 +307,31 @@
 // servers are well again.
 func TestWayBackFromRefusingAll(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
 	for range 100 {
-		if id, ok := b.ask(sc.Arrival{}); ok {
-			b.do(sc.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 390 * ms})
+		if id, ok := b.ask(dw.Arrival{}); ok {
+			b.do(dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 390 * ms})
 		}
 		b.pass(ms)
 	}
-	if _, ok := b.ask(sc.Arrival{}); ok {
+	if _, ok := b.ask(dw.Arrival{}); ok {
 		t.Fatal("slow servers do not lead to refusals")
 	}
 	b.pass(4 * sec)
-	if _, ok := b.ask(sc.Arrival{}); !ok {
+	if _, ok := b.ask(dw.Arrival{}); !ok {
 		t.Error("no way back")
 	}
 }
 
 func TestColdServerIsSpared(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7})
-	b.serve(500, 10*ms, sc.Arrival{})
-	b.do(sc.ServerList{Kind: sc.ListDelta, Servers: []sc.ServerEntry{{ID: 7, State: sc.Gone}, {ID: 8, Since: b.now}}})
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7})
+	b.serve(500, 10*ms, dw.Arrival{})
+	b.do(dw.ServerList{Kind: dw.ListDelta, Servers: []dw.ServerEntry{{ID: 7, State: dw.Gone}, {ID: 8, Since: b.now}}})
 	// 2 s at 100 a second, of which the server that is gone carried all: a fifth, rising to a third.
-	if in := b.serve(200, 10*ms, sc.Arrival{}); in > 60 || in == 0 {
+	if in := b.serve(200, 10*ms, dw.Arrival{}); in > 60 || in == 0 {
 		t.Errorf("%d of 200 requests went to the cold server", in)
 	}
 }
@@ -339,10 +339,10 @@
 // Rule 1 holds even if the outcome of the last attempt is late.
 func TestAnsweredWithoutAnOutcome(t *testing.T) {
 	for class := range 2 {
-		b := newBed(t, settings(), sc.ServerEntry{ID: 7})
-		id, _ := b.ask(sc.Arrival{Class: class})
+		b := newBed(t, settings(), dw.ServerEntry{ID: 7})
+		id, _ := b.ask(dw.Arrival{Class: class})
 		b.pass(816 * ms)
-		if _, failed := b.over[id].(sc.Fail); b.over[id] == nil || class == 1 && !failed {
+		if _, failed := b.over[id].(dw.Fail); b.over[id] == nil || class == 1 && !failed {
 			t.Errorf("class %d: got %v", class, b.over[id])
 		}
 	}
@@ -351,22 +351,22 @@
 // A gateway that has just started may have spent its share of the ceiling in an earlier life.
 func TestCeilingStartsEmpty(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Rate: 10, Burst: 20, CeilingRate: 20, CeilingBurst: 40, Tolerance: 4, Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7})
-	if in := b.serve(10, ms, sc.Arrival{Customer: 1, Spread: 2}); in > 0 {
+	s.Plans[0] = dw.Plan{Rate: 10, Burst: 20, CeilingRate: 20, CeilingBurst: 40, Tolerance: 4, Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7})
+	if in := b.serve(10, ms, dw.Arrival{Customer: 1, Spread: 2}); in > 0 {
 		t.Errorf("%d let in at once", in)
 	}
 	b.pass(sec)
-	if in := b.serve(5, ms, sc.Arrival{Customer: 1, Spread: 2}); in != 5 {
+	if in := b.serve(5, ms, dw.Arrival{Customer: 1, Spread: 2}); in != 5 {
 		t.Errorf("%d of 5 let in after a second", in)
 	}
 }
 
 func TestSameEventsSameActions(t *testing.T) {
-	run := func() []sc.Send {
-		b := newBed(t, settings(), sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8}, sc.ServerEntry{ID: 9})
-		for c := range sc.CustomerID(5) {
-			b.serve(20, 30*ms, sc.Arrival{Customer: c, Spread: 2})
+	run := func() []dw.Send {
+		b := newBed(t, settings(), dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8}, dw.ServerEntry{ID: 9})
+		for c := range dw.CustomerID(5) {
+			b.serve(20, 30*ms, dw.Arrival{Customer: c, Spread: 2})
 		}
 		return b.sent
 	}
@@ -377,9 +377,9 @@
 
 // A customer that comes back after its account was dropped is treated as a new one, and no better.
 func TestIdleAccountsExpire(t *testing.T) {
-	b := newBed(t, settings(), sc.ServerEntry{ID: 7})
+	b := newBed(t, settings(), dw.ServerEntry{ID: 7})
 	for range 2 {
-		if in := b.serve(20, ms, sc.Arrival{Customer: 1}); in < 5 || in > 6 {
+		if in := b.serve(20, ms, dw.Arrival{Customer: 1}); in < 5 || in > 6 {
 			t.Errorf("%d let in at once", in)
 		}
 		b.pass(150 * sec)
@@ -387,7 +387,7 @@
 }
 
 // many are the settings of one gateway of very many, where a share of a store is under one request.
-func many() sc.Settings {
+func many() dw.Settings {
 	s := settings()
 	s.Instances, s.ParallelTries = 100, true
 	return s
@@ -396,9 +396,9 @@
 // First scores at full size: each of many gateways let the first request of a customer in, whatever the total.
 func TestThinCustomerIsCountedFirst(t *testing.T) {
 	for total, want := range map[float64]bool{1: true, 6: true, 7: false, 500: false} {
-		b := newBed(t, many(), sc.ServerEntry{ID: 7})
-		b.answer = func(c sc.Count) *sc.Counted { return &sc.Counted{Name: c.Name, Total: total} }
-		id, _ := b.ask(sc.Arrival{Customer: 1, Spread: 50})
+		b := newBed(t, many(), dw.ServerEntry{ID: 7})
+		b.answer = func(c dw.Count) *dw.Counted { return &dw.Counted{Name: c.Name, Total: total} }
+		id, _ := b.ask(dw.Arrival{Customer: 1, Spread: 50})
 		if len(b.sent) > 0 || len(b.calls) != 1 || b.calls[0].Add != 1 {
 			t.Fatalf("total %v: sent %v before the count told, calls %v", total, b.sent, b.calls)
 		}
@@ -411,10 +411,10 @@
 
 // A request that waits for a silent counter goes on at its time-out, or ends before a short patience does.
 func TestHeldRequestIsAnswered(t *testing.T) {
-	for remaining, sent := range map[sc.Span]int{800 * ms: 1, 20 * ms: 0} {
-		b := newBed(t, many(), sc.ServerEntry{ID: 7})
-		b.answer = func(sc.Count) *sc.Counted { return nil }
-		id, _ := b.ask(sc.Arrival{Customer: 1, Spread: 50, Remaining: remaining})
+	for remaining, sent := range map[dw.Span]int{800 * ms: 1, 20 * ms: 0} {
+		b := newBed(t, many(), dw.ServerEntry{ID: 7})
+		b.answer = func(dw.Count) *dw.Counted { return nil }
+		id, _ := b.ask(dw.Arrival{Customer: 1, Spread: 50, Remaining: remaining})
 		b.pass(min(remaining, 60*ms))
 		if len(b.sent) != sent || sent == 0 && b.over[id] == nil {
 			t.Errorf("patience %v: %d sent, answer %v", remaining, len(b.sent), b.over[id])
@@ -425,22 +425,22 @@
 // A server that leaves one class unanswered goes on serving the other.
 func TestOneClassFails(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
 	var got [2][2]int // by server and class, in the second half
 	for i := range 400 {
 		class := i % 2
-		if id, ok := b.ask(sc.Arrival{Class: class}); ok {
+		if id, ok := b.ask(dw.Arrival{Class: class}); ok {
 			to := b.sent[len(b.sent)-1].Server
 			if i >= 200 {
 				got[to-7][class]++
 			}
 			if to == 8 || class == 1 {
 				b.pass(10 * ms)
-				b.do(sc.Ended{Request: id, Server: to, Final: true, Latency: 10 * ms})
+				b.do(dw.Ended{Request: id, Server: to, Final: true, Latency: 10 * ms})
 			} else {
 				b.pass(800 * ms)
-				b.do(sc.Ended{Request: id, Server: to, Outcome: sc.OutcomeTimeout, Final: true, Latency: 800 * ms})
+				b.do(dw.Ended{Request: id, Server: to, Outcome: dw.OutcomeTimeout, Final: true, Latency: 800 * ms})
 			}
 		}
 		b.pass(20 * ms)
@@ -454,15 +454,15 @@
 // attempts were budgeted by arrivals. When most attempts end badly, less is sent; it clears by itself.
 func TestCollapseEnds(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8}, sc.ServerEntry{ID: 9})
-	play := func(outcome sc.Outcome) int {
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8}, dw.ServerEntry{ID: 9})
+	play := func(outcome dw.Outcome) int {
 		before, seen := len(b.sent), len(b.sent)
 		for range 500 {
-			id, ok := b.ask(sc.Arrival{})
+			id, ok := b.ask(dw.Arrival{})
 			for attempt := 0; ok && seen < len(b.sent); attempt++ {
-				e := sc.Ended{Request: id, Attempt: attempt, Server: b.sent[seen].Server, Outcome: outcome, Latency: 5 * ms}
-				e.Final = outcome == sc.OutcomeOK
+				e := dw.Ended{Request: id, Attempt: attempt, Server: b.sent[seen].Server, Outcome: outcome, Latency: 5 * ms}
+				e.Final = outcome == dw.OutcomeOK
 				seen++
 				b.do(e)
 			}
@@ -470,13 +470,13 @@
 		}
 		return len(b.sent) - before
 	}
-	if n := play(sc.OutcomeOK); n < 450 {
+	if n := play(dw.OutcomeOK); n < 450 {
 		t.Fatalf("%d of 500 go on when all is well", n)
 	}
-	if n := play(sc.OutcomeError); n > 400 { // and up to a tenth more as further attempts, if all went on
+	if n := play(dw.OutcomeError); n > 400 { // and up to a tenth more as further attempts, if all went on
 		t.Errorf("%d attempts for 500 requests that all end badly", n)
 	}
-	if play(sc.OutcomeOK); play(sc.OutcomeOK) < 450 {
+	if play(dw.OutcomeOK); play(dw.OutcomeOK) < 450 {
 		t.Error("no way back")
 	}
 }
@@ -486,17 +486,17 @@
 	total := 0
 	for seed := range uint64(100) {
 		s := many()
-		s.Plans[0] = sc.Plan{Price: 1}
-		g, err := sc.New(s, seed)
+		s.Plans[0] = dw.Plan{Price: 1}
+		g, err := dw.New(s, seed)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b := &bed{t: t, g: g, now: sc.Instant(100 * sec), over: map[sc.RequestID]sc.Action{}}
-		b.do(sc.ServerList{Kind: sc.ListCached, Servers: []sc.ServerEntry{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}})
-		b.serve(50, 200*ms, sc.Arrival{})
+		b := &bed{t: t, g: g, now: dw.Instant(100 * sec), over: map[dw.RequestID]dw.Action{}}
+		b.do(dw.ServerList{Kind: dw.ListCached, Servers: []dw.ServerEntry{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}})
+		b.serve(50, 200*ms, dw.Arrival{})
 		before := len(b.sent)
-		b.do(sc.ServerList{Kind: sc.ListDelta, Servers: []sc.ServerEntry{{ID: 9, Since: b.now}}})
-		b.serve(10, 200*ms, sc.Arrival{})
+		b.do(dw.ServerList{Kind: dw.ListDelta, Servers: []dw.ServerEntry{{ID: 9, Since: b.now}}})
+		b.serve(10, 200*ms, dw.Arrival{})
 		for _, a := range b.sent[before:] {
 			if a.Server == 9 {
 				total++
@@ -513,28 +513,28 @@
 // A zone that is cut off is found out as one, not server by server.
 func TestZoneCutOff(t *testing.T) {
 	s := many()
-	s.Zones, s.Plans[0] = 2, sc.Plan{Price: 1}
-	var servers []sc.ServerEntry
+	s.Zones, s.Plans[0] = 2, dw.Plan{Price: 1}
+	var servers []dw.ServerEntry
 	for i := range 60 {
-		servers = append(servers, sc.ServerEntry{ID: sc.ServerID(i), Zone: i % 2})
+		servers = append(servers, dw.ServerEntry{ID: dw.ServerID(i), Zone: i % 2})
 	}
 	lost := 0
 	for seed := range uint64(20) {
-		g, err := sc.New(s, seed)
+		g, err := dw.New(s, seed)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b := &bed{t: t, g: g, now: sc.Instant(100 * sec), over: map[sc.RequestID]sc.Action{}}
-		b.do(sc.ServerList{Kind: sc.ListCached, Servers: servers})
+		b := &bed{t: t, g: g, now: dw.Instant(100 * sec), over: map[dw.RequestID]dw.Action{}}
+		b.do(dw.ServerList{Kind: dw.ListCached, Servers: servers})
 		for range 60 {
-			id, ok := b.ask(sc.Arrival{})
+			id, ok := b.ask(dw.Arrival{})
 			for attempt := 0; ok && b.over[id] == nil && attempt < 3; attempt++ {
 				to := b.sent[len(b.sent)-1]
-				e := sc.Ended{Request: id, Attempt: attempt, Server: to.Server, Final: true, Latency: 30 * ms}
+				e := dw.Ended{Request: id, Attempt: attempt, Server: to.Server, Final: true, Latency: 30 * ms}
 				if to.Request != id {
 					break
 				} else if to.Server%2 == 1 {
-					e.Outcome, e.Final = sc.OutcomeConnectFailed, false
+					e.Outcome, e.Final = dw.OutcomeConnectFailed, false
 					lost++
 				}
 				if b.do(e); e.Final {
@@ -553,22 +553,22 @@
 // silence and asked for a copy, and the copies made all slower. A server that is silent while others answer in no
 // time is still moved away from.
 func TestNoCopiesWhenAllAreSlow(t *testing.T) {
-	for latency, want := range map[sc.Span]struct{ min, max int }{250 * ms: {0, 5}, 10 * ms: {10, 40}} {
+	for latency, want := range map[dw.Span]struct{ min, max int }{250 * ms: {0, 5}, 10 * ms: {10, 40}} {
 		s := many()
-		s.Plans[0] = sc.Plan{Price: 1}
-		var servers []sc.ServerEntry
+		s.Plans[0] = dw.Plan{Price: 1}
+		var servers []dw.ServerEntry
 		for i := range 50 {
-			servers = append(servers, sc.ServerEntry{ID: sc.ServerID(i)})
+			servers = append(servers, dw.ServerEntry{ID: dw.ServerID(i)})
 		}
 		b := newBed(t, s, servers...)
 		first := 0
 		for i := range 300 {
 			n := len(b.sent)
-			if id, ok := b.ask(sc.Arrival{}); ok {
+			if id, ok := b.ask(dw.Arrival{}); ok {
 				first++
 				if wait := latency; i%10 != 0 { // else it is never answered
 					b.pass(wait)
-					b.do(sc.Ended{Request: id, Server: b.sent[n].Server, Final: true, Latency: wait})
+					b.do(dw.Ended{Request: id, Server: b.sent[n].Server, Final: true, Latency: wait})
 				}
 			}
 			b.pass(100 * ms)
@@ -584,10 +584,10 @@
 // times, so a gateway went on sending as if all were at ease.
 func TestAllSlowIsSeenAmongManyServers(t *testing.T) {
 	s := many()
-	s.Plans[0] = sc.Plan{Price: 1}
-	var servers []sc.ServerEntry
+	s.Plans[0] = dw.Plan{Price: 1}
+	var servers []dw.ServerEntry
 	for i := range 100 {
-		servers = append(servers, sc.ServerEntry{ID: sc.ServerID(i)})
+		servers = append(servers, dw.ServerEntry{ID: dw.ServerID(i)})
 	}
 	b := newBed(t, s, servers...)
 	in := 0
@@ -596,9 +596,9 @@
 		if i >= 200 {
 			latency = 300 * ms
 		}
-		if id, ok := b.ask(sc.Arrival{}); ok {
+		if id, ok := b.ask(dw.Arrival{}); ok {
 			b.pass(latency)
-			b.do(sc.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: latency})
+			b.do(dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: latency})
 			if i >= 230 && i < 300 {
 				in++
 			}
@@ -614,15 +614,15 @@
 // latency, and came back together. Advice differs from request to request and leaves time for an answer.
 func TestAdviceIsSpread(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
-	least, most := sec, sc.Span(0)
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
+	least, most := sec, dw.Span(0)
 	for range 200 {
-		id, ok := b.ask(sc.Arrival{})
+		id, ok := b.ask(dw.Arrival{})
 		if ok {
 			b.pass(220 * ms)
-			b.do(sc.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 220 * ms})
-		} else if r, refused := b.over[id].(sc.Refuse); refused {
+			b.do(dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 220 * ms})
+		} else if r, refused := b.over[id].(dw.Refuse); refused {
 			least, most = min(least, r.RetryAfter), max(most, r.RetryAfter)
 		}
 		b.pass(ms)
@@ -635,36 +635,36 @@
 // Whatever way a request ends with no answer under way, its client is told in the same batch and with advice that
 // differs: nothing is held back so that the client does not ask again.
 func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
-	refuse := func(b *bed, id sc.RequestID) { // every attempt is turned away until none is left
+	refuse := func(b *bed, id dw.RequestID) { // every attempt is turned away until none is left
 		for i := 0; i < len(b.sent); i++ {
-			b.do(sc.Ended{Request: id, Attempt: i, Server: b.sent[i].Server, Outcome: sc.OutcomeRejected, Latency: ms})
+			b.do(dw.Ended{Request: id, Attempt: i, Server: b.sent[i].Server, Outcome: dw.OutcomeRejected, Latency: ms})
 		}
 	}
-	for name, end := range map[string]func(b *bed, id sc.RequestID){
+	for name, end := range map[string]func(b *bed, id dw.RequestID){
 		"no server left": refuse,
-		"may have run": func(b *bed, id sc.RequestID) {
-			b.do(sc.Ended{Request: id, Server: b.sent[0].Server, Outcome: sc.OutcomeReset, Latency: ms})
+		"may have run": func(b *bed, id dw.RequestID) {
+			b.do(dw.Ended{Request: id, Server: b.sent[0].Server, Outcome: dw.OutcomeReset, Latency: ms})
 			for i := 1; i < len(b.sent); i++ {
-				b.do(sc.Ended{Request: id, Attempt: i, Server: b.sent[i].Server, Outcome: sc.OutcomeError, Latency: ms})
+				b.do(dw.Ended{Request: id, Attempt: i, Server: b.sent[i].Server, Outcome: dw.OutcomeError, Latency: ms})
 			}
 		},
 	} {
 		for class := range 2 {
-			b := newBed(t, settings(), sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
-			id, _ := b.ask(sc.Arrival{Class: class})
+			b := newBed(t, settings(), dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
+			id, _ := b.ask(dw.Arrival{Class: class})
 			b.pass(5 * ms)
 			end(b, id)
-			r, refused := b.over[id].(sc.Refuse)
+			r, refused := b.over[id].(dw.Refuse)
 			if b.over[id] == nil || refused && (r.RetryAfter <= 0 || r.RetryAfter == 400*ms) {
 				t.Errorf("%s, class %d: answer %+v", name, class, b.over[id])
 			}
 		}
 	}
-	b := newBed(t, many(), sc.ServerEntry{ID: 7}) // the server goes while the request waits for its count
-	id, _ := b.ask(sc.Arrival{Customer: 1, Spread: 50})
-	b.do(sc.ServerList{Kind: sc.ListDelta, Servers: []sc.ServerEntry{{ID: 7, State: sc.Gone}}})
+	b := newBed(t, many(), dw.ServerEntry{ID: 7}) // the server goes while the request waits for its count
+	id, _ := b.ask(dw.Arrival{Customer: 1, Spread: 50})
+	b.do(dw.ServerList{Kind: dw.ListDelta, Servers: []dw.ServerEntry{{ID: 7, State: dw.Gone}}})
 	b.pass(3 * ms)
-	if r, refused := b.over[id].(sc.Refuse); !refused || r.RetryAfter <= 0 {
+	if r, refused := b.over[id].(dw.Refuse); !refused || r.RetryAfter <= 0 {
 		t.Errorf("no server when the count is known: answer %+v", b.over[id])
 	}
 }
@@ -675,20 +675,20 @@
 	for total, want := range map[float64]bool{3: true, 150: false} {
 		s := many()
 		s.Plans[0].Open = 2
-		b := newBed(t, s, sc.ServerEntry{ID: 7})
-		b.answer = func(c sc.Count) *sc.Counted {
+		b := newBed(t, s, dw.ServerEntry{ID: 7})
+		b.answer = func(c dw.Count) *dw.Counted {
 			told := total
 			total = 1 // the next window has just begun
-			return &sc.Counted{Name: c.Name, Total: told}
+			return &dw.Counted{Name: c.Name, Total: told}
 		}
 		last := total
-		first, _ := b.ask(sc.Arrival{Customer: 1, Spread: 50})
+		first, _ := b.ask(dw.Arrival{Customer: 1, Spread: 50})
 		b.pass(10 * ms)
 		if len(b.sent) == 1 {
-			b.do(sc.Ended{Request: first, Server: 7, Final: true, Latency: 10 * ms})
+			b.do(dw.Ended{Request: first, Server: 7, Final: true, Latency: 10 * ms})
 		}
 		b.pass(2100 * ms) // into the next window
-		id, _ := b.ask(sc.Arrival{Customer: 1, Spread: 50})
+		id, _ := b.ask(dw.Arrival{Customer: 1, Spread: 50})
 		b.pass(3 * ms)
 		if in := b.over[id] == nil; in != want {
 			t.Errorf("total %v in the last window: let in %v, want %v", last, in, want)
@@ -699,17 +699,17 @@
 // Colleges at half load: work that takes a sixth of its aim was refused as if the servers were pressed.
 func TestLongWorkIsNoPressure(t *testing.T) {
 	s := settings()
-	s.Plans[0] = sc.Plan{Price: 1}
-	b := newBed(t, s, sc.ServerEntry{ID: 7}, sc.ServerEntry{ID: 8})
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
 	for _, c := range []struct {
-		latency  sc.Span
+		latency  dw.Span
 		min, max int
 	}{{70 * ms, 95, 100}, {130 * ms, 95, 100}, {300 * ms, 1, 60}} {
 		in := 0
 		for i := range 200 {
-			if id, ok := b.ask(sc.Arrival{}); ok {
+			if id, ok := b.ask(dw.Arrival{}); ok {
 				b.pass(c.latency)
-				b.do(sc.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: c.latency})
+				b.do(dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: c.latency})
 				if i >= 100 {
 					in++
 				}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/core"
-	"starlingcourse/internal/resp"
+	dw "dewhitch"
+	"dewhitch/internal/core"
+	"dewhitch/internal/resp"
 )
 
 const (
@@ -47,7 +47,7 @@
 }
 
 type key struct {
-	req     sc.RequestID
+	req     dw.RequestID
 	attempt int
 }
 
@@ -90,7 +90,7 @@
 }
 
 // Cancel implements core.Backends.
-func (p *Pools) Cancel(req sc.RequestID, attempt int) {
+func (p *Pools) Cancel(req dw.RequestID, attempt int) {
 	p.mu.Lock()
 	f := p.fetches[key{req, attempt}]
 	p.mu.Unlock()
@@ -115,9 +115,9 @@
 	c, err := p.take(f.ctx, f.Backend.Addr)
 	if err != nil {
 		if errors.Is(f.ctx.Err(), context.Canceled) {
-			return core.FetchEnd{Outcome: sc.OutcomeNotSent}
+			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
 		}
-		return core.FetchEnd{Outcome: sc.OutcomeConnectFailed}
+		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}
 	}
 	// From here on the connection is the fetch's own: when time is up or the fetch is given up, its reads and
 	// writes fail, and it is closed, which tells the backend.
@@ -137,9 +137,9 @@
 	if n, _ := c.Write(command); n < len(command) {
 		// Not written whole, whatever the reason: the backend never begins it.
 		if errors.Is(f.ctx.Err(), context.Canceled) {
-			return core.FetchEnd{Outcome: sc.OutcomeNotSent}, false
+			return core.FetchEnd{Outcome: dw.OutcomeNotSent}, false
 		}
-		return core.FetchEnd{Outcome: sc.OutcomeConnectFailed}, false
+		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}, false
 	}
 	v, err := c.r.ReadValue()
 	switch {
@@ -147,13 +147,13 @@
 		end = outcome(v)
 		return end, c.r.Buffered() == 0
 	case errors.Is(f.ctx.Err(), context.Canceled):
-		end.Outcome = sc.OutcomeCancelled
+		end.Outcome = dw.OutcomeCancelled
 	case f.ctx.Err() != nil:
-		end.Outcome = sc.OutcomeTimeout
+		end.Outcome = dw.OutcomeTimeout
 	case errors.Is(err, resp.ErrProtocol):
-		end.Outcome = sc.OutcomeError
+		end.Outcome = dw.OutcomeError
 	default:
-		end.Outcome = sc.OutcomeReset
+		end.Outcome = dw.OutcomeReset
 	}
 	return end, false
 }
@@ -191,17 +191,17 @@
 }
 
 // CustomerText is a customer as commands have it.
-func CustomerText(id sc.CustomerID) string {
+func CustomerText(id dw.CustomerID) string {
 	s := strconv.FormatUint(uint64(id), 16)
 	return "0000000000000000"[len(s):] + s
 }
 
 // outcome reads a backend's answer.
 func outcome(v resp.Value) (end core.FetchEnd) {
-	end.Outcome = sc.OutcomeError // it came whole, so it may have run
+	end.Outcome = dw.OutcomeError // it came whole, so it may have run
 	switch {
 	case v.Kind == resp.Array && len(v.Items) > 0 && v.Items[0].Kind == resp.Bulk && !v.Items[0].Null:
-		end.Outcome, end.Value = sc.OutcomeOK, v.Items[0].Text
+		end.Outcome, end.Value = dw.OutcomeOK, v.Items[0].Text
 		if len(v.Items) > 2 && !v.Items[2].Null {
 			end.Load = load(v.Items[2].Text)
 		}
@@ -211,7 +211,7 @@
 			break
 		}
 		if string(words[0]) == "BUSY" {
-			end.Outcome = sc.OutcomeRejected
+			end.Outcome = dw.OutcomeRejected
 		}
 		if last := words[len(words)-1]; len(words) > 1 {
 			end.Load = load(last)
@@ -221,7 +221,7 @@
 }
 
 // load reads a load report, such as queue=2,inflight=7,qps=14.5; what is no number is passed over.
-func load(text []byte) (l sc.Load) {
+func load(text []byte) (l dw.Load) {
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
 		if v, err := strconv.ParseFloat(string(value), 64); err == nil && v-v == 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/config/settings"
+	dw "dewhitch"
+	"dewhitch/internal/config/settings"
 )
 
 // Node is what one gateway is told at its start.
@@ -22,7 +22,7 @@
 	Cores                            float64
 	MemoryMB, Sockets                int
 	Known                            json.RawMessage // the list as last held, in discovery's form; may be nil
-	Settings                         sc.Settings
+	Settings                         dw.Settings
 	Words                            settings.Words
 }
 
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // object mirrors the settings object; keys not listed are skipped.
@@ -67,54 +67,54 @@
 }
 
 // Decode reads the settings object.
-func Decode(text []byte) (s sc.Settings, w Words, err error) {
+func Decode(text []byte) (s dw.Settings, w Words, err error) {
 	var c object
 	if err := json.Unmarshal(text, &c); err != nil {
 		return s, w, err
 	}
 	w = Words{Zones: c.Areas, Kinds: c.Kinds, ConnIdle: time.Duration(c.Caps.ConnIdle)}
-	s = sc.Settings{Instances: c.NInstances, Self: c.MyNumber, Zones: len(c.Areas), Zone: c.Az, Tick: sc.Span(c.Tick),
-		Counter: c.FamilyInfo.Counter, CounterTimeout: sc.Span(c.FamilyInfo.CountLimit),
-		CounterFee: c.FamilyInfo.CountFee, MeterPeriod: sc.Span(c.FamilyInfo.UsePeriod),
+	s = dw.Settings{Instances: c.NInstances, Self: c.MyNumber, Zones: len(c.Areas), Zone: c.Az, Tick: dw.Span(c.Tick),
+		Counter: c.FamilyInfo.Counter, CounterTimeout: dw.Span(c.FamilyInfo.CountLimit),
+		CounterFee: c.FamilyInfo.CountFee, MeterPeriod: dw.Span(c.FamilyInfo.UsePeriod),
 		MaxUnits: c.FamilyInfo.UnitsTop, TruedUp: c.FamilyInfo.TruedUp,
 		MaxAttempts: c.Caps.TryLimit, ParallelTries: c.Caps.ParallelTries, MayCancel: c.Caps.MayCancel,
-		MayProbe: c.Caps.Probes, MayTell: c.Caps.PeerMessages, ConnectTimeout: sc.Span(c.Caps.ConnectTimeout),
+		MayProbe: c.Caps.Probes, MayTell: c.Caps.PeerMessages, ConnectTimeout: dw.Span(c.Caps.ConnectTimeout),
 		RatingsTell: c.Weights != "none" && c.Weights != "",
-		AnswerSlack: sc.Span(c.Rules.AnswerSlack), DrainGrace: sc.Span(c.Rules.StopSendingWithin),
-		AskWithin: sc.Span(c.Rules.AskWithin), ColdSpan: sc.Span(c.Rules.Cold), FallSpan: sc.Span(c.Rules.Fall),
+		AnswerSlack: dw.Span(c.Rules.AnswerSlack), DrainGrace: dw.Span(c.Rules.StopSendingWithin),
+		AskWithin: dw.Span(c.Rules.AskWithin), ColdSpan: dw.Span(c.Rules.Cold), FallSpan: dw.Span(c.Rules.Fall),
 		StartCapacity: c.Rules.StartCapacity, FallMultiple: c.Rules.FallMultiple,
 		CrossZonePrice: c.Tariffs.CrossZone, WastePrice: c.Tariffs.Waste, ProbePrice: c.Tariffs.Probe,
 		LatePrice: c.Tariffs.LateFail}
 	if c.Caps.RetryAfter {
-		s.MaxRetryAfter = sc.Span(c.Caps.MaxRetryAfter)
+		s.MaxRetryAfter = dw.Span(c.Caps.MaxRetryAfter)
 	}
 	if s.ListOnRequest, err = word("MembershipMode", c.MembershipMode,
 		map[string]bool{"": false, "pushed": false, "on_request": true}); err != nil {
 		return s, w, err
 	}
-	if s.Reports, err = word("Feedback.Source", c.Feedback.Source, map[string]sc.ReportSource{"": sc.ReportsNone,
-		"none": sc.ReportsNone, "answers": sc.ReportsInAnswers, "probe": sc.ReportsInProbes}); err != nil {
+	if s.Reports, err = word("Feedback.Source", c.Feedback.Source, map[string]dw.ReportSource{"": dw.ReportsNone,
+		"none": dw.ReportsNone, "answers": dw.ReportsInAnswers, "probe": dw.ReportsInProbes}); err != nil {
 		return s, w, err
 	}
 	for _, name := range c.Feedback.Fields {
-		s.ReportFields |= sc.LoadField(name)
+		s.ReportFields |= dw.LoadField(name)
 	}
 	for _, p := range c.Contracts {
 		w.Plans = append(w.Plans, p.Name)
-		s.Plans = append(s.Plans, sc.Plan{Rate: p.QuotaRate, Burst: p.Depth, Open: p.Open, CeilingRate: p.CapRate,
+		s.Plans = append(s.Plans, dw.Plan{Rate: p.QuotaRate, Burst: p.Depth, Open: p.Open, CeilingRate: p.CapRate,
 			CeilingBurst: p.HardBurst, Tolerance: p.Tolerance, Price: p.Pays, BeyondEarns: p.BeyondEarns,
 			OverrunCost: p.OverrunCost})
 	}
 	for _, p := range c.RequestClasses {
 		w.Classes = append(w.Classes, p.Name)
-		k := sc.Class{Aim: sc.Span(p.Aim), AimStretch: p.AimStretch, Deadline: sc.Span(p.Deadline),
-			LateWorth: p.LateWorth, Points: p.Points, DedupWindow: sc.Span(p.DedupWindow), Streaming: p.Streaming}
+		k := dw.Class{Aim: dw.Span(p.Aim), AimStretch: p.AimStretch, Deadline: dw.Span(p.Deadline),
+			LateWorth: p.LateWorth, Points: p.Points, DedupWindow: dw.Span(p.DedupWindow), Streaming: p.Streaming}
 		if k.Effect, err = word("RequestClasses.Effect", p.Effect,
-			map[string]sc.Effect{"safe": sc.Safe, "keyed": sc.Keyed, "unsafe": sc.Unsafe}); err != nil {
+			map[string]dw.Effect{"safe": dw.Safe, "keyed": dw.Keyed, "unsafe": dw.Unsafe}); err != nil {
 			return s, w, err
 		}
-		if k.Group, err = word("RequestClasses.Group", p.Group, map[string]sc.Group{"": sc.GroupAll,
-			"all": sc.GroupAll, "zone": sc.GroupZone, "cell": sc.GroupCell}); err != nil {
+		if k.Group, err = word("RequestClasses.Group", p.Group, map[string]dw.Group{"": dw.GroupAll,
+			"all": dw.GroupAll, "zone": dw.GroupZone, "cell": dw.GroupCell}); err != nil {
 			return s, w, err
 		}
 		s.Classes = append(s.Classes, k)
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
-type counted struct{ sc.Counted }
+type counted struct{ dw.Counted }
 
 // count books use on the shared counter.
-func (p *Planner) count(now time.Time, a sc.Count) {
-	p.counter.Add(a.Name, a.Add, time.Duration(a.TTL), func(o sc.Outcome, total float64) {
-		_ = p.post(counted{sc.Counted{Name: a.Name, Outcome: o, Latency: sc.Span(time.Since(now)), Total: total}})
+func (p *Planner) count(now time.Time, a dw.Count) {
+	p.counter.Add(a.Name, a.Add, time.Duration(a.TTL), func(o dw.Outcome, total float64) {
+		_ = p.post(counted{dw.Counted{Name: a.Name, Outcome: o, Latency: dw.Span(time.Since(now)), Total: total}})
 	})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // Req is one try of a client.
@@ -16,7 +16,7 @@
 	Came     time.Time // when its last byte had been read
 	Class    int       // index in the settings, as is
 	Plan     int
-	Customer sc.CustomerID
+	Customer dw.CustomerID
 	Wait     time.Duration // from Came, how long the client will wait
 	Units    float64
 	Spread   int // the customer's gateways: so many in a row
@@ -52,13 +52,13 @@
 
 // Backend is a server as the director's list has it.
 type Backend struct {
-	ID   sc.ServerID
+	ID   dw.ServerID
 	Addr string
 }
 
 // Fetch is one attempt at a req.
 type Fetch struct {
-	Req     sc.RequestID
+	Req     dw.RequestID
 	Attempt int
 	Backend Backend
 	Until   time.Time // when to stop waiting
@@ -67,9 +67,9 @@
 
 // FetchEnd is the one end of a fetch.
 type FetchEnd struct {
-	Outcome sc.Outcome // tells truly whether the fetch may have run
+	Outcome dw.Outcome // tells truly whether the fetch may have run
 	Value   []byte
-	Load    sc.Load
+	Load    dw.Load
 }
 
 // Backends starts fetches; none of its methods may block.
@@ -77,7 +77,7 @@
 	// Start begins f and calls done once, from any goroutine but the caller's.
 	Start(f Fetch, done func(FetchEnd))
 	// Cancel gives a fetch up, if it is still out.
-	Cancel(req sc.RequestID, attempt int)
+	Cancel(req dw.RequestID, attempt int)
 	// Forget closes the idle connections to an address.
 	Forget(addr string)
 }
@@ -85,5 +85,5 @@
 // Counter adds to shared numbers; it may not block.
 type Counter interface {
 	// Add calls done once, from any goroutine but the caller's; for one name, in the order of the calls.
-	Add(name string, amount float64, life time.Duration, done func(sc.Outcome, float64))
+	Add(name string, amount float64, life time.Duration, done func(dw.Outcome, float64))
 }
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -9,14 +9,14 @@
 
 	"go.uber.org/zap"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // inboxSize bounds what waits for the planner. Whoever posts beyond it waits: a session then reads no more.
 const inboxSize = 1024
 
 // epoch is where the planner's clock starts, so that servers which started before it have an instant too.
-const epoch = sc.Instant(time.Hour)
+const epoch = dw.Instant(time.Hour)
 
 // Clock is the planner's time: monotonic, with the Unix time of its start fixed once. The fixed offset
 // matters: an instant that moved with the system's clock would look like a restart of the server.
@@ -26,24 +26,24 @@
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Instant is t on this clock.
-func (c Clock) Instant(t time.Time) sc.Instant { return epoch + sc.Instant(t.Sub(c.start)) }
+func (c Clock) Instant(t time.Time) dw.Instant { return epoch + dw.Instant(t.Sub(c.start)) }
 
 // Time is the other way round.
-func (c Clock) Time(i sc.Instant) time.Time { return c.start.Add(time.Duration(i - epoch)) }
+func (c Clock) Time(i dw.Instant) time.Time { return c.start.Add(time.Duration(i - epoch)) }
 
 // FromUnixMS turns Unix time into an instant; what lies before the clock's hour of grace is 0: long ago.
-func (c Clock) FromUnixMS(ms int64) sc.Instant {
+func (c Clock) FromUnixMS(ms int64) dw.Instant {
 	if ms <= 0 {
 		return 0
 	}
-	return max(0, epoch+sc.Instant(ms*1e6-c.start.UnixNano()))
+	return max(0, epoch+dw.Instant(ms*1e6-c.start.UnixNano()))
 }
 
 // Planner owns one Gateway of the module, its timers and its clock. All of its state belongs to the goroutine
 // of Run; others reach it through its inbox.
 type Planner struct {
 	Clock
-	gate     *sc.Gateway
+	gate     *dw.Gateway
 	backends Backends
 	counter  Counter
 	log      *zap.Logger
@@ -51,10 +51,10 @@
 	inbox  chan message
 	stop   chan struct{} // closed when Run ends: nobody may wait for it then
 	timers timers
-	reqs   map[sc.RequestID]*taken
-	routes map[sc.ServerID]Backend
+	reqs   map[dw.RequestID]*taken
+	routes map[dw.ServerID]Backend
 	lastID uint64
-	acts   []sc.Action
+	acts   []dw.Action
 }
 
 // message is something that happened, told to the planner.
@@ -64,13 +64,13 @@
 var ErrStopped = errors.New("core: the planner has stopped")
 
 // NewPlanner makes a planner that knows no backends yet.
-func NewPlanner(s sc.Settings, seed uint64, c Clock, b Backends, n Counter, log *zap.Logger) (*Planner, error) {
-	g, err := sc.New(s, seed)
+func NewPlanner(s dw.Settings, seed uint64, c Clock, b Backends, n Counter, log *zap.Logger) (*Planner, error) {
+	g, err := dw.New(s, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, log: log, inbox: make(chan message, inboxSize),
-		stop: make(chan struct{}), reqs: map[sc.RequestID]*taken{}, routes: map[sc.ServerID]Backend{}}, nil
+		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, routes: map[dw.ServerID]Backend{}}, nil
 }
 
 // post hands the planner a message, and waits while its inbox is full.
@@ -107,31 +107,31 @@
 func (p *Planner) fire() {
 	now := p.Instant(time.Now())
 	for len(p.timers) > 0 && p.timers[0].At <= now {
-		t := heap.Pop(&p.timers).(sc.SetTimer)
-		p.tell(sc.TimerFired{ID: t.ID})
+		t := heap.Pop(&p.timers).(dw.SetTimer)
+		p.tell(dw.TimerFired{ID: t.ID})
 	}
 }
 
 // tell hands an event to the module and carries out what it decides.
-func (p *Planner) tell(e sc.Event) {
+func (p *Planner) tell(e dw.Event) {
 	now := time.Now()
 	acts := p.gate.Handle(p.Instant(now), e, p.acts[:0])
 	p.acts = nil // an action may lead to an event of its own
 	for _, a := range acts {
 		switch a := a.(type) {
-		case sc.Send:
+		case dw.Send:
 			p.send(now, a)
-		case sc.Cancel:
+		case dw.Cancel:
 			p.backends.Cancel(a.Request, a.Attempt)
-		case sc.Refuse:
+		case dw.Refuse:
 			p.answer(a.Request, Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
-		case sc.Fail:
+		case dw.Fail:
 			p.answer(a.Request, Answer{Verdict: Failed})
-		case sc.SetTimer:
+		case dw.SetTimer:
 			heap.Push(&p.timers, a)
-		case sc.Count:
+		case dw.Count:
 			p.count(now, a)
-		case sc.Subscribe: // the director is subscribed at all times
+		case dw.Subscribe: // the director is subscribed at all times
 		default:
 			p.log.Error("no such action on this platform", zap.String("action", fmt.Sprintf("%T", a)))
 		}
@@ -141,12 +141,12 @@
 }
 
 // timers is a heap, the soonest first.
-type timers []sc.SetTimer
+type timers []dw.SetTimer
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].At < t[j].At }
 func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(sc.SetTimer)) }
+func (t *timers) Push(x any)        { *t = append(*t, x.(dw.SetTimer)) }
 func (t *timers) Pop() any {
 	old := *t
 	last := old[len(old)-1]
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // handle passes the value of a good fetch on to the client, and the outcome to the module, which may send again.
@@ -13,10 +13,10 @@
 		return
 	}
 	t.out--
-	if m.end.Outcome == sc.OutcomeOK {
+	if m.end.Outcome == dw.OutcomeOK {
 		p.answer(t.id, Answer{Verdict: Served, Value: m.end.Value})
 	}
-	p.tell(sc.Ended{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Outcome: m.end.Outcome,
-		Final: t.answered, Latency: sc.Span(time.Since(m.began)), Load: m.end.Load})
+	p.tell(dw.Ended{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Outcome: m.end.Outcome,
+		Final: t.answered, Latency: dw.Span(time.Since(m.began)), Load: m.end.Load})
 	p.drop(t)
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,12 +1,12 @@
 package core
 
 import (
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // Listing is news of the director's list, with the addresses of the backends named in it.
 type Listing struct {
-	List  sc.ServerList
+	List  dw.ServerList
 	Addrs []string // in the order of List.Servers
 }
 
@@ -14,19 +14,19 @@
 func (p *Planner) Listed(l Listing) error { return p.post(l) }
 
 func (l Listing) handle(p *Planner) {
-	named := make(map[sc.ServerID]bool, len(l.List.Servers))
+	named := make(map[dw.ServerID]bool, len(l.List.Servers))
 	for i, s := range l.List.Servers {
 		named[s.ID] = true
 		old, known := p.routes[s.ID]
 		p.routes[s.ID] = Backend{ID: s.ID, Addr: l.Addrs[i]}
-		if known && (old.Addr != l.Addrs[i] || s.State == sc.Gone) {
+		if known && (old.Addr != l.Addrs[i] || s.State == dw.Gone) {
 			p.backends.Forget(old.Addr)
 		}
-		if s.State == sc.Gone {
+		if s.State == dw.Gone {
 			delete(p.routes, s.ID)
 		}
 	}
-	if l.List.Kind != sc.ListDelta {
+	if l.List.Kind != dw.ListDelta {
 		for id, b := range p.routes {
 			if !named[id] {
 				delete(p.routes, id)
@@ -38,7 +38,7 @@
 }
 
 // route finds the backend that the module named.
-func (p *Planner) route(id sc.ServerID) (Backend, bool) {
+func (p *Planner) route(id dw.ServerID) (Backend, bool) {
 	b, ok := p.routes[id]
 	return b, ok
 }
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 type fetchEnded struct {
@@ -13,7 +13,7 @@
 }
 
 // send starts a fetch. The module alone decides to send again: nothing here does.
-func (p *Planner) send(now time.Time, a sc.Send) {
+func (p *Planner) send(now time.Time, a dw.Send) {
 	t := p.reqs[a.Request]
 	if t == nil {
 		return
@@ -28,7 +28,7 @@
 	f.Backend = backend
 	if t.answered || !known || !now.Before(f.Until) { // it never left; told later, as any end is
 		f.Backend.ID = a.Server
-		end := fetchEnded{f, now, FetchEnd{Outcome: sc.OutcomeNotSent}}
+		end := fetchEnded{f, now, FetchEnd{Outcome: dw.OutcomeNotSent}}
 		go func() { _ = p.post(end) }()
 		return
 	}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -3,12 +3,12 @@
 import (
 	"strconv"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // taken is a req from take in until its answer is given and its last fetch has ended.
 type taken struct {
-	id       sc.RequestID
+	id       dw.RequestID
 	req      *Req
 	attempts int // fetches asked for
 	out      int // fetches that have not ended
@@ -16,7 +16,7 @@
 }
 
 // Ticket names a req that was taken in.
-type Ticket struct{ id sc.RequestID }
+type Ticket struct{ id dw.RequestID }
 
 type takeIn struct {
 	req    *Req
@@ -45,15 +45,15 @@
 }
 
 // nextID names a req for the module. The clients' own ids are not used: two clients could send the same.
-func (p *Planner) nextID() sc.RequestID {
+func (p *Planner) nextID() dw.RequestID {
 	p.lastID++
-	return sc.RequestID(strconv.FormatUint(p.lastID, 36))
+	return dw.RequestID(strconv.FormatUint(p.lastID, 36))
 }
 
 func (m clientGone) handle(p *Planner) {
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
 		t.answered = true
-		p.tell(sc.ClientGone{Request: t.id})
+		p.tell(dw.ClientGone{Request: t.id})
 		p.drop(t)
 	}
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,8 +14,8 @@
 
 	"go.uber.org/zap"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/http1"
+	dw "dewhitch"
+	"dewhitch/internal/http1"
 )
 
 const (
@@ -53,10 +53,10 @@
 	request []byte
 	state   atomic.Int32
 	timer   *time.Timer
-	done    func(sc.Outcome, float64)
+	done    func(dw.Outcome, float64)
 }
 
-func (c *call) settle(from int32, o sc.Outcome, total float64) bool {
+func (c *call) settle(from int32, o dw.Outcome, total float64) bool {
 	if !c.state.CompareAndSwap(from, settled) {
 		return false
 	}
@@ -75,21 +75,21 @@
 }
 
 // Add makes one call.
-func (c *Client) Add(name string, amount float64, life time.Duration, done func(sc.Outcome, float64)) {
+func (c *Client) Add(name string, amount float64, life time.Duration, done func(dw.Outcome, float64)) {
 	target := "/counters/" + name + "?by=" + strconv.FormatFloat(amount, 'f', -1, 64) +
 		"&expire_ms=" + strconv.FormatInt(max(1, life.Milliseconds()), 10)
 	k := &call{request: http1.AppendRequest(nil, "POST", target, c.addr), done: done}
 	// A call that is overdue is settled here; if it was written, its answer is still to come, and the line reads
 	// and passes over it, so that later answers stay with their calls.
 	k.timer = time.AfterFunc(c.limit, func() {
-		if !k.settle(waiting, sc.OutcomeConnectFailed, 0) {
-			k.settle(written, sc.OutcomeTimeout, 0)
+		if !k.settle(waiting, dw.OutcomeConnectFailed, 0) {
+			k.settle(written, dw.OutcomeTimeout, 0)
 		}
 	})
 	select {
 	case c.lines[hash(name)%lines].calls <- k:
 	default:
-		go k.settle(waiting, sc.OutcomeRejected, 0)
+		go k.settle(waiting, dw.OutcomeRejected, 0)
 	}
 }
 
@@ -124,7 +124,7 @@
 		conn, err := (&net.Dialer{Timeout: c.dial}).DialContext(ctx, "tcp", c.addr)
 		if err != nil {
 			c.log.Debug("counter: no connection", zap.Error(err))
-			first.settle(waiting, sc.OutcomeConnectFailed, 0)
+			first.settle(waiting, dw.OutcomeConnectFailed, 0)
 			l.failQueued()
 			first = nil
 			select {
@@ -142,7 +142,7 @@
 	for {
 		select {
 		case k := <-l.calls:
-			k.settle(waiting, sc.OutcomeConnectFailed, 0)
+			k.settle(waiting, dw.OutcomeConnectFailed, 0)
 		default:
 			return
 		}
@@ -189,13 +189,13 @@
 		n, err := conn.Write(buf)
 		for _, k := range batch {
 			if n -= len(k.request); n < 0 { // its last byte was not written: nothing added
-				k.settle(written, sc.OutcomeConnectFailed, 0)
+				k.settle(written, dw.OutcomeConnectFailed, 0)
 				continue
 			}
 			select {
 			case out <- k:
 			case <-ctx.Done():
-				k.settle(written, sc.OutcomeTimeout, 0)
+				k.settle(written, dw.OutcomeTimeout, 0)
 			}
 		}
 		if err != nil {
@@ -206,7 +206,7 @@
 	close(out)
 	reader.Wait()
 	for k := range out { // it may have been added, or may yet be
-		k.settle(written, sc.OutcomeTimeout, 0)
+		k.settle(written, dw.OutcomeTimeout, 0)
 	}
 	return next
 }
@@ -236,22 +236,22 @@
 }
 
 // one reads one answer; unless again is set, the connection is of no more use.
-func one(r *bufio.Reader) (o sc.Outcome, total float64, again bool) {
+func one(r *bufio.Reader) (o dw.Outcome, total float64, again bool) {
 	head, err := http1.ReadAnswer(r)
 	if err != nil {
-		return sc.OutcomeTimeout, 0, false
+		return dw.OutcomeTimeout, 0, false
 	}
 	body, err := http1.ReadBody(r, head)
 	if err != nil {
-		return sc.OutcomeTimeout, 0, false
+		return dw.OutcomeTimeout, 0, false
 	}
 	switch head.Status {
 	case 200:
 		if total, err = strconv.ParseFloat(string(body), 64); err != nil {
-			return sc.OutcomeTimeout, 0, false
+			return dw.OutcomeTimeout, 0, false
 		}
-		return sc.OutcomeOK, total, !head.Close
+		return dw.OutcomeOK, total, !head.Close
 	default: // 503, 400 and 404: nothing was added
-		return sc.OutcomeRejected, 0, !head.Close
+		return dw.OutcomeRejected, 0, !head.Close
 	}
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/zap"
 
-	"starlingcourse/internal/core"
-	"starlingcourse/internal/http1"
+	"dewhitch/internal/core"
+	"dewhitch/internal/http1"
 )
 
 const (
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/core"
+	dw "dewhitch"
+	"dewhitch/internal/core"
 )
 
 // list is one message of discovery.
@@ -30,7 +30,7 @@
 	UpSinceMS int64   `json:"up_since_ms"`
 }
 
-var phases = map[string]sc.ServerState{"up": sc.Ready, "draining": sc.Draining, "removed": sc.Gone}
+var phases = map[string]dw.ServerState{"up": dw.Ready, "draining": dw.Draining, "removed": dw.Gone}
 
 // Names are the settings' words for zones and kinds, in their order.
 type Names struct{ Zones, Kinds []string }
@@ -39,23 +39,23 @@
 type Decoder struct {
 	names Names
 	clock core.Clock
-	ids   map[string]sc.ServerID
+	ids   map[string]dw.ServerID
 }
 
 // NewDecoder makes a decoder.
 func NewDecoder(n Names, c core.Clock) *Decoder {
-	return &Decoder{names: n, clock: c, ids: map[string]sc.ServerID{}}
+	return &Decoder{names: n, clock: c, ids: map[string]dw.ServerID{}}
 }
 
 // id is the number in an id such as s-5be2a07c, which is the same at all gateways; an id of another form gets
 // the next number that is free.
-func (d *Decoder) id(s string) sc.ServerID {
+func (d *Decoder) id(s string) dw.ServerID {
 	if n, ok := d.ids[s]; ok {
 		return n
 	}
 	_, digits, _ := strings.Cut(s, "-")
 	v, err := strconv.ParseUint(digits, 16, 32)
-	n := sc.ServerID(v)
+	n := dw.ServerID(v)
 	for taken := err != nil; ; taken = true {
 		if taken {
 			n++
@@ -68,7 +68,7 @@
 	return n
 }
 
-func (d *Decoder) holds(n sc.ServerID) bool {
+func (d *Decoder) holds(n dw.ServerID) bool {
 	for _, old := range d.ids {
 		if old == n {
 			return true
@@ -89,16 +89,16 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return core.Listing{}, err
 	}
-	out := core.Listing{List: sc.ServerList{Kind: sc.ListDelta, Version: l.Revision}}
+	out := core.Listing{List: dw.ServerList{Kind: dw.ListDelta, Version: l.Revision}}
 	if l.Complete {
-		out.List.Kind = sc.ListFull
+		out.List.Kind = dw.ListFull
 	}
 	for _, m := range l.Members {
 		state, known := phases[m.Phase]
-		if m.ID == "" || !known || m.HostPort == "" && state != sc.Gone {
+		if m.ID == "" || !known || m.HostPort == "" && state != dw.Gone {
 			return core.Listing{}, fmt.Errorf("members: id %q has host_port %q, phase %q", m.ID, m.HostPort, m.Phase)
 		}
-		out.List.Servers = append(out.List.Servers, sc.ServerEntry{ID: d.id(m.ID), Cell: m.Cell,
+		out.List.Servers = append(out.List.Servers, dw.ServerEntry{ID: d.id(m.ID), Cell: m.Cell,
 			Zone: place(d.names.Zones, m.Locality), Kind: place(d.names.Kinds, m.Flavor),
 			Since: d.clock.FromUnixMS(m.UpSinceMS), Rating: m.Size, State: state})
 		out.Addrs = append(out.Addrs, m.HostPort)
@@ -109,9 +109,9 @@
 // Known reads the list that the configuration holds, which may be out of date, or missing.
 func (d *Decoder) Known(text []byte) (core.Listing, error) {
 	if len(text) == 0 {
-		return core.Listing{List: sc.ServerList{Kind: sc.ListCached}}, nil
+		return core.Listing{List: dw.ServerList{Kind: dw.ListCached}}, nil
 	}
 	l, err := d.Decode(text)
-	l.List.Kind = sc.ListCached
+	l.List.Kind = dw.ListCached
 	return l, err
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -10,11 +10,11 @@
 	"strconv"
 	"time"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/config/settings"
-	"starlingcourse/internal/core"
-	"starlingcourse/internal/front"
-	"starlingcourse/internal/resp"
+	dw "dewhitch"
+	"dewhitch/internal/config/settings"
+	"dewhitch/internal/core"
+	"dewhitch/internal/front"
+	"dewhitch/internal/resp"
 )
 
 const longestWait = time.Hour // no client waits longer, whatever it writes
@@ -23,7 +23,7 @@
 type Commands struct {
 	Planner *core.Planner
 	Words   settings.Words
-	Classes []sc.Class
+	Classes []dw.Class
 }
 
 // Do implements front.Commands.
@@ -90,21 +90,21 @@
 	if r.Class = slices.Index(c.Words.Classes, class); r.Class < 0 {
 		return nil, fmt.Errorf("c: no class %.32q", class)
 	}
-	if k := c.Classes[r.Class]; query != (k.Effect == sc.Safe) {
+	if k := c.Classes[r.Class]; query != (k.Effect == dw.Safe) {
 		return nil, fmt.Errorf("c: class %q is for the other command", class)
-	} else if k.Effect == sc.Keyed && r.Message.Key == "" {
+	} else if k.Effect == dw.Keyed && r.Message.Key == "" {
 		return nil, errors.New("k: missing")
 	}
 	return r, nil
 }
 
 // Customer reads a customer: 16 hex digits.
-func Customer(text []byte) (sc.CustomerID, error) {
+func Customer(text []byte) (dw.CustomerID, error) {
 	v, err := strconv.ParseUint(string(text), 16, 64)
 	if err != nil || len(text) != 16 || bytes.ContainsAny(text, "ABCDEF") {
 		return 0, fmt.Errorf("customer: %.32q is not 16 hex digits", text)
 	}
-	return sc.CustomerID(v), nil
+	return dw.CustomerID(v), nil
 }
 
 // Arguments reads the list of names and values into r, and returns the class's name, which may be empty.
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"starlingcourse/internal/resp"
+	"dewhitch/internal/resp"
 )
 
 // The bounds of one client session.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire is the codec between the simulator's text lines and the types
-// of package starlingcourse. It decides nothing.
+// of package dewhitch. It decides nothing.
 package wire
 
 import (
@@ -12,20 +12,20 @@
 	"strconv"
 	"strings"
 
-	sc "starlingcourse"
-	"starlingcourse/internal/config/settings"
+	dw "dewhitch"
+	"dewhitch/internal/config/settings"
 )
 
 // Hello starts an instance.
 type Hello struct {
 	Seed     uint64
-	Settings sc.Settings
+	Settings dw.Settings
 }
 
 // Kill ends an instance.
 type Kill struct{}
 
-// Message is one line of a round: a Hello, a Kill or a starlingcourse event.
+// Message is one line of a round: a Hello, a Kill or a dewhitch event.
 type Message struct {
 	Gateway string
 	Line    int
@@ -34,7 +34,7 @@
 
 // Round is one batch of events.
 type Round struct {
-	Now      sc.Instant
+	Now      dw.Instant
 	Messages []Message
 }
 
@@ -76,7 +76,7 @@
 	if name, _, _ := strings.Cut(s, " "); name != "round" {
 		f.fail("-", "want a round line")
 	}
-	round := Round{Now: sc.Instant(f.int64("clock"))}
+	round := Round{Now: dw.Instant(f.int64("clock"))}
 	if f.err != nil {
 		return Round{}, f.err
 	}
@@ -184,23 +184,23 @@
 
 func (f *fields) bool(field string) bool { return f.code(field, 2) == 1 }
 
-func (f *fields) server(field string) sc.ServerID {
+func (f *fields) server(field string) dw.ServerID {
 	f.absent(field)
 	v := f.int64(field)
 	if v < 0 || v > math.MaxUint32 {
 		f.fail(field, "out of range")
 	}
-	return sc.ServerID(v)
+	return dw.ServerID(v)
 }
 
-func (f *fields) request() sc.RequestID { return sc.RequestID(f.need("Req")) }
+func (f *fields) request() dw.RequestID { return dw.RequestID(f.need("Req")) }
 
-var outcomes = [...]sc.Outcome{0: sc.OutcomeError, 1: sc.OutcomeOK, 2: sc.OutcomeRejected, 3: sc.OutcomeTimeout,
-	4: sc.OutcomeConnectFailed, 5: sc.OutcomeReset, 6: sc.OutcomeCancelled, 7: sc.OutcomeNotSent}
+var outcomes = [...]dw.Outcome{0: dw.OutcomeError, 1: dw.OutcomeOK, 2: dw.OutcomeRejected, 3: dw.OutcomeTimeout,
+	4: dw.OutcomeConnectFailed, 5: dw.OutcomeReset, 6: dw.OutcomeCancelled, 7: dw.OutcomeNotSent}
 
-func (f *fields) outcome() sc.Outcome { return outcomes[f.code("Reason", len(outcomes))] }
+func (f *fields) outcome() dw.Outcome { return outcomes[f.code("Reason", len(outcomes))] }
 
-func (f *fields) load() (l sc.Load) {
+func (f *fields) load() (l dw.Load) {
 	s := f.take("Metrics")
 	if f.err != nil || s == "-" {
 		return l
@@ -258,16 +258,16 @@
 		m.Body = Kill{}
 	case "peers_known":
 		scope := f.code("Scope", 5)
-		l := sc.ServerList{Version: f.int64("Serial")}
+		l := dw.ServerList{Version: f.int64("Serial")}
 		switch scope {
 		case 1:
-			l.Kind = sc.ListCached
+			l.Kind = dw.ListCached
 		case 2:
-			l.Kind = sc.ListFailed
+			l.Kind = dw.ListFailed
 		case 3:
-			l.Kind = sc.ListDelta
+			l.Kind = dw.ListDelta
 		case 4:
-			l.Kind = sc.ListFull
+			l.Kind = dw.ListFull
 		default:
 			f.fail("Scope", "0 is not one of 1 to 4")
 		}
@@ -284,35 +284,35 @@
 		}
 		m.Body = l
 	case "submit":
-		a := sc.Arrival{ID: f.request(), Class: f.code("Priority", math.MaxInt32), Plan: f.code("Terms", math.MaxInt32)}
+		a := dw.Arrival{ID: f.request(), Class: f.code("Priority", math.MaxInt32), Plan: f.code("Terms", math.MaxInt32)}
 		key := f.need("Caller")
 		id, err := strconv.ParseUint(key, 16, 64)
 		if err != nil {
 			f.fail("Caller", fmt.Sprintf("bad customer %q", key))
 		}
-		a.Customer = sc.CustomerID(id)
-		a.Remaining, a.Units = sc.Span(f.int64("Remaining")), f.float("SizeUnits")
+		a.Customer = dw.CustomerID(id)
+		a.Remaining, a.Units = dw.Span(f.int64("Remaining")), f.float("SizeUnits")
 		a.Spread, a.First = int(f.float("NEntries")), int(f.float("First"))
 		o := f.int64("Options")
 		a.Repeat, a.Write = o&2 != 0, o&4 != 0
 		m.Body = a
 	case "established":
-		m.Body = sc.Started{Request: f.request(), Attempt: f.code("Hop", math.MaxInt32), Server: f.server("Server"),
-			Latency: sc.Span(f.int64("Spent"))}
+		m.Body = dw.Started{Request: f.request(), Attempt: f.code("Hop", math.MaxInt32), Server: f.server("Server"),
+			Latency: dw.Span(f.int64("Spent"))}
 	case "response":
-		e := sc.Ended{Request: f.request(), Final: f.bool("NoMore"), Used: int(f.int64("UsePct"))}
-		e.Server, e.Outcome, e.Latency = f.server("Server"), f.outcome(), sc.Span(f.int64("Spent"))
+		e := dw.Ended{Request: f.request(), Final: f.bool("NoMore"), Used: int(f.int64("UsePct"))}
+		e.Server, e.Outcome, e.Latency = f.server("Server"), f.outcome(), dw.Span(f.int64("Spent"))
 		e.Attempt, e.TrueUnits, e.Load = f.code("Hop", math.MaxInt32), f.float("TrueUnits"), f.load()
 		m.Body = e
 	case "vanished":
-		m.Body = sc.ClientGone{Request: f.request()}
+		m.Body = dw.ClientGone{Request: f.request()}
 	case "ring":
-		m.Body = sc.TimerFired{ID: sc.TimerID(f.need("Ref"))}
+		m.Body = dw.TimerFired{ID: dw.TimerID(f.need("Ref"))}
 	case "health":
-		m.Body = sc.Probed{Server: f.server("Server"), Outcome: f.outcome(), Latency: sc.Span(f.int64("Spent")),
+		m.Body = dw.Probed{Server: f.server("Server"), Outcome: f.outcome(), Latency: dw.Span(f.int64("Spent")),
 			Load: f.load()}
 	case "peer":
-		p := sc.Told{From: f.code("Src", math.MaxInt32)}
+		p := dw.Told{From: f.code("Src", math.MaxInt32)}
 		if raw := f.take("Raw"); raw != "-" {
 			var err error
 			if p.Data, err = hex.DecodeString(raw); err != nil {
@@ -321,62 +321,62 @@
 		}
 		m.Body = p
 	case "ledger_reply":
-		m.Body = sc.Counted{Name: f.need("Cname"), Outcome: f.outcome(), Latency: sc.Span(f.int64("Spent")),
+		m.Body = dw.Counted{Name: f.need("Cname"), Outcome: f.outcome(), Latency: dw.Span(f.int64("Spent")),
 			Total: f.float("Value")}
 	}
 	return m, f.err
 }
 
-func (r *Reader) entry() (sc.ServerEntry, error) {
+func (r *Reader) entry() (dw.ServerEntry, error) {
 	s, err := r.next()
 	if err != nil {
-		return sc.ServerEntry{}, &Error{r.line + 1, "m", "-", "the input ends inside a list"}
+		return dw.ServerEntry{}, &Error{r.line + 1, "m", "-", "the input ends inside a list"}
 	}
 	f := r.fields("m", s, 7)
 	if !strings.HasPrefix(s, "m ") {
 		f.fail("-", "want a list entry")
 	}
-	e := sc.ServerEntry{Cell: int(f.int64("Pod")), Zone: int(f.int64("Site")), Kind: int(f.int64("GenerationHw")),
-		ID: f.server("Server"), Since: sc.Instant(f.int64("OnlineSince")), Rating: f.float("Rating")}
-	e.State = [...]sc.ServerState{sc.Draining, sc.Ready, sc.Gone}[f.code("State", 3)]
+	e := dw.ServerEntry{Cell: int(f.int64("Pod")), Zone: int(f.int64("Site")), Kind: int(f.int64("GenerationHw")),
+		ID: f.server("Server"), Since: dw.Instant(f.int64("OnlineSince")), Rating: f.float("Rating")}
+	e.State = [...]dw.ServerState{dw.Draining, dw.Ready, dw.Gone}[f.code("State", 3)]
 	return e, f.err
 }
 
 // AppendAction appends the line of one action of gateway gw to b.
-func AppendAction(b []byte, gw string, a sc.Action) []byte {
+func AppendAction(b []byte, gw string, a dw.Action) []byte {
 	line := func(name string) { b = append(append(append(b, name...), ' '), gw...) }
 	text := func(s string) { b = append(append(b, ' '), s...) }
 	num := func(v int64) { b = strconv.AppendInt(append(b, ' '), v, 10) }
 	switch a := a.(type) {
-	case sc.Send:
+	case dw.Send:
 		line("deliver")
 		text(string(a.Request))
 		num(int64(a.Server))
 		num(int64(a.Timeout))
-	case sc.Cancel:
+	case dw.Cancel:
 		line("undo_send")
 		text(string(a.Request))
 		num(int64(a.Attempt))
-	case sc.Refuse:
+	case dw.Refuse:
 		line("deny")
 		text(string(a.Request))
 		num(int64(a.RetryAfter))
-	case sc.Fail:
+	case dw.Fail:
 		line("finish_error")
 		text(string(a.Request))
-	case sc.SetTimer:
+	case dw.SetTimer:
 		line("remind")
 		num(int64(a.At))
 		text(string(a.ID))
-	case sc.Count:
+	case dw.Count:
 		line("bump")
 		text(a.Name)
 		b = strconv.AppendFloat(append(b, ' '), a.Add, 'f', -1, 64)
 		num(int64(a.TTL))
-	case sc.Probe:
+	case dw.Probe:
 		line("probe")
 		num(int64(a.Server))
-	case sc.Subscribe:
+	case dw.Subscribe:
 		line("stream_changes")
 		num(1)
 	default:
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,48 +1,48 @@
-package starlingcourse_test
+package dewhitch_test
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
-	sc "starlingcourse"
+	dw "dewhitch"
 )
 
 // world feeds several gateways seeded random legal events and checks the rules from outside, by its own books.
 type world struct {
 	t     *testing.T
 	rng   *rand.Rand
-	set   sc.Settings
-	now   sc.Instant
+	set   dw.Settings
+	now   dw.Instant
 	gates []*gate
-	store map[sc.CustomerID]*store // the true ceilings
+	store map[dw.CustomerID]*store // the true ceilings
 	count map[string]float64
 	fresh int
 }
 
 type store struct {
 	level float64
-	at    sc.Instant
+	at    dw.Instant
 }
 
 type gate struct {
-	*sc.Gateway
+	*dw.Gateway
 	self    int
-	state   map[sc.ServerID]sc.ServerState
-	told    map[sc.ServerID]sc.Instant // when it was told of a drain
-	servers map[sc.ServerID]sc.ServerEntry
-	reqs    map[sc.RequestID]*req
+	state   map[dw.ServerID]dw.ServerState
+	told    map[dw.ServerID]dw.Instant // when it was told of a drain
+	servers map[dw.ServerID]dw.ServerEntry
+	reqs    map[dw.RequestID]*req
 	due     []due
 }
 
 type due struct {
-	at sc.Instant
-	e  sc.Event
+	at dw.Instant
+	e  dw.Event
 }
 
 type req struct {
-	arrival  sc.Arrival
-	due      sc.Instant
+	arrival  dw.Arrival
+	due      dw.Instant
 	attempts []*try
 	finished bool
 	owed     bool
@@ -50,33 +50,33 @@
 }
 
 type try struct {
-	server  sc.ServerID
-	at      sc.Instant
+	server  dw.ServerID
+	at      dw.Instant
 	ended   bool
-	outcome sc.Outcome
+	outcome dw.Outcome
 }
 
 func (a *try) mayHaveRun() bool {
 	switch a.outcome {
-	case sc.OutcomeRejected, sc.OutcomeConnectFailed, sc.OutcomeNotSent:
+	case dw.OutcomeRejected, dw.OutcomeConnectFailed, dw.OutcomeNotSent:
 		return !a.ended
 	}
 	return true
 }
 
-func (w *world) schedule(g *gate, after sc.Span, e sc.Event) {
-	g.due = append(g.due, due{w.now + sc.Instant(after), e})
+func (w *world) schedule(g *gate, after dw.Span, e dw.Event) {
+	g.due = append(g.due, due{w.now + dw.Instant(after), e})
 }
 
-func (w *world) handle(g *gate, e sc.Event) {
+func (w *world) handle(g *gate, e dw.Event) {
 	for _, a := range g.Handle(w.now, e, nil) {
 		w.act(g, a)
 	}
 }
 
-func (w *world) act(g *gate, a sc.Action) {
+func (w *world) act(g *gate, a dw.Action) {
 	t := w.t
-	final := func(id sc.RequestID, refused bool) {
+	final := func(id dw.RequestID, refused bool) {
 		r := g.reqs[id]
 		if r == nil || r.final > 0 {
 			t.Fatalf("rule 1: %T for %s, which is unknown or had a final answer", a, id)
@@ -88,26 +88,26 @@
 		r.finished, r.owed = true, false
 		class := w.set.Classes[r.arrival.Class]
 		for _, k := range r.attempts {
-			if refused && k.mayHaveRun() && (class.Effect == sc.Unsafe ||
-				class.Effect == sc.Keyed && class.Group != sc.GroupAll) {
+			if refused && k.mayHaveRun() && (class.Effect == dw.Unsafe ||
+				class.Effect == dw.Keyed && class.Group != dw.GroupAll) {
 				t.Fatalf("rule 2: %s refused though an attempt may have run", id)
 			}
 		}
 	}
 	switch a := a.(type) {
-	case sc.SetTimer:
-		w.schedule(g, sc.Span(max(a.At-w.now, sc.Instant(w.set.Tick))), sc.TimerFired{ID: a.ID})
-	case sc.Refuse:
+	case dw.SetTimer:
+		w.schedule(g, dw.Span(max(a.At-w.now, dw.Instant(w.set.Tick))), dw.TimerFired{ID: a.ID})
+	case dw.Refuse:
 		final(a.Request, true)
-	case sc.Fail:
+	case dw.Fail:
 		final(a.Request, false)
-	case sc.Count:
-		outcome, total := sc.OutcomeOK, 0.0
+	case dw.Count:
+		outcome, total := dw.OutcomeOK, 0.0
 		switch w.rng.IntN(10) {
 		case 0:
-			outcome = sc.OutcomeRejected
+			outcome = dw.OutcomeRejected
 		case 1: // timed out, and counted or not
-			outcome = sc.OutcomeTimeout
+			outcome = dw.OutcomeTimeout
 			w.count[a.Name] += a.Add * float64(w.rng.IntN(2))
 		case 2: // forgotten
 			w.count[a.Name] = 0
@@ -116,24 +116,24 @@
 			w.count[a.Name] += a.Add
 			total = w.count[a.Name]
 		}
-		w.schedule(g, 1+sc.Span(w.rng.Int64N(int64(w.set.CounterTimeout))),
-			sc.Counted{Name: a.Name, Outcome: outcome, Total: total})
-	case sc.Cancel:
+		w.schedule(g, 1+dw.Span(w.rng.Int64N(int64(w.set.CounterTimeout))),
+			dw.Counted{Name: a.Name, Outcome: outcome, Total: total})
+	case dw.Cancel:
 		r := g.reqs[a.Request]
 		if r == nil || a.Attempt >= len(r.attempts) || !w.set.MayCancel {
 			t.Fatalf("illegal cancel %+v", a)
 		}
 		if k := r.attempts[a.Attempt]; !k.ended {
-			w.end(g, r, a.Attempt, sc.OutcomeCancelled)
+			w.end(g, r, a.Attempt, dw.OutcomeCancelled)
 		}
-	case sc.Send:
+	case dw.Send:
 		w.send(g, a)
 	default:
 		t.Fatalf("unexpected action %T", a)
 	}
 }
 
-func (w *world) send(g *gate, a sc.Send) {
+func (w *world) send(g *gate, a dw.Send) {
 	t, r := w.t, g.reqs[a.Request]
 	if r == nil || r.finished || r.final > 0 {
 		t.Fatalf("rule 1: %s sent after its end", a.Request)
@@ -142,7 +142,7 @@
 	if !known {
 		t.Fatalf("server %d was never listed", a.Server)
 	}
-	if g.state[a.Server] != sc.Ready && w.now-g.told[a.Server] > sc.Instant(w.set.DrainGrace) {
+	if g.state[a.Server] != dw.Ready && w.now-g.told[a.Server] > dw.Instant(w.set.DrainGrace) {
 		t.Fatalf("rule 3: sent to %d, %d ns after its drain", a.Server, w.now-g.told[a.Server])
 	}
 	class, plan := w.set.Classes[r.arrival.Class], w.set.Plans[r.arrival.Plan]
@@ -156,10 +156,10 @@
 		}
 		first := g.servers[k.server]
 		switch {
-		case class.Effect == sc.Unsafe:
+		case class.Effect == dw.Unsafe:
 			t.Fatalf("rule 2: unsafe %s sent again though it may have run", a.Request)
-		case class.Effect == sc.Keyed && (class.Group == sc.GroupCell && first.Cell != s.Cell ||
-			class.Group == sc.GroupZone && first.Zone != s.Zone || w.now-k.at > sc.Instant(class.DedupWindow)):
+		case class.Effect == dw.Keyed && (class.Group == dw.GroupCell && first.Cell != s.Cell ||
+			class.Group == dw.GroupZone && first.Zone != s.Zone || w.now-k.at > dw.Instant(class.DedupWindow)):
 			t.Fatalf("rule 2: keyed %s sent outside its group or window", a.Request)
 		}
 	}
@@ -178,58 +178,58 @@
 		}
 	}
 	r.attempts = append(r.attempts, &try{server: a.Server, at: w.now})
-	limit := sc.Span(r.due - w.now)
+	limit := dw.Span(r.due - w.now)
 	if a.Timeout > 0 {
 		limit = min(limit, a.Timeout)
 	}
-	took, outcome := sc.Span(w.rng.ExpFloat64()*80e6)+1e6, sc.OutcomeOK
+	took, outcome := dw.Span(w.rng.ExpFloat64()*80e6)+1e6, dw.OutcomeOK
 	if a.Server%4 == 0 && w.now/1e9%7 < 3 { // hangs now and then
 		took = 1 << 40
 	} else if w.rng.IntN(8) == 0 {
-		outcome = []sc.Outcome{sc.OutcomeError, sc.OutcomeRejected, sc.OutcomeConnectFailed, sc.OutcomeReset,
-			sc.OutcomeNotSent}[w.rng.IntN(5)]
+		outcome = []dw.Outcome{dw.OutcomeError, dw.OutcomeRejected, dw.OutcomeConnectFailed, dw.OutcomeReset,
+			dw.OutcomeNotSent}[w.rng.IntN(5)]
 	}
 	if took > limit {
-		took, outcome = limit, sc.OutcomeTimeout
+		took, outcome = limit, dw.OutcomeTimeout
 	}
 	w.schedule(g, took, pending{r: r, attempt: len(r.attempts) - 1, outcome: outcome})
 }
 
 // pending is an outcome under way. It travels with the events, but is never handed to a gateway.
 type pending struct {
-	sc.Event
+	dw.Event
 	r       *req
 	attempt int
-	outcome sc.Outcome
+	outcome dw.Outcome
 }
 
-func (w *world) end(g *gate, r *req, attempt int, outcome sc.Outcome) {
+func (w *world) end(g *gate, r *req, attempt int, outcome dw.Outcome) {
 	k := r.attempts[attempt]
 	if k.ended {
 		return
 	}
 	k.ended, k.outcome = true, outcome
-	w.schedule(g, sc.Span(w.set.Tick), sc.Ended{Request: r.arrival.ID, Attempt: attempt, Server: k.server,
-		Outcome: outcome, Latency: sc.Span(w.now - k.at), TrueUnits: float64(1 + w.rng.IntN(4))})
+	w.schedule(g, dw.Span(w.set.Tick), dw.Ended{Request: r.arrival.ID, Attempt: attempt, Server: k.server,
+		Outcome: outcome, Latency: dw.Span(w.now - k.at), TrueUnits: float64(1 + w.rng.IntN(4))})
 }
 
 func (w *world) start(g *gate) {
-	gw, err := sc.New(func() sc.Settings { s := w.set; s.Self = g.self; return s }(), w.rng.Uint64())
+	gw, err := dw.New(func() dw.Settings { s := w.set; s.Self = g.self; return s }(), w.rng.Uint64())
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	*g = gate{Gateway: gw, self: g.self, state: map[sc.ServerID]sc.ServerState{},
-		told: map[sc.ServerID]sc.Instant{}, servers: map[sc.ServerID]sc.ServerEntry{}, reqs: map[sc.RequestID]*req{}}
-	list := sc.ServerList{Kind: sc.ListCached}
-	for id := sc.ServerID(1); id <= 9; id++ {
-		list.Servers = append(list.Servers, sc.ServerEntry{ID: id, Cell: int(id) / 3, Zone: int(id) % 2})
+	*g = gate{Gateway: gw, self: g.self, state: map[dw.ServerID]dw.ServerState{},
+		told: map[dw.ServerID]dw.Instant{}, servers: map[dw.ServerID]dw.ServerEntry{}, reqs: map[dw.RequestID]*req{}}
+	list := dw.ServerList{Kind: dw.ListCached}
+	for id := dw.ServerID(1); id <= 9; id++ {
+		list.Servers = append(list.Servers, dw.ServerEntry{ID: id, Cell: int(id) / 3, Zone: int(id) % 2})
 	}
 	w.tell(g, list)
 }
 
-func (w *world) tell(g *gate, l sc.ServerList) {
+func (w *world) tell(g *gate, l dw.ServerList) {
 	for _, s := range l.Servers {
-		if s.State != sc.Ready && g.state[s.ID] == sc.Ready {
+		if s.State != dw.Ready && g.state[s.ID] == dw.Ready {
 			g.told[s.ID] = w.now
 		}
 		g.servers[s.ID], g.state[s.ID] = s, s.State
@@ -238,7 +238,7 @@
 }
 
 func (w *world) step() {
-	w.now += sc.Instant(w.set.Tick)
+	w.now += dw.Instant(w.set.Tick)
 	for _, g := range w.gates {
 		var ready []due
 		keep := g.due[:0]
@@ -255,9 +255,9 @@
 				w.end(g, p.r, p.attempt, p.outcome)
 				continue
 			}
-			if e, ok := d.e.(sc.Ended); ok { // the first good answer finishes a request, and this tells of it
+			if e, ok := d.e.(dw.Ended); ok { // the first good answer finishes a request, and this tells of it
 				r := g.reqs[e.Request]
-				if e.Outcome == sc.OutcomeOK {
+				if e.Outcome == dw.OutcomeOK {
 					r.finished, r.owed = true, false
 				}
 				e.Final = r.finished
@@ -266,36 +266,36 @@
 			w.handle(g, d.e)
 		}
 		for _, r := range g.reqs {
-			if r.owed && w.now > r.due+sc.Instant(w.set.AnswerSlack) {
+			if r.owed && w.now > r.due+dw.Instant(w.set.AnswerSlack) {
 				w.t.Fatalf("rule 1: %s is not answered", r.arrival.ID)
 			}
 		}
 	}
 	if w.rng.IntN(4) == 0 {
 		w.fresh++
-		c := sc.CustomerID(w.rng.IntN(6))
-		a := sc.Arrival{ID: sc.RequestID(fmt.Sprint("r", w.fresh)), Class: w.rng.IntN(len(w.set.Classes)),
-			Plan: int(c) % len(w.set.Plans), Customer: c, Remaining: sc.Span(w.rng.Int64N(900e6)) - 5e6,
+		c := dw.CustomerID(w.rng.IntN(6))
+		a := dw.Arrival{ID: dw.RequestID(fmt.Sprint("r", w.fresh)), Class: w.rng.IntN(len(w.set.Classes)),
+			Plan: int(c) % len(w.set.Plans), Customer: c, Remaining: dw.Span(w.rng.Int64N(900e6)) - 5e6,
 			Units: float64(1 + w.rng.IntN(4)), Spread: len(w.gates)}
 		g := w.gates[w.rng.IntN(len(w.gates))]
-		g.reqs[a.ID] = &req{arrival: a, due: w.now + sc.Instant(a.Remaining), owed: true}
+		g.reqs[a.ID] = &req{arrival: a, due: w.now + dw.Instant(a.Remaining), owed: true}
 		w.handle(g, a)
 		if w.rng.IntN(20) == 0 {
 			g.reqs[a.ID].finished, g.reqs[a.ID].owed = true, false
-			w.handle(g, sc.ClientGone{Request: a.ID})
+			w.handle(g, dw.ClientGone{Request: a.ID})
 		}
 	}
 	switch g := w.gates[w.rng.IntN(len(w.gates))]; w.rng.IntN(400) {
 	case 0:
-		id := sc.ServerID(1 + w.rng.IntN(9))
+		id := dw.ServerID(1 + w.rng.IntN(9))
 		s := g.servers[id]
-		s.State = sc.ServerState(w.rng.IntN(3))
-		if s.State == sc.Ready {
+		s.State = dw.ServerState(w.rng.IntN(3))
+		if s.State == dw.Ready {
 			s.Since = w.now
 		}
-		w.tell(g, sc.ServerList{Kind: sc.ListDelta, Servers: []sc.ServerEntry{s}})
+		w.tell(g, dw.ServerList{Kind: dw.ListDelta, Servers: []dw.ServerEntry{s}})
 	case 1:
-		w.handle(g, sc.ServerList{Kind: sc.ListFailed})
+		w.handle(g, dw.ServerList{Kind: dw.ListFailed})
 	case 2:
 		if w.rng.IntN(10) == 0 {
 			w.start(g) // killed, and started again
@@ -312,16 +312,16 @@
 				s.Instances = 40
 			}
 			s.ParallelTries, s.MayCancel = seed%2 == 0, seed%3 > 0
-			s.Classes = []sc.Class{{Aim: 400e6, Deadline: 800e6, Points: 3, Effect: sc.Safe},
-				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: sc.Unsafe},
-				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: sc.Keyed, DedupWindow: 300e6},
-				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: sc.Keyed, Group: sc.GroupCell, DedupWindow: 5e9}}
-			s.Plans = []sc.Plan{{Rate: 20, Burst: 40, Price: 1},
+			s.Classes = []dw.Class{{Aim: 400e6, Deadline: 800e6, Points: 3, Effect: dw.Safe},
+				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: dw.Unsafe},
+				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: dw.Keyed, DedupWindow: 300e6},
+				{Aim: 400e6, Deadline: 800e6, Points: 5, Effect: dw.Keyed, Group: dw.GroupCell, DedupWindow: 5e9}}
+			s.Plans = []dw.Plan{{Rate: 20, Burst: 40, Price: 1},
 				{Rate: 20, Burst: 60, CeilingRate: 30, CeilingBurst: 60, Tolerance: 6, Price: 1},
 				{Rate: 20, Burst: 40, Open: 3, BeyondEarns: 0.3, OverrunCost: 0.1, Price: 1}}
 			w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 2)), set: s, now: 1e9, count: map[string]float64{},
-				store: map[sc.CustomerID]*store{}}
-			for c := range sc.CustomerID(6) {
+				store: map[dw.CustomerID]*store{}}
+			for c := range dw.CustomerID(6) {
 				w.store[c] = &store{level: 60, at: w.now}
 			}
 			for i := range s.Instances {
