Run the planner on Unix time, and add limit commands to module, core and front

The names of counts hold the window's number, which the module takes from its clock; internal/core's clock began an hour before each process' start (planner.go, epoch), so that every gateway counted alone in windows of its own. Now the clock is Unix time, read once, and monotonic from there.

A held request whose client has left is no longer sent on: nothing would have ended that attempt at its server. A total that falls is now told apart: given back elsewhere, or lost.

--- a/api.go
+++ b/api.go
@@ -258,6 +258,19 @@
 		Spread, First int // the customer's gateways: so many, from this one on
 		Repeat, Write bool
 	}
+	// LimitQuery asks what a customer's quota has left; it takes no units.
+	LimitQuery struct {
+		ID            RequestID
+		Plan          int
+		Customer      CustomerID
+		Remaining     Span // until the client gives up
+		Spread, First int
+	}
+	// LimitAdjust takes units from a customer's quota, or gives them back. It sends nothing on.
+	LimitAdjust struct {
+		LimitQuery
+		Units float64 // 0 or below: given back
+	}
 	// Started tells that a streamed answer has begun.
 	Started struct {
 		Request RequestID
@@ -304,6 +317,7 @@
 
 func (ServerList) event() {}
 func (Arrival) event()    {}
+func (LimitQuery) event() {}
 func (Started) event()    {}
 func (Ended) event()      {}
 func (ClientGone) event() {}
@@ -312,6 +326,12 @@
 func (Counted) event()    {}
 func (Told) event()       {}
 
+// arrival is what a command on limits has in common with a request.
+func (q LimitQuery) arrival(units float64) Arrival {
+	return Arrival{ID: q.ID, Plan: q.Plan, Customer: q.Customer, Remaining: q.Remaining, Units: units,
+		Spread: q.Spread, First: q.First}
+}
+
 // Action is something the caller must do, in the order given.
 type Action interface{ action() }
 
@@ -335,6 +355,18 @@
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ Request RequestID }
+	// Limit is the final answer to a LimitQuery, exact by the counter.
+	Limit struct {
+		Request RequestID
+		Limit   float64 // most units that can be left
+		Left    float64 // units that may be taken now
+		More    Span    // until there are more; 0: there can't be
+	}
+	// Adjusted is the final answer to a LimitAdjust.
+	Adjusted struct {
+		Request RequestID
+		Units   float64 // taken; below 0: given back, and never more than was used
+	}
 	// SetTimer asks for a TimerFired.
 	SetTimer struct {
 		At Instant
@@ -356,6 +388,8 @@
 func (Cancel) action()    {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
+func (Limit) action()     {}
+func (Adjusted) action()  {}
 func (SetTimer) action()  {}
 func (Count) action()     {}
 func (Probe) action()     {}
--- /dev/null
+++ b/cmd/dewhitch/forward.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"dewhitch/internal/config"
+	"dewhitch/internal/forward"
+	"dewhitch/internal/front"
+	"dewhitch/internal/registry"
+)
+
+type forwardCmd struct{}
+
+func (forwardCmd) Run() error {
+	l, err := config.LoadLimits(cli.Limits)
+	if err != nil {
+		return err
+	}
+	if err := l.CheckForward(); err != nil {
+		return err
+	}
+	log, err := logger()
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	listener, err := net.Listen("tcp", l.Forward.Listen)
+	if err != nil {
+		return fmt.Errorf("configuration: forward.listen: %w", err)
+	}
+	reg, err := registry.Open(l.Registry.Servers, l.Registry.Path, l.Registry.Session, log)
+	if err != nil {
+		return fmt.Errorf("configuration: registry.servers: %w", err)
+	}
+	defer reg.Close()
+
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	planners := &forward.Planners{}
+	group.Go(func() error {
+		return reg.Watch(work, func(m map[int]string) {
+			planners.Set(m)
+			log.Info("planners", zap.Any("by_gateway", m))
+		})
+	})
+	taking, stopTaking := context.WithCancel(work)
+	server := &front.Server{Listener: listener, Log: log,
+		Open: func() front.Commands { return forward.New(planners, l.Forward.Gateways, log) }}
+	group.Go(func() error {
+		defer stopWork()
+		// A session holds its own connection and one to each planner that it needs.
+		return serveAll(taking, []*front.Server{server}, max(1, (l.Forward.Sockets-spare)/(1+l.Forward.Gateways)))
+	})
+	group.Go(func() error {
+		defer stopTaking()
+		linger(work, signals(), log)
+		return nil
+	})
+	log.Info("forwarding", zap.String("listen", l.Forward.Listen))
+	return group.Wait()
+}
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -16,7 +16,10 @@
 var version = "dev"
 
 var cli struct {
+	Limits string `default:"deploy/limits.toml" help:"The limits file (${default})."`
+
 	Serve   serveCmd   `cmd:"" help:"Serve as one gateway."`
+	Forward forwardCmd `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and end."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -43,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := config.LoadLimits(cli.Limits); err != nil {
+		return err
+	}
 	fmt.Printf("configuration of %s is good\n", n.Name)
 	return nil
 }
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -22,7 +22,9 @@
 	"dewhitch/internal/counter"
 	"dewhitch/internal/director"
 	"dewhitch/internal/front"
+	"dewhitch/internal/front/limits"
 	"dewhitch/internal/front/platform"
+	"dewhitch/internal/registry"
 )
 
 const (
@@ -39,6 +41,10 @@
 	if err != nil {
 		return err
 	}
+	l, err := config.LoadLimits(cli.Limits)
+	if err != nil {
+		return err
+	}
 	log, err := logger()
 	if err != nil {
 		return err
@@ -46,40 +52,54 @@
 	defer log.Sync()
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
+	return serve(n, l, log, signals())
+}
+
+func signals() <-chan os.Signal {
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	return serve(context.Background(), n, log, term)
+	return term
 }
 
 // serve runs one gateway until a signal ends it. Then it goes on serving for a while, answers all that it has
 // taken, and returns.
-func serve(ctx context.Context, n *config.Node, log *zap.Logger, term <-chan os.Signal) error {
+func serve(n *config.Node, l *config.Limits, log *zap.Logger, term <-chan os.Signal) error {
 	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
 	fetches := int(fetchShare * float64(sockets))
-	clock := core.NewClock()
+	sessions := sockets - fetches
 	names := backend.Names{Classes: n.Words.Classes, Plans: n.Words.Plans}
 	for _, c := range n.Settings.Classes {
 		names.Safe = append(names.Safe, c.Effect == dw.Safe)
 	}
-	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle,
-		Connect: time.Duration(n.Settings.ConnectTimeout)})
-	count := counter.New(n.Counter, time.Duration(n.Settings.CounterTimeout), time.Duration(n.Settings.ConnectTimeout), log)
-	planner, err := core.NewPlanner(n.Settings, n.Seed, clock, pools, count, log)
+	connect := time.Duration(n.Settings.ConnectTimeout)
+	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle, Connect: connect})
+	count := counter.New(n.Counter, time.Duration(n.Settings.CounterTimeout), connect, log)
+	planner, err := core.NewPlanner(n.Settings, n.Seed, core.NewClock(), pools, count, log)
 	if err != nil {
 		return err
 	}
-	decoder := director.NewDecoder(director.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds}, clock)
+	decoder := director.NewDecoder(director.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds})
 	known, err := decoder.Known(n.Known)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.Listen)
-	if err != nil {
+
+	commands := &platform.Commands{Planner: planner, Words: n.Words, Classes: n.Settings.Classes}
+	servers := []*front.Server{{Open: func() front.Commands { return commands }, Log: log}}
+	if servers[0].Listener, err = net.Listen("tcp", n.Listen); err != nil {
 		return fmt.Errorf("configuration: listen (NODE_LISTEN): %w", err)
 	}
+	if l.Listen != "" {
+		asks := &limits.Commands{Commands: commands, Plans: n.Settings.Plans}
+		second := &front.Server{Open: func() front.Commands { return asks }, Log: log}
+		if second.Listener, err = net.Listen("tcp", l.Listen); err != nil {
+			return fmt.Errorf("configuration: listen (limits file): %w", err)
+		}
+		servers = append(servers, second)
+	}
 
-	// What serves clients ends first; what they are served by, after the last session.
-	work, stopWork := context.WithCancel(ctx)
+	// What clients come by ends first; what they are served by, after the last session.
+	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	if err := planner.Listed(known); err != nil {
@@ -88,32 +108,53 @@
 	group.Go(func() error { return planner.Run(work) })
 	group.Go(func() error { return count.Run(work) })
 	group.Go(func() error { return director.New(n.Discovery, decoder, planner.Listed, log).Run(work) })
-
 	taking, stopTaking := context.WithCancel(work)
-	commands := &platform.Commands{Planner: planner, Words: n.Words, Classes: n.Settings.Classes}
-	server := &front.Server{Listener: listener, Open: func() front.Commands { return commands },
-		Sessions: sockets - fetches, Log: log}
+	if l.Listen != "" && len(l.Registry.Servers) > 0 {
+		group.Go(func() error {
+			r, err := registry.Open(l.Registry.Servers, l.Registry.Path, l.Registry.Session, log)
+			if err != nil {
+				return err
+			}
+			defer r.Close() // forwarders turn to others before this one ends
+			return r.Register(taking, registry.Planner{Address: l.Listen, Gateway: n.Settings.Self})
+		})
+	}
 	group.Go(func() error {
 		defer stopWork()
-		return server.Serve(taking)
+		return serveAll(taking, servers, sessions)
 	})
 	group.Go(func() error {
 		defer stopTaking()
-		select {
-		case <-work.Done():
-			return nil
-		case s := <-term:
-			log.Info("ending", zap.Stringer("signal", s))
-		}
-		select {
-		case <-work.Done():
-		case <-time.After(serveOn):
-		}
+		linger(work, term, log)
 		return nil
 	})
 	log.Info("serving", zap.String("name", n.Name), zap.String("listen", n.Listen), zap.Int("fetches", fetches),
-		zap.Int("sessions", sockets-fetches))
+		zap.Int("sessions", sessions), zap.String("limits", l.Listen))
 	err = group.Wait()
 	log.Info("ended", zap.Error(err))
 	return err
 }
+
+// serveAll shares the places for sessions among the fronts and returns when the last session has ended.
+func serveAll(ctx context.Context, servers []*front.Server, sessions int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, s := range servers {
+		s.Sessions = sessions / len(servers)
+		group.Go(func() error { return s.Serve(ctx) })
+	}
+	return group.Wait()
+}
+
+// linger waits for a signal, and then for as long as new sessions may still come.
+func linger(ctx context.Context, term <-chan os.Signal, log *zap.Logger) {
+	select {
+	case <-ctx.Done():
+		return
+	case s := <-term:
+		log.Info("ending", zap.Stringer("signal", s))
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(serveOn):
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -24,9 +24,11 @@
 	staleWindows  = 0.5         // a total older than this share of a window no longer tells of others
 	askedFade     = 0.7         // of what was asked in earlier windows, in a new one
 	easeUse       = 0.5         // of the rate: a thin customer that asks for less is not checked
+	limitSpare    = 8           // the part of a query's time that its answer needs on its way
 	maxCalls      = 8.0         // counter calls for each time-out, at most, from a gateway
 	backoffCalls  = 20          // time-outs between two calls, at most, while they fail
 	backCalls     = 4.0         // for each time-out, of all gateways together, once one is answered again
+	countGrain    = 0.01        // units: what a total may be off by, given to seven digits
 	slowCall      = 0.25        // of the time-out: a slower answer shows a line at the counter
 	callUp        = 1.1         // what a good answer makes of the pace of calls
 	callDown      = 0.85        // and a slow one, or none
@@ -107,6 +109,8 @@
 	attempts []attempt
 	out      int
 	done     bool
+	take     bool    // only units, with nothing sent
+	spent    float64 // by the customer when this came: a query sees nothing of what is spent later
 }
 
 type customer struct {
@@ -125,20 +129,23 @@
 	ceiling    bucket
 	listedTill Instant
 
-	turn     int64   // the window that counts go to
-	total    float64 // as last read in this window
-	tally    float64 // not yet pushed
-	calling  bool
-	adding   float64
-	thin     bool       // a gateway's even share of the store is under one request
-	held     []*request // those that wait for the count
-	asked    float64    // by all, of late: units and the seconds in which they were asked; faded
-	askedIn  float64
-	past     float64 // seconds into the window at the last total
-	wants    bool
-	queued   bool
-	lastPush Instant
-	period   Instant // next ordinary push
+	turn         int64   // the window that counts go to
+	total        float64 // as last read in this window
+	tally        float64 // not yet pushed
+	calling      bool
+	adding       float64
+	thin         bool       // a gateway's even share of the store is under one request
+	held         []*request // those that wait for the count
+	spent        float64    // units, ever
+	asks, asking []*request // queries that wait for the next call, and for the one that is out
+	mine         float64    // units that this gateway surely has in the window's count
+	asked        float64    // by all, of late: units and the seconds in which they were asked; faded
+	askedIn      float64
+	past         float64 // seconds into the window at the last total
+	wants        bool
+	queued       bool
+	lastPush     Instant
+	period       Instant // next ordinary push
 }
 
 // Gateway is one instance of the module.
@@ -207,7 +214,15 @@
 	case ServerList:
 		g.list(e)
 	case Arrival:
-		g.arrive(e)
+		g.arrive(e, false)
+	case LimitQuery:
+		g.query(e.arrival(0))
+	case LimitAdjust:
+		if a := e.arrival(e.Units); e.Units > 0 {
+			g.arrive(a, true)
+		} else {
+			g.query(a)
+		}
 	case Started:
 		if r := g.requests[e.Request]; r != nil {
 			r.done = true // the client owns the attempt from now on
@@ -239,8 +254,8 @@
 
 func (g *Gateway) after(d Span, f func()) { g.at(g.now+Instant(d), f) }
 
-// arrive decides on a new request: served from here on, or refused at once.
-func (g *Gateway) arrive(e Arrival) {
+// arrive decides on a new request, or on units to take alone: served from here on, or refused at once.
+func (g *Gateway) arrive(e Arrival, take bool) {
 	known := e.Class >= 0 && e.Class < len(g.set.Classes) && e.Plan >= 0 && e.Plan < len(g.set.Plans)
 	if !known || e.Remaining <= 0 {
 		g.acts = append(g.acts, Refuse{Request: e.ID})
@@ -249,7 +264,7 @@
 	class, plan := &g.set.Classes[e.Class], &g.set.Plans[e.Plan]
 	c := g.customer(e, plan)
 	r := &request{id: e.ID, kind: e.Class, class: class, customer: c,
-		units: max(0, e.Units), aim: g.now + Instant(class.Aim), due: g.now + Instant(e.Remaining)}
+		units: max(0, e.Units), take: take, aim: g.now + Instant(class.Aim), due: g.now + Instant(e.Remaining)}
 	// Beyond the quota nothing goes on, but where the plan earns more by it than it costs, the ceiling has room
 	// and the servers are at ease.
 	wait, inside := g.quota(c, r.units)
@@ -259,25 +274,17 @@
 		inside = false
 		c.tally += r.units // the count of a thin customer is of what was asked for
 	}
-	if !inside && plan.BeyondEarns <= plan.OverrunCost || !g.underCeiling(c, r.units) {
+	if !inside && (take || plan.BeyondEarns <= plan.OverrunCost) || !g.underCeiling(c, r.units) {
 		g.refuse(r, wait)
 		return
 	}
-	// While the servers are pressed, what earns little gives way to what earns more.
-	worth := max(class.Points, minPoints) / g.sizes[r.kind]
-	g.worth += latencyWeight / 4 * (worth - g.worth)
-	s, expect := g.pick(r)
-	// What the work takes anyway is no sign of pressure.
-	limit := max(aimUse*seconds(r.aim-g.now), idleUse*g.idle*g.sizes[r.kind]) * math.Sqrt(worth/g.worth)
-	if !inside || !sure {
-		limit *= beyondUse
-	}
-	if s == nil || expect > limit || g.throttled() {
-		g.refuse(r, g.comeBack(r, expect/limit))
-		return
+	var s *server
+	if !take { // on units alone the servers do not bear
+		if s = g.fit(r, inside && sure); s == nil {
+			return
+		}
 	}
 	g.requests[r.id] = r
-	g.budget = min(retryBurst, g.budget+retryShare) // by what goes on: the refused come again
 	c.ceiling.level -= r.units
 	r.inside = inside
 	// Rule 1: whatever happens to its attempts, a request is answered before its client gives up.
@@ -288,6 +295,7 @@
 	})
 	if ask {
 		c.held = append(c.held, r)
+		c.spent += r.units
 		if c.tally += r.units; c.calling {
 			g.queue(c, false)
 		} else {
@@ -298,7 +306,82 @@
 	if inside {
 		g.spend(c, r.units)
 	}
-	g.send(r, s)
+	if take {
+		g.finish(r, Adjusted{Request: r.id, Units: r.units})
+	} else {
+		g.send(r, s)
+	}
+}
+
+// fit finds the server for a request that its quota lets in, or refuses it for the servers' sake.
+func (g *Gateway) fit(r *request, sure bool) *server {
+	// While the servers are pressed, what earns little gives way to what earns more.
+	worth := max(r.class.Points, minPoints) / g.sizes[r.kind]
+	g.worth += latencyWeight / 4 * (worth - g.worth)
+	s, expect := g.pick(r)
+	// What the work takes anyway is no sign of pressure.
+	limit := max(aimUse*seconds(r.aim-g.now), idleUse*g.idle*g.sizes[r.kind]) * math.Sqrt(worth/g.worth)
+	if !sure {
+		limit *= beyondUse
+	}
+	if s == nil || expect > limit || g.throttled() {
+		g.refuse(r, g.comeBack(r, expect/limit))
+		return nil
+	}
+	g.budget = min(retryBurst, g.budget+retryShare) // by what goes on: the refused come again
+	return s
+}
+
+// query has a query, or a give-back, wait for a call that pushes what came before: without one it is a guess.
+func (g *Gateway) query(e Arrival) {
+	known := e.Plan >= 0 && e.Plan < len(g.set.Plans) && g.set.Plans[e.Plan].Rate > 0
+	if !g.set.Counter || !known || e.Remaining <= 0 {
+		g.acts = append(g.acts, Fail{Request: e.ID})
+		return
+	}
+	c := g.customer(e, &g.set.Plans[e.Plan])
+	r := &request{id: e.ID, units: e.Units, customer: c, spent: c.spent}
+	g.requests[r.id] = r
+	g.after(e.Remaining-min(e.Remaining/limitSpare, second/10), func() { g.finish(r, Fail{Request: r.id}) })
+	c.asks = append(c.asks, r)
+	if g.queue(c, true); !c.calling && g.mayCall() {
+		g.count(c)
+	}
+}
+
+// answer gives the queries that waited for the total their answers.
+func (g *Gateway) answer(c *customer) {
+	for _, r := range c.asking {
+		if r.units == 0 {
+			g.finish(r, g.left(c, c.spent-r.spent, r.id))
+		} else if back := max(0, min(-r.units, c.mine, c.total)); !r.done {
+			// Danger: use below nothing lets in more than the quota. So no gateway gives back more than it has
+			// added itself and the count still holds. Neither a list nor the ceiling gains by it.
+			c.mine -= back
+			g.spend(c, -back)
+			g.finish(r, Adjusted{Request: r.id, Units: -back})
+		}
+	}
+}
+
+// left is what c's quota held by the total just read, before what was spent later, and when it holds more.
+func (g *Gateway) left(c *customer, later float64, id RequestID) Limit {
+	g.advance(c)
+	window := c.plan.Rate*seconds(c.window) - c.total - c.tally + later // until c is listed
+	level := window
+	if !c.thin {
+		level, window = c.level+later, window+c.plan.Burst
+	}
+	if g.now < c.listedTill {
+		window = 0
+	}
+	l := Limit{Request: id, Limit: c.plan.Burst, Left: max(0, min(level, window, c.plan.Burst))}
+	if l.Left < c.plan.Burst && l.Left == max(0, window) { // it is the window that binds
+		l.More = Span(c.edge() - g.now)
+	} else if l.Left < c.plan.Burst {
+		l.More = Span(max(1, 1-level) / c.plan.Rate * 1e9)
+	}
+	return l
 }
 
 // throttled tells, by lot, to hold back. Danger: where most attempts end badly, not one server is in trouble
@@ -334,8 +417,12 @@
 // in which every request was counted that was asked about, is within what the rate brings in a window.
 func (g *Gateway) release(c *customer, told bool) {
 	for _, r := range c.held {
-		if s, _ := g.pick(r); g.now < c.listedTill {
+		if s, _ := g.pick(r); r.done {
+			continue // Danger: an attempt for a client that has left would never end
+		} else if g.now < c.listedTill {
 			g.refuse(r, Span(c.listedTill-g.now))
+		} else if r.take && (told || g.chance(c)) {
+			g.finish(r, Adjusted{Request: r.id, Units: r.units})
 		} else if s == nil || !told && !g.chance(c) {
 			g.refuse(r, g.comeBack(r, 1))
 		} else {
@@ -603,6 +690,7 @@
 
 // spend takes units from the account and puts them on the tally.
 func (g *Gateway) spend(c *customer, units float64) {
+	c.spent += units
 	if c.thin { // goes along with the next call: there are none to spare
 		c.tally += units
 		return
@@ -670,7 +758,7 @@
 	}
 	turn := g.turn(c)
 	near := c.wants || turn != c.turn || c.tally >= nearShare*max(0, g.room(c))
-	if !(near && g.now-c.lastPush >= Instant(g.set.CounterTimeout)) && g.now < c.period {
+	if !(near && (g.now-c.lastPush >= Instant(g.set.CounterTimeout) || len(c.asks) > 0)) && g.now < c.period {
 		return false
 	}
 	g.count(c)
@@ -682,6 +770,9 @@
 	return int64(g.now+c.phase()) / int64(c.window)
 }
 
+// edge is when the window that was counted in last turns.
+func (c *customer) edge() Instant { return Instant(c.turn+1)*Instant(c.window) - c.phase() }
+
 func (c *customer) phase() Instant { return Instant(uint64(c.id) % uint64(c.window)) }
 
 // mayCall paces the calls to the counter, which all gateways share.
@@ -694,11 +785,12 @@
 func (g *Gateway) count(c *customer) {
 	if turn := g.turn(c); turn != c.turn {
 		// The store's level is carried over; what was not read of the old window is taken to be as predicted.
-		c.turn, c.total, c.past, c.predicted = turn, 0, 0, 0
+		c.turn, c.total, c.past, c.predicted, c.mine = turn, 0, 0, 0, 0
 		c.asked, c.askedIn = c.asked*askedFade, c.askedIn*askedFade
 	}
 	name := strconv.FormatUint(uint64(c.id), 36) + "." + strconv.FormatInt(c.turn, 36)
 	c.adding, c.tally, c.calling, c.wants = c.tally, 0, true, false
+	c.asking, c.asks = c.asks, nil
 	c.lastPush = g.now
 	c.period = g.now + Instant(c.window)/pushesAWindow
 	g.names[name] = c
@@ -716,8 +808,10 @@
 	c.calling = false
 	if e.Outcome == OutcomeOK {
 		g.total(c, c.adding, e.Total)
+		g.answer(c)
 	} else {
-		if e.Outcome != OutcomeTimeout { // else it may have counted
+		c.asks = append(c.asking, c.asks...) // until their time is up
+		if e.Outcome != OutcomeTimeout {     // else it may have counted
 			c.tally += c.adding
 		}
 		if !c.thin {
@@ -731,18 +825,24 @@
 		g.callPace = min(maxCalls/seconds(g.set.CounterTimeout), max(g.callPace*callUp, back))
 	}
 	g.release(c, e.Outcome == OutcomeOK)
+	if len(c.asks) > 0 {
+		g.queue(c, true)
+	}
 }
 
 // total settles what was predicted of the others against what the counter says.
 func (g *Gateway) total(c *customer, add, total float64) {
 	g.advance(c)
 	before := c.total
-	if slack := max(g.set.MaxUnits, before/2); total-add < before-slack {
-		before = 0 // the counter has forgotten: what it holds now was added since
+	// Gateways give back no more than they added: with less left than this one's, the counter has forgotten,
+	// and what it holds was added since. Any other total that fell was given back elsewhere.
+	if total-add < c.mine-countGrain {
+		before, c.mine = 0, 0
 	}
-	others := max(0, total-add-before)
+	others := total - add - before
+	c.mine += max(0, add)
 	c.total = total
-	w, edge := seconds(c.window), Instant(c.turn+1)*Instant(c.window)-c.phase()
+	w, edge := seconds(c.window), c.edge()
 	if c.thin {
 		past := seconds(g.now-edge) + w
 		c.asked += max(0, total-before)
@@ -755,7 +855,7 @@
 	}
 	dt := max(seconds(g.now-c.lastTotal), seconds(g.set.Tick))
 	c.level = min(c.plan.Burst, max(min(c.level, 0), c.level-(others-c.predicted)))
-	c.others += (others/dt - c.others) * (1 - math.Exp(-dt/c.memory()))
+	c.others += (max(0, others)/dt - c.others) * (1 - math.Exp(-dt/c.memory()))
 	c.predicted, c.lastTotal = 0, g.now
 	if total+c.tally > c.plan.Rate*w+c.plan.Burst {
 		c.listedTill = edge
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -9,8 +9,19 @@
 // admit asks the module for a decision on a req.
 func (p *Planner) admit(t *taken) {
 	r := t.req
+	left := dw.Span(r.Wait - time.Since(r.Came))
+	ask := dw.LimitQuery{ID: t.id, Plan: r.Plan, Customer: r.Customer, Remaining: left, Spread: r.Spread,
+		First: r.First}
+	switch r.Kind {
+	case Query:
+		p.tell(ask)
+		return
+	case Adjust:
+		p.tell(dw.LimitAdjust{LimitQuery: ask, Units: r.Units})
+		return
+	}
 	p.tell(dw.Arrival{ID: t.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
-		Remaining: dw.Span(r.Wait - time.Since(r.Came)), Units: r.Units, Spread: r.Spread, First: r.First,
+		Remaining: left, Units: r.Units, Spread: r.Spread, First: r.First,
 		Repeat: r.Repeat})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,18 +11,29 @@
 	dw "dewhitch"
 )
 
+// Kind is what a req asks for.
+type Kind int
+
+// The kinds.
+const (
+	Book   Kind = iota // a fetch from a backend
+	Query              // what the customer's quota has left
+	Adjust             // to take units from the quota, or to give them back
+)
+
 // Req is one try of a client.
 type Req struct {
+	Kind     Kind
 	Came     time.Time // when its last byte had been read
-	Class    int       // index in the settings, as is
+	Class    int       // index in the settings, as is Plan; of a booking alone
 	Plan     int
 	Customer dw.CustomerID
 	Wait     time.Duration // from Came, how long the client will wait
-	Units    float64
-	Spread   int // the customer's gateways: so many in a row
-	First    int // from this one on
+	Units    float64       // below 0: given back
+	Spread   int           // the customer's gateways: so many in a row
+	First    int           // from this one on
 	Repeat   bool
-	Message  Message
+	Message  Message      // of a booking
 	Answer   func(Answer) // called once, on the planner; it may not block
 }
 
@@ -48,6 +59,8 @@
 	Verdict    Verdict
 	Value      []byte        // of a served req
 	RetryAfter time.Duration // of a refused one; 0: no advice
+	Limit      *dw.Limit     // of a query that was served
+	Units      float64       // of an adjustment that was served: those booked
 }
 
 // Backend is a server as the director's list has it.
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -15,30 +15,29 @@
 // inboxSize bounds what waits for the planner. Whoever posts beyond it waits: a session then reads no more.
 const inboxSize = 1024
 
-// epoch is where the planner's clock starts, so that servers which started before it have an instant too.
-const epoch = dw.Instant(time.Hour)
-
-// Clock is the planner's time: monotonic, with the Unix time of its start fixed once. The fixed offset
-// matters: an instant that moved with the system's clock would look like a restart of the server.
+// Clock is the planner's time: Unix time, read once at the start and monotonic from there on.
+//
+// It guards against two faults. Gateways name the counter's windows by their time, so clocks that began
+// anywhere else would have every gateway count alone. And an instant that moved with the system's clock would
+// make the same start of a backend look like a new one.
 type Clock struct{ start time.Time }
 
 // NewClock starts a clock.
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Instant is t on this clock.
-func (c Clock) Instant(t time.Time) dw.Instant { return epoch + dw.Instant(t.Sub(c.start)) }
+func (c Clock) Instant(t time.Time) dw.Instant {
+	return dw.Instant(c.start.UnixNano() + int64(t.Sub(c.start)))
+}
 
 // Time is the other way round.
-func (c Clock) Time(i dw.Instant) time.Time { return c.start.Add(time.Duration(i - epoch)) }
-
-// FromUnixMS turns Unix time into an instant; what lies before the clock's hour of grace is 0: long ago.
-func (c Clock) FromUnixMS(ms int64) dw.Instant {
-	if ms <= 0 {
-		return 0
-	}
-	return max(0, epoch+dw.Instant(ms*1e6-c.start.UnixNano()))
+func (c Clock) Time(i dw.Instant) time.Time {
+	return c.start.Add(time.Duration(int64(i) - c.start.UnixNano()))
 }
 
+// FromUnixMS turns Unix time in milliseconds into an instant; 0 stays 0: long ago.
+func FromUnixMS(ms int64) dw.Instant { return dw.Instant(max(0, ms) * 1e6) }
+
 // Planner owns one Gateway of the module, its timers and its clock. All of its state belongs to the goroutine
 // of Run; others reach it through its inbox.
 type Planner struct {
@@ -127,6 +126,10 @@
 			p.answer(a.Request, Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
 		case dw.Fail:
 			p.answer(a.Request, Answer{Verdict: Failed})
+		case dw.Limit:
+			p.answer(a.Request, Answer{Limit: &a})
+		case dw.Adjusted:
+			p.answer(a.Request, Answer{Units: a.Units})
 		case dw.SetTimer:
 			heap.Push(&p.timers, a)
 		case dw.Count:
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -38,13 +38,12 @@
 // Decoder turns discovery's messages into the module's terms.
 type Decoder struct {
 	names Names
-	clock core.Clock
 	ids   map[string]dw.ServerID
 }
 
 // NewDecoder makes a decoder.
-func NewDecoder(n Names, c core.Clock) *Decoder {
-	return &Decoder{names: n, clock: c, ids: map[string]dw.ServerID{}}
+func NewDecoder(n Names) *Decoder {
+	return &Decoder{names: n, ids: map[string]dw.ServerID{}}
 }
 
 // id is the number in an id such as s-5be2a07c, which is the same at all gateways; an id of another form gets
@@ -100,7 +99,7 @@
 		}
 		out.List.Servers = append(out.List.Servers, dw.ServerEntry{ID: d.id(m.ID), Cell: m.Cell,
 			Zone: place(d.names.Zones, m.Locality), Kind: place(d.names.Kinds, m.Flavor),
-			Since: d.clock.FromUnixMS(m.UpSinceMS), Rating: m.Size, State: state})
+			Since: core.FromUnixMS(m.UpSinceMS), Rating: m.Size, State: state})
 		out.Addrs = append(out.Addrs, m.HostPort)
 	}
 	return out, nil
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -28,13 +27,6 @@
 
 // Do implements front.Commands.
 func (c *Commands) Do(came time.Time, cmd resp.Command, s *front.Slot) {
-	if !c.Try(came, cmd, s) {
-		s.Fill(resp.AppendFailure(nil, fmt.Sprintf("ERR unknown command %.32q", cmd[0])))
-	}
-}
-
-// Try is Do for a front that has further commands: false means that this one is not the platform's.
-func (c *Commands) Try(came time.Time, cmd resp.Command, s *front.Slot) bool {
 	switch string(bytes.ToUpper(cmd[0])) {
 	case "PING":
 		s.Fill(resp.AppendStatus(nil, "PONG"))
@@ -43,9 +35,8 @@
 	case "SVC.SUBMIT":
 		c.take(came, cmd, false, s)
 	default:
-		return false
+		s.Fill(resp.AppendFailure(nil, fmt.Sprintf("ERR unknown command %.32q", cmd[0])))
 	}
-	return true
 }
 
 // take decodes a req and hands it to the planner.
@@ -56,10 +47,15 @@
 		return
 	}
 	r.Came = came
-	r.Answer = func(a core.Answer) { s.Fill(AppendAnswer(nil, a)) }
+	c.Hand(r, s, AppendAnswer)
+}
+
+// Hand gives a req to the planner, and its answer, as words has it, to the slot.
+func (c *Commands) Hand(r *core.Req, s *front.Slot, words func([]byte, core.Answer) []byte) {
+	r.Answer = func(a core.Answer) { s.Fill(words(nil, a)) }
 	ticket, err := c.Planner.Take(r)
 	if err != nil {
-		s.Fill(AppendAnswer(nil, core.Answer{Verdict: core.Failed}))
+		r.Answer(core.Answer{Verdict: core.Failed})
 		return
 	}
 	s.OnGone(func() { c.Planner.Leave(ticket) })
@@ -108,10 +104,27 @@
 }
 
 // Arguments reads the list of names and values into r, and returns the class's name, which may be empty.
-// Names that are not known are passed over.
 func (c *Commands) Arguments(text []byte, r *core.Req) (class string, err error) {
-	plan, n := "", 0.0
-	r.Plan, r.Units, r.Spread, r.First = -1, 1, 0, -1
+	class, plan, err := list(text, r)
+	if err != nil {
+		return "", err
+	}
+	if r.Plan = slices.Index(c.Words.Plans, plan); r.Plan < 0 {
+		return "", fmt.Errorf("t: no plan %.32q", plan)
+	}
+	return class, nil
+}
+
+// Route reads of a list what a forwarder needs: the customer's set and the deadline.
+func Route(text []byte, r *core.Req) error {
+	_, _, err := list(text, r)
+	return err
+}
+
+// list reads a list of names and values; names that are not known are passed over.
+func list(text []byte, r *core.Req) (class, plan string, err error) {
+	n := 0.0
+	r.Units, r.Spread, r.First = 1, 0, -1
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
 		v := string(value)
@@ -120,45 +133,42 @@
 			class = v
 		case "t":
 			plan = v
-			r.Plan = slices.Index(c.Words.Plans, v)
 		case "k":
 			if r.Message.Key = v; len(v) > 64 {
-				return "", errors.New("k: over 64 bytes")
+				return "", "", errors.New("k: over 64 bytes")
 			}
 		case "r":
 			r.Repeat = v == "1"
 		case "d":
 			if n, err = number("d", v, 0, longestWait.Seconds()*1e3); err != nil {
-				return "", err
+				return "", "", err
 			}
 			r.Wait = time.Duration(n * 1e6)
 		case "units":
 			if r.Units, err = number("units", v, 0, 1e6); err != nil {
-				return "", err
+				return "", "", err
 			}
 		case "spread":
 			if n, err = number("spread", v, 1, 1e6); err != nil {
-				return "", err
+				return "", "", err
 			}
 			r.Spread = int(n)
 		case "first":
 			if n, err = number("first", v, 0, 1e6); err != nil {
-				return "", err
+				return "", "", err
 			}
 			r.First = int(n)
 		}
 	}
 	switch {
-	case r.Plan < 0:
-		return "", fmt.Errorf("t: no plan %.32q", plan)
 	case r.Wait <= 0:
-		return "", errors.New("d: missing")
+		return "", "", errors.New("d: missing")
 	case r.Spread == 0:
-		return "", errors.New("spread: missing")
+		return "", "", errors.New("spread: missing")
 	case r.First < 0:
-		return "", errors.New("first: missing")
+		return "", "", errors.New("first: missing")
 	}
-	return class, nil
+	return class, plan, nil
 }
 
 func number(name, s string, least, most float64) (float64, error) {
@@ -178,8 +188,10 @@
 		if a.RetryAfter <= 0 {
 			return resp.AppendFailure(b, "BUSY")
 		}
-		ms := int64(math.Ceil(a.RetryAfter.Seconds() * 1e3)) // rounded up: not a moment too soon
-		return resp.AppendFailure(b, "BUSY "+strconv.FormatInt(ms, 10))
+		return resp.AppendFailure(b, "BUSY "+strconv.FormatInt(Milliseconds(a.RetryAfter), 10))
 	}
 	return resp.AppendFailure(b, "ERR failed")
 }
+
+// Milliseconds rounds up, so that nobody comes back a moment too soon.
+func Milliseconds(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -29,12 +29,17 @@
 	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
 	defer stop()
 	places := make(chan struct{}, f.Sessions)
+taking:
 	for {
-		places <- struct{}{}
+		select {
+		case <-ctx.Done():
+			break taking
+		case places <- struct{}{}:
+		}
 		conn, err := f.Listener.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				break
+				break taking
 			}
 			// Out of descriptors, or the client left at once: neither ends the gateway.
 			f.Log.Warn("a client session could not be taken in", zap.Error(err))
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -22,7 +22,7 @@
 	sendTime   = 10 * time.Second // for one write; a client that takes nothing for so long has gone
 )
 
-// Commands carries out the commands of client sessions; one value serves one session.
+// Commands carries out the commands of a client session. If it is an io.Closer, it is closed when that ends.
 type Commands interface {
 	// Do starts a command. It leads to one Fill of the slot.
 	Do(came time.Time, c resp.Command, s *Slot)
@@ -59,6 +59,9 @@
 // run serves the session until it has ended.
 func (s *session) run() {
 	defer s.conn.Close()
+	if c, ok := s.commands.(io.Closer); ok {
+		defer c.Close()
+	}
 	var writer sync.WaitGroup
 	writer.Go(s.write)
 	s.read()
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -237,3 +237,22 @@
 func AppendNumber(b []byte, v float64) []byte {
 	return AppendBulk(b, strconv.FormatFloat(math.Round(v*1e3)/1e3, 'f', -1, 64))
 }
+
+// AppendValue appends a value as it was read.
+func AppendValue(b []byte, v Value) []byte {
+	switch {
+	case v.Null:
+		return appendHead(b, v.Kind, -1)
+	case v.Kind == Array:
+		b = AppendArray(b, len(v.Items))
+		for _, item := range v.Items {
+			b = AppendValue(b, item)
+		}
+		return b
+	case v.Kind == Bulk:
+		return AppendBulk(b, v.Text)
+	case v.Kind == Integer:
+		return AppendInt(b, v.Int)
+	}
+	return appendLine(b, v.Kind, string(v.Text))
+}
