Take a push that timed out as counted until the next total tells

Seen by reading (gateway.go, counted and total): a push that timed out left the tally, but its units came back in the next total as if the customer's other gateways had used them, so they were taken from the store twice, and a LIMIT.GET after it would have been off by them. Now the total is presumed to hold them; if it does not, the next total shows less and the store gets them back.

--- a/gateway.go
+++ b/gateway.go
@@ -355,8 +355,7 @@
 		if r.units == 0 {
 			g.finish(r, g.left(c, c.spent-r.spent, r.id))
 		} else if back := max(0, min(-r.units, c.mine, c.total)); !r.done {
-			// Danger: use below nothing lets in more than the quota. So no gateway gives back more than it has
-			// added itself and the count still holds. Neither a list nor the ceiling gains by it.
+			// Danger: use below nothing lets in more than the quota; no list and no ceiling gains by this.
 			c.mine -= back
 			g.spend(c, -back)
 			g.finish(r, Adjusted{Request: r.id, Units: -back})
@@ -811,8 +810,10 @@
 		g.answer(c)
 	} else {
 		c.asks = append(c.asking, c.asks...) // until their time is up
-		if e.Outcome != OutcomeTimeout {     // else it may have counted
+		if e.Outcome != OutcomeTimeout {
 			c.tally += c.adding
+		} else if !c.thin {
+			c.total += c.adding // it may have counted; if not, the next total puts it right
 		}
 		if !c.thin {
 			g.queue(c, false)
@@ -834,8 +835,7 @@
 func (g *Gateway) total(c *customer, add, total float64) {
 	g.advance(c)
 	before := c.total
-	// Gateways give back no more than they added: with less left than this one's, the counter has forgotten,
-	// and what it holds was added since. Any other total that fell was given back elsewhere.
+	// Gateways give back only what they added: with less left than this one's, the counter has forgotten.
 	if total-add < c.mine-countGrain {
 		before, c.mine = 0, 0
 	}
