--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -31,6 +31,7 @@
 	memoryShare = 0.7                    // of the limit: the rest is for stacks, buffers of the kernel and spikes
 	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
 	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
+	listWait    = time.Second            // at the start, for the director's first list
 	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
 )
 
@@ -107,7 +108,8 @@
 	}
 	group.Go(func() error { return planner.Run(work) })
 	group.Go(func() error { return count.Run(work) })
-	group.Go(func() error { return director.New(n.Discovery, decoder, planner.Listed, log).Run(work) })
+	list := director.New(n.Discovery, decoder, planner.Listed, log)
+	group.Go(func() error { return list.Run(work) })
 	taking, stopTaking := context.WithCancel(work)
 	if l.Listen != "" && len(l.Registry.Servers) > 0 {
 		group.Go(func() error {
@@ -121,6 +123,13 @@
 	}
 	group.Go(func() error {
 		defer stopWork()
+		// The list that the configuration holds may be old or empty, and a client that is answered counts on the
+		// gateway: it waits for the director's, but not for long, as the director may be away.
+		select {
+		case <-list.First:
+		case <-taking.Done():
+		case <-time.After(listWait):
+		}
 		return serveAll(taking, servers, sessions)
 	})
 	group.Go(func() error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,14 +37,18 @@
 
 // file mirrors the node's JSON.
 type file struct {
-	Name, Listen, Discovery, Seed, Counter string
-	Limits                                 struct {
-		Cores    float64
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int
-	}
-	Known    json.RawMessage
-	Settings json.RawMessage
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Counter   string `json:"counter"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
 }
 
 // fault is an error that names its key.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,17 +30,19 @@
 
 // Director keeps a planner told of the list: first all of it, then each change as it comes.
 type Director struct {
+	First    chan struct{} // closed when a whole list has been read
 	addr     string
 	decoder  *Decoder
 	listed   func(core.Listing) error
 	log      *zap.Logger
+	first    sync.Once
 	have     bool // a whole list has been read
 	revision int64
 }
 
 // New makes a director; listed is called for each message, in order.
 func New(addr string, d *Decoder, listed func(core.Listing) error, log *zap.Logger) *Director {
-	return &Director{addr: addr, decoder: d, listed: listed, log: log}
+	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log}
 }
 
 // Run follows the list until the context ends.
@@ -131,5 +134,9 @@
 		return err
 	}
 	d.revision = l.List.Version
-	return d.listed(l)
+	if err := d.listed(l); err != nil {
+		return err
+	}
+	d.first.Do(func() { close(d.First) })
+	return nil
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,7 +14,7 @@
 type Server struct {
 	Listener net.Listener
 	Open     func() Commands // for each session
-	Sessions int             // most at once; more wait in the listener's line
+	Sessions int             // most at once
 	Log      *zap.Logger
 
 	mu       sync.Mutex
@@ -31,6 +31,9 @@
 	places := make(chan struct{}, f.Sessions)
 taking:
 	for {
+		if len(places) == cap(places) {
+			f.makeRoom()
+		}
 		select {
 		case <-ctx.Done():
 			break taking
@@ -67,3 +70,20 @@
 	f.all.Wait()
 	return nil
 }
+
+// makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer
+// use, and a new one would wait for them for ever.
+func (f *Server) makeRoom() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var longest *session
+	var since time.Time
+	for s := range f.sessions {
+		if at, idle := s.idle(); idle && (longest == nil || at.Before(since)) {
+			longest, since = s, at
+		}
+	}
+	if longest != nil {
+		longest.finish()
+	}
+}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -46,12 +46,13 @@
 	room  *sync.Cond
 	out   []byte
 	wake  chan struct{} // something is in out, or the session is over
+	busy  time.Time     // when it last owed something
 	last  bool          // it ends as soon as nothing is owed
 	over  bool          // nothing more is taken or answered
 }
 
 func newSession(conn net.Conn, c Commands) *session {
-	s := &session{conn: conn, commands: c, wake: make(chan struct{}, 1)}
+	s := &session{conn: conn, commands: c, wake: make(chan struct{}, 1), busy: time.Now()}
 	s.room = sync.NewCond(&s.mu)
 	return s
 }
@@ -135,6 +136,7 @@
 	if s.over || s.slots[0] != o {
 		return
 	}
+	s.busy = time.Now()
 	n := 0
 	for n < len(s.slots) && s.slots[n].filled {
 		s.out = append(s.out, s.slots[n].answer...)
@@ -197,6 +199,13 @@
 	s.mu.Unlock()
 }
 
+// idle tells whether nothing is owed to the client, and since when.
+func (s *session) idle() (since time.Time, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy, len(s.slots) == 0 && len(s.out) == 0 && !s.last
+}
+
 // lost tells those that work for the client that it has left.
 func (s *session) lost() {
 	s.mu.Lock()
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -233,9 +233,10 @@
 	return append(b, '\r', '\n')
 }
 
-// AppendNumber appends a decimal number as a bulk string, RESP2 having no other form for it.
+// AppendNumber appends a decimal number as a bulk string, RESP2 having no other form for it. Nothing is added
+// so that a zero below nothing loses its sign.
 func AppendNumber(b []byte, v float64) []byte {
-	return AppendBulk(b, strconv.FormatFloat(math.Round(v*1e3)/1e3, 'f', -1, 64))
+	return AppendBulk(b, strconv.FormatFloat(math.Round(v*1e3)/1e3+0, 'f', -1, 64))
 }
 
 // AppendValue appends a value as it was read.
