--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -29,6 +29,7 @@
 
 const (
 	memoryShare = 0.7                    // of the limit: the rest is for stacks, buffers of the kernel and spikes
+	lazyGC      = 400                    // percent: the live heap is small, and collecting it costs CPU
 	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
 	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
 	listWait    = time.Second            // at the start, for the director's first list
@@ -52,6 +53,7 @@
 	}
 	defer log.Sync()
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
+	debug.SetGCPercent(lazyGC) // the memory limit has it collect sooner when it must
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
 	return serve(n, l, log, signals())
 }
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,64 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+func play(in string) (out string) {
+	r := bufio.NewReaderSize(strings.NewReader(in), MaxLine+2)
+	for {
+		a, err := ReadAnswer(r)
+		if err != nil {
+			return out + err.Error()
+		}
+		body, err := ReadBody(r, a)
+		out += strconv.Itoa(a.Status) + " " + strconv.Quote(string(body)) + "; "
+		if err != nil {
+			return out + err.Error()
+		}
+	}
+}
+
+// Each line of testdata/streams.txt is a stream, and the answers that are read from it.
+func TestStreams(t *testing.T) {
+	text, err := os.ReadFile("testdata/streams.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.SplitSeq(strings.TrimSpace(string(text)), "\n") {
+		in, want, _ := strings.Cut(line, " => ")
+		in = strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(in)
+		if got := play(in); got != want {
+			t.Errorf("%q:\n got %s\nwant %s", in, got, want)
+		}
+	}
+	if got := play("HTTP/1.1 200 " + strings.Repeat("x", MaxLine)); got != "protocol error: line too long" {
+		t.Error(got)
+	}
+}
+
+func TestRequest(t *testing.T) {
+	got := AppendRequest(nil, "POST", "/counters/a.1?by=-2.5&expire_ms=4000", "127.0.0.1:1")
+	want := "POST /counters/a.1?by=-2.5&expire_ms=4000 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nContent-Length: 0\r\n\r\n"
+	if string(got) != want {
+		t.Errorf("%q", got)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 503 x\r\nContent-Length: 2\r\n\r\nab"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(in), MaxLine+2)
+		if a, err := ReadAnswer(r); err == nil {
+			if body, _ := ReadBody(r, a); len(body) > MaxBody+1 {
+				t.Errorf("%d bytes", len(body))
+			}
+		}
+	})
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -72,7 +73,10 @@
 	if len(s) < 2 || s[len(s)-2] != '\r' {
 		return nil, breach("line does not end in CR LF")
 	}
-	return s[:len(s)-2], nil
+	if s = s[:len(s)-2]; bytes.IndexByte(s, '\r') >= 0 {
+		return nil, breach("CR within a line") // a peer that passed it on would end the line there
+	}
+	return s, nil
 }
 
 // cut tells an end inside a message from one between two.
