Tell those refused under the ceiling when it has room, and push give-backs at once

Seen: a refusal under the ceiling went out as a bare -BUSY (gateway.go, arrive: the wait was the quota's, which had room), so clients that retry at once came back at once, again and again. Now underCeiling tells when its store holds the units again. A give-back used to wait for the ordinary period, up to a quarter of a window, until others could see it. Also: module tests for the limit commands, each checked to fail with its line taken out.

--- a/gateway.go
+++ b/gateway.go
@@ -129,23 +129,22 @@
 	ceiling    bucket
 	listedTill Instant
 
-	turn         int64   // the window that counts go to
-	total        float64 // as last read in this window
-	tally        float64 // not yet pushed
-	calling      bool
-	adding       float64
-	thin         bool       // a gateway's even share of the store is under one request
-	held         []*request // those that wait for the count
-	spent        float64    // units, ever
-	asks, asking []*request // queries that wait for the next call, and for the one that is out
-	mine         float64    // units that this gateway surely has in the window's count
-	asked        float64    // by all, of late: units and the seconds in which they were asked; faded
-	askedIn      float64
-	past         float64 // seconds into the window at the last total
-	wants        bool
-	queued       bool
-	lastPush     Instant
-	period       Instant // next ordinary push
+	turn           int64   // the window that counts go to
+	total          float64 // as last read in this window
+	tally          float64 // not yet pushed
+	calling        bool
+	adding         float64
+	thin           bool       // a gateway's even share of the store is under one request
+	held           []*request // those that wait for the count
+	spent          float64    // units, ever
+	asks, asking   []*request // queries that wait for the next call, and for the one that is out
+	mine           float64    // units that this gateway surely has in the window's count
+	asked, askedIn float64    // by all, of late: units and the seconds in which they were asked; faded
+	past           float64    // seconds into the window at the last total
+	wants          bool
+	queued         bool
+	lastPush       Instant
+	period         Instant // next ordinary push
 }
 
 // Gateway is one instance of the module.
@@ -274,8 +273,9 @@
 		inside = false
 		c.tally += r.units // the count of a thin customer is of what was asked for
 	}
-	if !inside && (take || plan.BeyondEarns <= plan.OverrunCost) || !g.underCeiling(c, r.units) {
-		g.refuse(r, wait)
+	full, under := g.underCeiling(c, r.units)
+	if !inside && (take || plan.BeyondEarns <= plan.OverrunCost) || !under {
+		g.refuse(r, max(wait, full))
 		return
 	}
 	var s *server
@@ -358,6 +358,7 @@
 			// Danger: use below nothing lets in more than the quota; no list and no ceiling gains by this.
 			c.mine -= back
 			g.spend(c, -back)
+			g.queue(c, true) // the others shall know
 			g.finish(r, Adjusted{Request: r.id, Units: -back})
 		}
 	}
@@ -416,9 +417,7 @@
 // in which every request was counted that was asked about, is within what the rate brings in a window.
 func (g *Gateway) release(c *customer, told bool) {
 	for _, r := range c.held {
-		if s, _ := g.pick(r); r.done {
-			continue // Danger: an attempt for a client that has left would never end
-		} else if g.now < c.listedTill {
+		if s, _ := g.pick(r); g.now < c.listedTill {
 			g.refuse(r, Span(c.listedTill-g.now))
 		} else if r.take && (told || g.chance(c)) {
 			g.finish(r, Adjusted{Request: r.id, Units: r.units})
@@ -677,14 +676,15 @@
 	return 0, true
 }
 
-// underCeiling keeps rule 5 alone: this gateway has its even share of the ceiling's rate, burst and slack.
-func (g *Gateway) underCeiling(c *customer, units float64) bool {
+// underCeiling keeps rule 5 alone, with an even share of rate, burst and slack; it tells when there is room.
+func (g *Gateway) underCeiling(c *customer, units float64) (wait Span, ok bool) {
 	p := c.plan
 	if p.CeilingRate <= 0 {
-		return true
+		return 0, true
 	}
 	c.ceiling.fill(g.now, p.CeilingRate/c.spread, p.CeilingBurst/c.spread)
-	return c.inSet && c.ceiling.level-units >= -p.Tolerance/c.spread
+	missing := units - p.Tolerance/c.spread - c.ceiling.level
+	return Span(missing * c.spread / p.CeilingRate * 1e9), c.inSet && missing <= 0
 }
 
 // spend takes units from the account and puts them on the tally.
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -70,6 +70,10 @@
 			b.over[a.Request] = a
 		case dw.Fail:
 			b.over[a.Request] = a
+		case dw.Limit:
+			b.over[a.Request] = a
+		case dw.Adjusted:
+			b.over[a.Request] = a
 		case dw.Cancel:
 			b.cancel = append(b.cancel, a)
 		case dw.Count:
