--- a/api.go
+++ b/api.go
@@ -101,11 +101,12 @@
 	LatencyMS, Rate, Errors float64
 }
 
-// LoadField finds a field of a load report by the name that reports give it; 0: no such field.
-func LoadField(name string) LoadFields {
-	return map[string]LoadFields{"inflight": HasInflight, "queue": HasQueue, "util": HasUtil,
-		"latency_ms": HasLatency, "qps": HasRate, "eps": HasErrors}[name]
-}
+// loadFields are the fields of a load report by the names that reports give them.
+var loadFields = map[string]LoadFields{"inflight": HasInflight, "queue": HasQueue, "util": HasUtil,
+	"latency_ms": HasLatency, "qps": HasRate, "eps": HasErrors}
+
+// LoadField finds a field by its name; 0: no such field.
+func LoadField(name string) LoadFields { return loadFields[name] }
 
 // Set puts a value into the report; one with an unknown name is passed over.
 func (l *Load) Set(name string, v float64) {
