--- a/gateway.go
+++ b/gateway.go
@@ -430,8 +430,8 @@
 	c.held = c.held[:0]
 }
 
-// comeBack is when a client that is refused for the servers' sake should try again: the later the more they
-// are pressed, but so that the answer can still be in time. Danger: a flood of repeats, and all in step.
+// comeBack is when one refused for the servers' sake should try again: the later the more they are pressed,
+// but so that the answer can still be in time. Danger: a flood of repeats, and all in step.
 func (g *Gateway) comeBack(r *request, pressure float64) Span {
 	wait := (0.5 + g.rng.Float64()) * g.latency * max(1, pressure)
 	return Span(max(0, min(wait, seconds(r.aim-g.now)-g.latency)) * 1e9)
@@ -547,8 +547,7 @@
 // Danger: of many gateways each sends a server so little that nothing else was to be answered, and where all
 // servers are slow every wait looks like silence: copies then make the slowness that asks for more of them.
 // So copies stop, as what is beyond a quota does, when a mean attempt takes more than the least threshold. It
-// also covers slow networks, a fleet that lost capacity and work that grew. It hurts where servers hang while
-// the others are pressed: the requests on them are late.
+// covers slow networks, lost capacity and grown work too. Where servers hang meanwhile, requests are late.
 func (g *Gateway) hedge(r *request, n int) {
 	if r.done || r.attempts[n-1].ended || !g.suspect(r, &r.attempts[n-1]) || !again[r.class.Effect].send ||
 		len(r.attempts) != n || n >= g.set.MaxAttempts ||
@@ -669,7 +668,8 @@
 	if c.thin && c.askedIn > 0 { // Danger: early in a window all let in what is asked, far over the rate
 		others = max(others, c.asked/c.askedIn*(1-1/c.spread))
 	}
-	others *= g.latency / max(1, g.set.MaxUnits/2) // that they have out, by Little's law
+	// Those that they have out: by Little's law, or as many as this one, for slow servers keep more out.
+	others = max(others*g.latency/max(1, g.set.MaxUnits/2), (c.spread-1)*float64(c.open))
 	if p.Open > 0 && float64(c.open+1)+others > float64(p.Open) {
 		return Span(g.latency * 1e9), false
 	}
@@ -769,7 +769,7 @@
 	return int64(g.now+c.phase()) / int64(c.window)
 }
 
-// edge is when the window that was counted in last turns.
+// edge is when the window of the last count turns.
 func (c *customer) edge() Instant { return Instant(c.turn+1)*Instant(c.window) - c.phase() }
 
 func (c *customer) phase() Instant { return Instant(uint64(c.id) % uint64(c.window)) }
--- a/limits_test.go
+++ b/limits_test.go
@@ -175,3 +175,22 @@
 		t.Errorf("not let in when the time has come: %+v", a)
 	}
 }
+
+// A customer with a cap on open attempts keeps to it while servers are slow: its other gateways are taken to
+// have as many out as this one, though its rate of use says that they have hardly any.
+func TestOpenCapWhileSlow(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{Rate: 50, Burst: 100, Open: 6, Price: 1, OverrunCost: 1}
+	in := 0
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8}, dw.ServerEntry{ID: 9})
+	b.serve(100, 20*ms, dw.Arrival{Customer: 1, Spread: 2}) // at ease, all seen here: others use nothing
+	for range 12 {
+		if _, sent := b.ask(dw.Arrival{Customer: 1, Spread: 2}); sent { // no server answers these
+			in++
+		}
+		b.pass(10 * ms)
+	}
+	if in != 3 {
+		t.Errorf("%d are out, want half of 6", in)
+	}
+}
