Hold late readers' answers within a bound instead of ending their sessions

Seen by reading (front/session.go, Fill): a client that pipelined large values and read them a little late had its session ended once 512 KiB waited, and lost what the gateway had taken; the new test did so. Now such a session takes no further command until it has read, and is ended only if the answers of all sessions together pass 24 MiB. The planner's inbox is cut from 1,024 to 256, as each entry may hold 64 KiB. Checked: tests, also with the race detector in the program.

--- a/cmd/dewhitch/limits_test.go
+++ b/cmd/dewhitch/limits_test.go
@@ -248,3 +248,32 @@
 		t.Fatal("the forwarder holds on to a planner that has gone\n", f.log())
 	}
 }
+
+// A client that pipelines large answers and reads them late gets them all; what waits for it is bounded, as no
+// further command is taken meanwhile.
+func TestLateReader(t *testing.T) {
+	w := newWorld(t)
+	go w.backends.serveAll()
+	w.start("serve")
+	c := dial(t, w.listen)
+	body := strings.Repeat("x", 60<<10)
+	const commands = 200
+	go func() {
+		for i := range commands {
+			c.write(fmt.Sprintf("SVC.QUERY %016x a%d c=lookup,t=wide,d=60000,spread=1,first=0 %s", i, i, body))
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	served := 0
+	for range commands {
+		switch a := c.answer(); {
+		case len(a) == 60<<10:
+			served++
+		case !strings.HasPrefix(a, "-BUSY"):
+			t.Fatalf("answered %.40q", a)
+		}
+	}
+	if served == 0 {
+		t.Error("nothing was served")
+	}
+}
--- a/cmd/dewhitch/standins_test.go
+++ b/cmd/dewhitch/standins_test.go
@@ -44,7 +44,7 @@
 	return b
 }
 
-// serveAll has them answer every command from now on, each with its own id.
+// serveAll has them answer every command from now on, each with its body, or its own id if it has none.
 func (b *backends) serveAll() {
 	for c := range b.conns {
 		go func() {
@@ -53,7 +53,11 @@
 				if err != nil {
 					return
 				}
-				fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(words[2]), words[2])
+				value := words[2]
+				if len(words) > 4 {
+					value = words[4]
+				}
+				fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
 			}
 		}()
 	}
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -12,8 +12,9 @@
 	dw "dewhitch"
 )
 
-// inboxSize bounds what waits for the planner. Whoever posts beyond it waits: a session then reads no more.
-const inboxSize = 1024
+// inboxSize bounds what waits for the planner: as each may be a req with a body of 64 KiB, 16 MB at most. Whoever
+// posts beyond it waits; a session then reads no more.
+const inboxSize = 256
 
 // Clock is the planner's time: Unix time, read once at the start and monotonic from there on.
 //
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,7 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
+	unsent   atomic.Int64
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
@@ -50,7 +52,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		s := newSession(conn, f.Open())
+		s := newSession(conn, f.Open(), &f.unsent)
 		f.mu.Lock()
 		f.sessions[s] = struct{}{}
 		f.mu.Unlock()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dewhitch/internal/resp"
@@ -15,7 +16,8 @@
 // The bounds of one client session.
 const (
 	pipelined  = 64        // commands that may wait for their answers; more are left unread
-	unsent     = 512 << 10 // bytes of answers that a client may leave unread; more ends the session
+	unsent     = 512 << 10 // bytes of answers that wait for a client to read, beyond which no command is taken
+	allUnsent  = 24 << 20  // and of those of all sessions, beyond which a session with so many is ended
 	readBuffer = 2 << 10
 	keptBuffer = 16 << 10 // a larger buffer of answers is not kept
 	linger     = 300 * time.Millisecond
@@ -40,19 +42,21 @@
 type session struct {
 	conn     net.Conn
 	commands Commands
+	all      *atomic.Int64 // bytes of answers that wait, of all sessions
 
 	mu    sync.Mutex
 	slots []*Slot // in the order of the commands, those whose answers are not in out yet
 	room  *sync.Cond
 	out   []byte
+	owed  int           // bytes of answers that wait to be written, in out and in slots
 	wake  chan struct{} // something is in out, or the session is over
 	busy  time.Time     // when it last owed something
 	last  bool          // it ends as soon as nothing is owed
 	over  bool          // nothing more is taken or answered
 }
 
-func newSession(conn net.Conn, c Commands) *session {
-	s := &session{conn: conn, commands: c, wake: make(chan struct{}, 1), busy: time.Now()}
+func newSession(conn net.Conn, c Commands, all *atomic.Int64) *session {
+	s := &session{conn: conn, commands: c, all: all, wake: make(chan struct{}, 1), busy: time.Now()}
 	s.room = sync.NewCond(&s.mu)
 	return s
 }
@@ -101,7 +105,7 @@
 func (s *session) open() *Slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.slots) >= pipelined && !s.over {
+	for (len(s.slots) >= pipelined || s.owed > unsent) && !s.over {
 		s.room.Wait()
 	}
 	if s.over {
@@ -133,7 +137,14 @@
 		return
 	}
 	o.answer, o.filled, o.gone = answer, true, nil
-	if s.over || s.slots[0] != o {
+	if s.over {
+		return
+	}
+	s.owed += len(answer)
+	if s.all.Add(int64(len(answer))) > allUnsent && s.owed > unsent {
+		s.conn.Close() // a client that does not read may not fill the gateway's memory; read sees the end
+	}
+	if s.slots[0] != o {
 		return
 	}
 	s.busy = time.Now()
@@ -146,9 +157,6 @@
 	s.slots = s.slots[n:]
 	s.room.Signal()
 	s.signal()
-	if len(s.out) > unsent {
-		s.conn.Close() // a client that does not read may not fill the gateway's memory; read sees the end
-	}
 }
 
 func (s *session) signal() {
@@ -185,6 +193,10 @@
 			s.conn.Close() // read sees the end
 			return
 		}
+		s.mu.Lock()
+		s.paid(len(buf))
+		s.room.Signal()
+		s.mu.Unlock()
 		if cap(buf) > keptBuffer {
 			buf = nil
 		}
@@ -206,12 +218,20 @@
 	return s.busy, len(s.slots) == 0 && len(s.out) == 0 && !s.last
 }
 
+// paid takes note that n bytes of answers wait no longer; the lock is held.
+func (s *session) paid(n int) {
+	n = min(n, s.owed) // a session that is lost has let go of all
+	s.owed -= n
+	s.all.Add(-int64(n))
+}
+
 // lost tells those that work for the client that it has left.
 func (s *session) lost() {
 	s.mu.Lock()
 	s.over = true
 	slots := s.slots
 	s.slots, s.out = nil, nil
+	s.paid(s.owed)
 	s.room.Broadcast()
 	s.signal()
 	s.mu.Unlock()
