Handle SIGHUP: check the new configuration whole, move director and counter to it

At fault: `signals` in cmd/dewhitch/serve.go asks for SIGTERM and SIGINT alone, so SIGHUP kept its default; and neither `director.Director` nor `counter.Client` could change the address they were made with. Checked and ruled out: the losses all fell on the connections of the node that ended; no rule was broken elsewhere. NODE_DISCOVERY goes before the file at the start, so a reload through LoadNode would never have seen the new address. Change: `reload` checks everything and then applies; the director reads a whole list at the new address, as revisions of two agents need not match; a counter line leaves its connection open for the calls that are written, and no longer than anyone waits for them, so that several moves in a row hold one old connection a line. The director also asks again after 1 s and 3 s of silence, at most 0.5 s apart, as news counts as told 4 to 6 s after it is due, heard or not.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -62,6 +65,18 @@
 		linger(work, signals(), log)
 		return nil
 	})
+	hangUp := make(chan os.Signal, 1) // operators send it to all; unhandled, it would end the program
+	signal.Notify(hangUp, syscall.SIGHUP)
+	group.Go(func() error {
+		for {
+			select {
+			case <-work.Done():
+				return nil
+			case <-hangUp:
+				log.Info("a forwarder finds the planners in the registry; the limits file needs a restart")
+			}
+		}
+	})
 	log.Info("forwarding", zap.String("listen", l.Forward.Listen))
 	return group.Wait()
 }
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -174,6 +175,26 @@
 	switch verb {
 	case "settings": // a JSON object that goes over the usual settings
 		p.world.override = append(p.world.override, rest)
+	case "anew": // the configuration is replaced, with the JSON object laid over it, and the program told so
+		usual := p.world.override
+		p.world.override = append(slices.Clone(usual), rest)
+		text := p.world.config()
+		p.world.override = usual
+		if err := os.WriteFile(p.prog.config, text, 0o600); err != nil {
+			p.fail("%v", err)
+		}
+		p.prog.cmd.Process.Signal(syscall.SIGHUP)
+	case "logs": // the program has logged it by now, or will soon
+		if !eventually(func() bool { return strings.Contains(p.prog.log(), rest) }) {
+			p.fail("it does not")
+		}
+	case "moves": // discovery and the counter are at other addresses, and the list there has these members
+		old := *p.world
+		p.world.counter, p.world.discovery = newCounter(p.t), newDiscovery(p.t, p.world.members(rest))
+		p.world.discovery.revision = 7 // a past of its own, and an older one
+		p.happen("anew", "{}")
+		old.counter.l.Close()
+		old.discovery.l.Close()
 	case "members": // the list that discovery has from now on, as id=phase words
 		p.world.discovery.set(p.world.members(rest))
 	case "counter": // how it answers from now on: add, silent, full, late, reset
@@ -268,10 +289,11 @@
 
 // process is the program, started.
 type process struct {
-	cmd  *exec.Cmd
-	mu   sync.Mutex
-	out  bytes.Buffer
-	over chan error
+	cmd    *exec.Cmd
+	config string // where its configuration is
+	mu     sync.Mutex
+	out    bytes.Buffer
+	over   chan error
 }
 
 func (p *process) Write(b []byte) (int, error) {
@@ -380,13 +402,15 @@
 	os.WriteFile(filepath.Join(dir, "limits.toml"), []byte(limits), 0o600)
 	os.WriteFile(filepath.Join(dir, "config.json"), w.config(), 0o600)
 	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml")}, args...)...)
-	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "config.json"))
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "config.json"),
+		"NODE_DISCOVERY="+w.discovery.l.Addr().String())
 	return cmd
 }
 
 // start starts the program and waits until it listens.
 func (w *world) start(args ...string) *process {
 	p := &process{cmd: w.command(args...), over: make(chan error, 1)}
+	p.config = strings.TrimPrefix(p.cmd.Env[len(p.cmd.Env)-2], "NODE_CONFIG=")
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
 		w.t.Fatal(err)
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -39,6 +39,8 @@
 type serveCmd struct{}
 
 func (serveCmd) Run() error {
+	again := make(chan os.Signal, 1) // from the first on: unhandled, the signal would end the program
+	signal.Notify(again, syscall.SIGHUP)
 	n, err := config.LoadNode(os.Getenv)
 	if err != nil {
 		return err
@@ -55,7 +57,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
 	debug.SetGCPercent(lazyGC) // the memory limit has it collect sooner when it must
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
-	return serve(n, l, log, signals())
+	return serve(n, l, log, signals(), again)
 }
 
 func signals() <-chan os.Signal {
@@ -65,8 +67,8 @@
 }
 
 // serve runs one gateway until a signal ends it. Then it goes on serving for a while, answers all that it has
-// taken, and returns.
-func serve(n *config.Node, l *config.Limits, log *zap.Logger, term <-chan os.Signal) error {
+// taken, and returns. At a signal on again it reads its configuration anew.
+func serve(n *config.Node, l *config.Limits, log *zap.Logger, term, again <-chan os.Signal) error {
 	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
 	fetches := int(fetchShare * float64(sockets))
 	sessions := sockets - fetches
@@ -112,6 +114,10 @@
 	group.Go(func() error { return count.Run(work) })
 	list := director.New(n.Discovery, decoder, planner.Listed, log)
 	group.Go(func() error { return list.Run(work) })
+	group.Go(func() error {
+		reload(work, again, n, list, count, log)
+		return nil
+	})
 	taking, stopTaking := context.WithCancel(work)
 	if l.Listen != "" && len(l.Registry.Servers) > 0 {
 		group.Go(func() error {
@@ -146,6 +152,36 @@
 	return err
 }
 
+// reload reads the configuration anew at each signal. All of it is checked before any of it is applied: with a fault
+// in it, the old one stays. The director's and the counter's addresses are what can change while the program runs.
+func reload(ctx context.Context, again <-chan os.Signal, n *config.Node, list *director.Director,
+	count *counter.Client, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		m, err := config.ReloadNode(os.Getenv)
+		if err == nil {
+			_, err = config.LoadLimits(cli.Limits)
+		}
+		if err != nil {
+			log.Error("the new configuration is faulty; the old one stays", zap.Error(err))
+			continue
+		}
+		if m.Discovery != n.Discovery {
+			list.Move(m.Discovery)
+		}
+		if m.Counter != n.Counter {
+			count.Move(m.Counter)
+		}
+		log.Info("new configuration", zap.String("discovery", m.Discovery), zap.String("counter", m.Counter),
+			zap.Strings("needs_a_restart", n.Fixed(m)))
+		n.Discovery, n.Counter = m.Discovery, m.Counter
+	}
+}
+
 // serveAll shares the places for sessions among the fronts and returns when the last session has ended.
 func serveAll(ctx context.Context, servers []*front.Server, sessions int) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -58,6 +59,16 @@
 
 // LoadNode reads the environment through getenv, and the file that it names.
 func LoadNode(getenv func(string) string) (*Node, error) {
+	return loadNode(getenv, false)
+}
+
+// ReloadNode reads the same anew, all of it. It guards against a change that goes unheard: the environment keeps the
+// director's address of the start, and the file's, which is newer, must not lose to it.
+func ReloadNode(getenv func(string) string) (*Node, error) {
+	return loadNode(getenv, true)
+}
+
+func loadNode(getenv func(string) string, again bool) (*Node, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, fault("NODE_CONFIG", "not set")
@@ -66,10 +77,10 @@
 	if err != nil {
 		return nil, fault("NODE_CONFIG", "%v", err)
 	}
-	return parseNode(text, getenv)
+	return parseNode(text, getenv, again)
 }
 
-func parseNode(text []byte, getenv func(string) string) (*Node, error) {
+func parseNode(text []byte, getenv func(string) string, again bool) (*Node, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -84,7 +95,8 @@
 		to  *string
 		env string
 	}{{&n.Name, "NODE_NAME"}, {&n.Listen, "NODE_LISTEN"}, {&n.Discovery, "NODE_DISCOVERY"}} {
-		if s := getenv(v.env); s != "" { // the environment is nearer than the file
+		// The environment is nearer than the file, but for what the file has changed since the start.
+		if s := getenv(v.env); s != "" && !(again && v.to == &n.Discovery && *v.to != "") {
 			*v.to = s
 		}
 	}
@@ -149,6 +161,21 @@
 	return nil
 }
 
+// Fixed names the keys in which m differs from n and which are read at the start only.
+func (n *Node) Fixed(m *Node) (keys []string) {
+	for _, v := range []struct {
+		key  string
+		same bool
+	}{{"name", n.Name == m.Name}, {"listen", n.Listen == m.Listen}, {"limits.cores", n.Cores == m.Cores},
+		{"limits.memory_mb", n.MemoryMB == m.MemoryMB}, {"limits.sockets", n.Sockets == m.Sockets},
+		{"settings", reflect.DeepEqual(n.Settings, m.Settings) && reflect.DeepEqual(n.Words, m.Words)}} {
+		if !v.same {
+			keys = append(keys, v.key)
+		}
+	}
+	return keys
+}
+
 // Longest is the longest deadline of a class.
 func (n *Node) Longest() (longest time.Duration) {
 	for _, c := range n.Settings.Classes {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -25,21 +25,26 @@
 	stuckTime = 2 * time.Second        // a written call that is unanswered for so long shows that the line is dead
 )
 
-// Sockets is how many descriptors a client holds at most.
-const Sockets = lines
+// Sockets is how many descriptors a client holds at most: besides each line's connection, one that the line has
+// left and that still owes answers.
+const Sockets = 2 * lines
 
 // Client is the gateway's side of the counter.
 type Client struct {
-	addr  string
 	limit time.Duration // a call unanswered by then is given up
 	dial  time.Duration
 	log   *zap.Logger
 	lines [lines]line
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed by Move
 }
 
 // line is one connection at a time and the calls that go over it.
 type line struct {
 	calls chan *call
+	left  chan struct{} // closed when the connection that the line has left is closed; nil: there was none
 }
 
 // The states of a call. Whoever moves it to settled reports it.
@@ -50,10 +55,11 @@
 )
 
 type call struct {
-	request []byte
-	state   atomic.Int32
-	timer   *time.Timer
-	done    func(dw.Outcome, float64)
+	target string
+	size   int // of the request, once it is in a batch
+	state  atomic.Int32
+	timer  *time.Timer
+	done   func(dw.Outcome, float64)
 }
 
 func (c *call) settle(from int32, o dw.Outcome, total float64) bool {
@@ -67,18 +73,35 @@
 
 // New makes a client; Run makes it work.
 func New(addr string, limit, dial time.Duration, log *zap.Logger) *Client {
-	c := &Client{addr: addr, limit: limit, dial: dial, log: log}
+	c := &Client{addr: addr, limit: limit, dial: dial, log: log, moved: make(chan struct{})}
 	for i := range c.lines {
 		c.lines[i].calls = make(chan *call, queued)
 	}
 	return c
 }
 
+// Move has the calls that are not written yet, and all later ones, go to another address. Those that are written get
+// their answers from the old one.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addr = addr
+	close(c.moved)
+	c.moved = make(chan struct{})
+}
+
+// place is where the counter is, and tells when that changes.
+func (c *Client) place() (addr string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr, c.moved
+}
+
 // Add makes one call.
 func (c *Client) Add(name string, amount float64, life time.Duration, done func(dw.Outcome, float64)) {
 	target := "/counters/" + name + "?by=" + strconv.FormatFloat(amount, 'f', -1, 64) +
 		"&expire_ms=" + strconv.FormatInt(max(1, life.Milliseconds()), 10)
-	k := &call{request: http1.AppendRequest(nil, "POST", target, c.addr), done: done}
+	k := &call{target: target, done: done}
 	// A call that is overdue is settled here; if it was written, its answer is still to come, and the line reads
 	// and passes over it, so that later answers stay with their calls.
 	k.timer = time.AfterFunc(c.limit, func() {
@@ -121,8 +144,14 @@
 			case first = <-l.calls:
 			}
 		}
-		conn, err := (&net.Dialer{Timeout: c.dial}).DialContext(ctx, "tcp", c.addr)
+		addr, moved := c.place()
+		conn, err := (&net.Dialer{Timeout: c.dial}).DialContext(ctx, "tcp", addr)
 		if err != nil {
+			select {
+			case <-moved: // what waits can still go to the new place
+				continue
+			default:
+			}
 			c.log.Debug("counter: no connection", zap.Error(err))
 			first.settle(waiting, dw.OutcomeConnectFailed, 0)
 			l.failQueued()
@@ -130,11 +159,12 @@
 			select {
 			case <-ctx.Done():
 				return
+			case <-moved:
 			case <-time.After(redial):
 			}
 			continue
 		}
-		first = l.serve(ctx, conn, first)
+		first = l.serve(ctx, c, conn, first, addr, moved)
 	}
 }
 
@@ -149,35 +179,47 @@
 	}
 }
 
-// serve writes calls to conn until it is lost; a call taken but not written is handed back.
-func (l *line) serve(ctx context.Context, conn net.Conn, next *call) *call {
+// serve writes calls to conn until it is lost or the counter has moved; a call taken but not written is handed back.
+func (l *line) serve(ctx context.Context, c *Client, conn net.Conn, next *call, addr string,
+	moved <-chan struct{}) *call {
 	ctx, cancel := context.WithCancel(ctx)
 	out := make(chan *call, queued) // written, in order
-	var reader sync.WaitGroup
-	reader.Go(func() {
-		defer cancel()
+	closed := make(chan struct{})
+	go func() {
 		read(conn, out)
-	})
+		cancel()
+		for k := range out {
+			k.settle(written, dw.OutcomeTimeout, 0) // it may have been added, or may yet be
+		}
+		close(closed)
+	}()
 	context.AfterFunc(ctx, func() { conn.Close() }) // the one place where it is given back
+	gone := false
 	var buf []byte
 	var batch []*call
-	for next != nil || ctx.Err() == nil {
+writing:
+	for {
 		if next == nil {
 			select {
 			case <-ctx.Done():
+			case <-moved:
 			case next = <-l.calls:
 			}
-			if next == nil {
-				break
-			}
 		}
-		if ctx.Err() != nil { // lost before anything of next was written
-			break
+		select { // before anything of next is written
+		case <-ctx.Done():
+			break writing
+		case <-moved:
+			gone = true
+			break writing
+		default:
 		}
 		buf, batch = buf[:0], batch[:0]
 		for next != nil && len(batch) < queued/2 {
 			if next.state.CompareAndSwap(waiting, written) {
-				buf, batch = append(buf, next.request...), append(batch, next)
+				n := len(buf)
+				buf = http1.AppendRequest(buf, "POST", next.target, addr)
+				next.size, batch = len(buf)-n, append(batch, next)
 			}
 			select {
 			case next = <-l.calls:
@@ -188,7 +230,7 @@
 		conn.SetWriteDeadline(time.Now().Add(stuckTime))
 		n, err := conn.Write(buf)
 		for _, k := range batch {
-			if n -= len(k.request); n < 0 { // its last byte was not written: nothing added
+			if n -= k.size; n < 0 { // its last byte was not written: nothing added
 				k.settle(written, dw.OutcomeConnectFailed, 0)
 				continue
 			}
@@ -202,12 +244,19 @@
 			break
 		}
 	}
-	cancel()
 	close(out)
-	reader.Wait()
-	for k := range out { // it may have been added, or may yet be
-		k.settle(written, dw.OutcomeTimeout, 0)
+	if !gone {
+		cancel()
+		<-closed
+		return next
+	}
+	// What is written still gets its answers, for as long as anyone waits for them. Danger: many moves in a row must
+	// not hold ever more connections, so an earlier one that was left is waited for, which takes that long at most.
+	time.AfterFunc(c.limit, cancel)
+	if l.left != nil {
+		<-l.left
 	}
+	l.left = closed
 	return next
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -18,11 +18,12 @@
 
 const (
 	path        = "/api/targets"
-	silence     = 5 * time.Second // a watch writes at least an empty line every 2 s
+	silence     = 3 * time.Second // a watch writes at least an empty line every 2 s
+	answerTime  = time.Second     // the agent answers at once, unless it is cut off or has nothing to say
 	dialTime    = time.Second
 	backoffFrom = 50 * time.Millisecond
-	backoffTo   = 2 * time.Second
-	lineSize    = 256 << 10 // of one line of a watch
+	backoffTo   = 500 * time.Millisecond // news must not wait: drains count as told, heard or not
+	lineSize    = 256 << 10              // of one line of a watch
 )
 
 // Sockets is how many descriptors a director holds at most.
@@ -31,34 +32,63 @@
 // Director keeps a planner told of the list: first all of it, then each change as it comes.
 type Director struct {
 	First    chan struct{} // closed when a whole list has been read
-	addr     string
 	decoder  *Decoder
 	listed   func(core.Listing) error
 	log      *zap.Logger
 	first    sync.Once
 	have     bool // a whole list has been read
 	revision int64
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed by Move
 }
 
 // New makes a director; listed is called for each message, in order.
 func New(addr string, d *Decoder, listed func(core.Listing) error, log *zap.Logger) *Director {
-	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log}
+	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log,
+		moved: make(chan struct{})}
+}
+
+// Move has the list read at another address from now on, all of it: what the old one had is a past of its own.
+func (d *Director) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = addr
+	close(d.moved)
+	d.moved = make(chan struct{})
+}
+
+// place is where to read the list, and tells when that changes.
+func (d *Director) place() (addr string, moved <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr, d.moved
 }
 
 // Run follows the list until the context ends.
 func (d *Director) Run(ctx context.Context) error {
 	pause := backoffFrom
+	at := ""
 	for ctx.Err() == nil {
-		told, err := d.follow(ctx)
+		addr, moved := d.place()
+		if addr != at {
+			at, pause = addr, backoffFrom
+			// Danger: revisions of two agents need not match, and a watch since the old one's would miss changes.
+			d.have = false
+		}
+		told, err := d.followUntil(ctx, addr, moved)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if told {
 			pause = backoffFrom
 		}
-		d.log.Warn("the director's list broke off", zap.Error(err), zap.Duration("again_in", pause))
+		d.log.Warn("the director's list broke off", zap.String("director", addr), zap.Error(err),
+			zap.Duration("again_in", pause))
 		select {
 		case <-ctx.Done():
+		case <-moved:
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, backoffTo)
@@ -66,9 +96,25 @@
 	return nil
 }
 
+// followUntil follows the list at addr until it breaks off or the director has moved.
+func (d *Director) followUntil(ctx context.Context, addr string, moved <-chan struct{}) (told bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	defer watch.Wait()
+	defer cancel()
+	return d.follow(ctx, addr)
+}
+
 // follow reads the list, unless it has one, and then a watch until that ends. It tells whether anything came.
-func (d *Director) follow(ctx context.Context) (told bool, err error) {
-	conn, err := (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", d.addr)
+func (d *Director) follow(ctx context.Context, addr string) (told bool, err error) {
+	conn, err := (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
 	}
@@ -76,7 +122,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	r := bufio.NewReaderSize(conn, http1.MaxLine+2)
 	if !d.have {
-		head, err := d.ask(conn, r, path)
+		head, err := d.ask(conn, r, addr, path)
 		if err != nil {
 			return false, err
 		}
@@ -92,7 +138,7 @@
 			return true, fmt.Errorf("the connection ended with the list")
 		}
 	}
-	head, err := d.ask(conn, r, path+"?follow=1&since="+strconv.FormatInt(d.revision, 10))
+	head, err := d.ask(conn, r, addr, path+"?follow=1&since="+strconv.FormatInt(d.revision, 10))
 	if err != nil {
 		return told, err
 	}
@@ -116,9 +162,9 @@
 	}
 }
 
-func (d *Director) ask(conn net.Conn, r *bufio.Reader, target string) (http1.Answer, error) {
-	conn.SetDeadline(time.Now().Add(silence))
-	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, d.addr)); err != nil {
+func (d *Director) ask(conn net.Conn, r *bufio.Reader, addr, target string) (http1.Answer, error) {
+	conn.SetDeadline(time.Now().Add(answerTime))
+	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, addr)); err != nil {
 		return http1.Answer{}, err
 	}
 	head, err := http1.ReadAnswer(r)
