Pace counter calls by the quickest one, and keep its lines from false ends and noise

Ruled out: the counter turned none away, and no call took over 13 ms. Change: a call is slow if it takes a quarter of the time-out more than the quickest of late; a line is dead by the age of its oldest call (20 time-outs). An answer that nobody asked for, one that has no number, and one that has no end spoil the line; interim answers are passed over. `bucket` and `seconds` moved to api.go, as they decide nothing. Conclusion: the gateways were blind by their own pace, not by the counter's.

--- a/api.go
+++ b/api.go
@@ -12,6 +12,21 @@
 // Span is a length of time in nanoseconds.
 type Span int64
 
+const second = Span(1e9)
+
+func seconds[T Instant | Span](d T) float64 { return float64(d) / 1e9 }
+
+// bucket fills at a rate, up to a bound.
+type bucket struct {
+	level float64
+	at    Instant
+}
+
+func (b *bucket) fill(now Instant, rate, most float64) {
+	b.level = min(most, b.level+rate*seconds(now-b.at))
+	b.at = now
+}
+
 type (
 	// RequestID names one try of one client; it is never used again.
 	RequestID string
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -197,7 +197,7 @@
 		old.discovery.l.Close()
 	case "members": // the list that discovery has from now on, as id=phase words
 		p.world.discovery.set(p.world.members(rest))
-	case "counter": // how it answers from now on: add, silent, full, late, reset
+	case "counter": // how it answers from now on: add, silent, full, late, reset, spoilt, interim, doubled
 		p.world.counter.mode(rest)
 	case "counted": // the sum of all totals
 		want, _ := strconv.ParseFloat(rest, 64)
--- a/cmd/dewhitch/standins_test.go
+++ b/cmd/dewhitch/standins_test.go
@@ -154,8 +154,17 @@
 			continue
 		case "late":
 			time.Sleep(150 * time.Millisecond)
+		case "spoilt": // it was added, but nobody can tell
+			body = "NaN"
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if how == "interim" {
+			fmt.Fprint(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if how == "doubled" {
+			answer += answer
+		}
+		fmt.Fprint(conn, answer)
 	}
 }
 
--- a/gateway.go
+++ b/gateway.go
@@ -11,8 +11,6 @@
 	"strconv"
 )
 
-const second = Span(1e9)
-
 // The tuned values. Each is relative to something the settings tell.
 const (
 	windowBursts  = 4.0         // a window lasts so many bursts, as the design has it
@@ -29,7 +27,7 @@
 	backoffCalls  = 20          // time-outs between two calls, at most, while they fail
 	backCalls     = 4.0         // for each time-out, of all gateways together, once one is answered again
 	countGrain    = 0.01        // units: what a total may be off by, given to seven digits
-	slowCall      = 0.25        // of the time-out: a slower answer shows a line at the counter
+	slowCall      = 0.25        // of the time-out: an answer slower than the quickest by more shows a line
 	callUp        = 1.1         // what a good answer makes of the pace of calls
 	callDown      = 0.85        // and a slow one, or none
 
@@ -76,18 +74,6 @@
 	ejected  Instant // until then
 }
 
-type bucket struct {
-	level float64
-	at    Instant
-}
-
-func (b *bucket) fill(now Instant, rate, most float64) {
-	b.level = min(most, b.level+rate*seconds(now-b.at))
-	b.at = now
-}
-
-func seconds[T Instant | Span](d T) float64 { return float64(d) / 1e9 }
-
 type attempt struct {
 	server  *server
 	at      Instant
@@ -163,6 +149,7 @@
 	started   bool
 	startAt   Instant
 	callPace  float64 // calls a second
+	quickest  float64 // answer to one, of late
 	callStock bucket  // calls that may be made now
 	names     map[string]*customer
 	budget    float64
@@ -192,6 +179,7 @@
 		g.sizes = append(g.sizes, 1)
 		g.minAim = min(g.minAim, c.Aim)
 	}
+	g.quickest = seconds(s.CounterTimeout)
 	g.latency = startLatency * seconds(g.minAim)
 	g.idle = g.latency
 	g.worth = max(s.Classes[0].Points, minPoints)
@@ -819,7 +807,10 @@
 			g.queue(c, false)
 		}
 	}
-	if e.Outcome != OutcomeOK || e.Latency > Span(slowCall*float64(g.set.CounterTimeout)) {
+	if e.Outcome == OutcomeOK { // Danger: the way to the counter alone may take long, and is no line at it
+		g.quickest = min(g.quickest+g.quickest/idleSamples, seconds(e.Latency))
+	}
+	if e.Outcome != OutcomeOK || seconds(e.Latency) > g.quickest+slowCall*seconds(g.set.CounterTimeout) {
 		g.callPace = max(callDown*g.callPace, 1/(backoffCalls*seconds(g.set.CounterTimeout)))
 	} else if g.callStock.level < 1 {
 		back := backCalls / seconds(g.set.CounterTimeout) / float64(g.set.Instances)
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -725,3 +725,20 @@
 		}
 	}
 }
+
+// A long way to the counter is no line at it: calls keep their pace while their answers take as long as ever.
+func TestLongWayToTheCounter(t *testing.T) {
+	b := newBed(t, settings(), dw.ServerEntry{ID: 1})
+	add := b.answer
+	b.answer = func(c dw.Count) *dw.Counted {
+		e := add(c)
+		e.Latency = 20 * ms // of 50 after which a call is given up
+		return e
+	}
+	for i := range 200 {
+		b.serve(1, 50*ms, dw.Arrival{Customer: dw.CustomerID(i % 20)})
+	}
+	if n := len(b.calls); n < 60 {
+		t.Errorf("%d calls in 10 s for 20 customers", n)
+	}
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -22,7 +23,9 @@
 	lines     = 2                      // connections, one a line; a name keeps to its line, so its answers keep their order
 	queued    = 512                    // calls that may wait on a line to be written; more are turned away
 	redial    = 100 * time.Millisecond // between two tries to connect
-	stuckTime = 2 * time.Second        // a written call that is unanswered for so long shows that the line is dead
+	writeTime = time.Second            // for one write
+	wholeTime = 100 * time.Millisecond // from the first byte of an answer to its last
+	stuck     = 20                     // a line on which nothing comes for so many time-outs, with calls out, is dead
 )
 
 // Sockets is how many descriptors a client holds at most: besides each line's connection, one that the line has
@@ -56,7 +59,8 @@
 
 type call struct {
 	target string
-	size   int // of the request, once it is in a batch
+	size   int       // of the request, once it is in a batch
+	at     time.Time // when that was
 	state  atomic.Int32
 	timer  *time.Timer
 	done   func(dw.Outcome, float64)
@@ -183,13 +187,17 @@
 func (l *line) serve(ctx context.Context, c *Client, conn net.Conn, next *call, addr string,
 	moved <-chan struct{}) *call {
 	ctx, cancel := context.WithCancel(ctx)
-	out := make(chan *call, queued) // written, in order
+	out := make(chan *call, queued) // being written or written, in order
 	closed := make(chan struct{})
 	go func() {
-		read(conn, out)
+		last := read(conn, out, stuck*c.limit)
 		cancel()
+		// What was written whole may have been added, or may yet be. The writer says first what was not.
 		for k := range out {
-			k.settle(written, dw.OutcomeTimeout, 0) // it may have been added, or may yet be
+			k.settle(written, dw.OutcomeTimeout, 0)
+		}
+		if last != nil {
+			last.settle(written, dw.OutcomeTimeout, 0)
 		}
 		close(closed)
 	}()
@@ -215,11 +223,17 @@
 		default:
 		}
 		buf, batch = buf[:0], batch[:0]
+		now := time.Now()
 		for next != nil && len(batch) < queued/2 {
 			if next.state.CompareAndSwap(waiting, written) {
 				n := len(buf)
 				buf = http1.AppendRequest(buf, "POST", next.target, addr)
-				next.size, batch = len(buf)-n, append(batch, next)
+				next.size, next.at, batch = len(buf)-n, now, append(batch, next)
+				select { // before its bytes are written: an answer with no call before it is noise
+				case out <- next:
+				case <-ctx.Done():
+					next.settle(written, dw.OutcomeConnectFailed, 0)
+				}
 			}
 			select {
 			case next = <-l.calls:
@@ -227,17 +241,11 @@
 				next = nil
 			}
 		}
-		conn.SetWriteDeadline(time.Now().Add(stuckTime))
+		conn.SetWriteDeadline(now.Add(writeTime))
 		n, err := conn.Write(buf)
 		for _, k := range batch {
 			if n -= k.size; n < 0 { // its last byte was not written: nothing added
 				k.settle(written, dw.OutcomeConnectFailed, 0)
-				continue
-			}
-			select {
-			case out <- k:
-			case <-ctx.Done():
-				k.settle(written, dw.OutcomeTimeout, 0)
 			}
 		}
 		if err != nil {
@@ -260,31 +268,47 @@
 	return next
 }
 
-// read takes the answers in the order of the calls.
-func read(conn net.Conn, out <-chan *call) {
+// read takes the answers in the order of the calls, until the connection is of no more use. It returns the call that
+// it then waited for, if any.
+func read(conn net.Conn, out <-chan *call, patience time.Duration) (k *call) {
 	r := bufio.NewReaderSize(conn, http1.MaxLine+2)
+	until := time.Now()
 	for {
-		// An answer cannot come before its call, but the end of an idle connection can: wait for either. The
-		// deadline also ends a line whose far side has vanished without a word, once a call waits on it.
-		conn.SetReadDeadline(time.Now().Add(stuckTime))
-		if _, err := r.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) && len(out) == 0 {
-			continue
-		} else if err != nil {
-			return
+		// The end of an idle connection can come before a call does: wait for either. The deadline also ends a line
+		// whose far side has vanished without a word. It goes by the call that waits longest: one that was written
+		// a moment before some deadline says nothing yet.
+		conn.SetReadDeadline(until)
+		_, err := r.Peek(1)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return k
 		}
-		k, ok := <-out
-		if !ok {
-			return
+		if k == nil {
+			select {
+			case k = <-out:
+			default:
+			}
 		}
-		outcome, total, again := one(r)
-		k.settle(written, outcome, total)
-		if !again {
-			return
+		switch {
+		case err == nil && k == nil: // nobody asked: it would be taken for the answer to the next call
+			return nil
+		case err == nil:
+			conn.SetReadDeadline(time.Now().Add(wholeTime)) // a spoilt answer need have no end
+			outcome, total, again := one(r)
+			if k.settle(written, outcome, total); !again {
+				return nil
+			}
+			k = nil
+		case k != nil && time.Since(k.at) >= patience:
+			return k
+		}
+		if until = time.Now().Add(patience); k != nil {
+			until = k.at.Add(patience)
 		}
 	}
 }
 
-// one reads one answer; unless again is set, the connection is of no more use.
+// one reads one answer; unless again is set, the connection is of no more use. What can't be read as an answer tells
+// nothing of the amount, which may have been added: it ends as a call that was never answered.
 func one(r *bufio.Reader) (o dw.Outcome, total float64, again bool) {
 	head, err := http1.ReadAnswer(r)
 	if err != nil {
@@ -296,11 +320,13 @@
 	}
 	switch head.Status {
 	case 200:
-		if total, err = strconv.ParseFloat(string(body), 64); err != nil {
+		total, err = strconv.ParseFloat(string(bytes.TrimSpace(body)), 64)
+		if err != nil || total-total != 0 { // NaN and infinity are numbers to the parser alone
 			return dw.OutcomeTimeout, 0, false
 		}
 		return dw.OutcomeOK, total, !head.Close
-	default: // 503, 400 and 404: nothing was added
+	case 503, 400, 404: // nothing was added
 		return dw.OutcomeRejected, 0, !head.Close
 	}
+	return dw.OutcomeTimeout, 0, false
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -51,8 +51,20 @@
 	return bytes.TrimSuffix(s[:len(s)-1], []byte("\r")), nil
 }
 
-// ReadAnswer reads the head of an answer; the body is next in r.
+const maxInterim = 8 // interim answers before the final one
+
+// ReadAnswer reads the head of an answer; the body is next in r. Interim answers before it are passed over.
 func ReadAnswer(r *bufio.Reader) (Answer, error) {
+	for range maxInterim {
+		a, err := readHead(r)
+		if err != nil || a.Status >= 200 || a.Status == 101 { // nobody asked for another protocol
+			return a, err
+		}
+	}
+	return Answer{}, breach("too many interim answers")
+}
+
+func readHead(r *bufio.Reader) (Answer, error) {
 	a := Answer{Length: -1}
 	s, err := line(r)
 	if err != nil {
