Close connections that carried a spoilt answer, and keep pools by backend, not by address

Change: an answer has three parts, or is an error line; all else is spoilt: a fetch that may have run, and a closed connection. From its first byte an answer has 250 ms. A value that came whole stands, whatever follows it. A connection rests 5 ms and is looked at before it is used. Idle ones are swept each second. A req under an id that is open is failed, as a backend would be sent two of it. The director's decoder forgets ids that have gone.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -19,6 +21,9 @@
 const (
 	idleShare  = 0.8 // of the time after which a backend closes an idle connection: none is used after that
 	readBuffer = 4 << 10
+	sweepEvery = time.Second            // connections that are idle for too long are closed so often
+	rest       = 5 * time.Millisecond   // before a connection is used again: what came behind its answer shows by then
+	wholeTime  = 250 * time.Millisecond // from the first byte of an answer to its last: a backend writes it at once
 )
 
 // Names are the settings' words that stand in a command.
@@ -41,11 +46,20 @@
 	limits Limits
 
 	mu      sync.Mutex
-	idle    map[string][]*conn // by address, the last used at the end
+	pools   map[core.Backend]*pool
 	open    int
 	fetches map[key]*fetch
 }
 
+// pool has the connections to one backend. It guards against a mix-up: an address may come back under a new id, and
+// what was learnt of, or is connected to, the backend that has gone is not for the new one.
+type pool struct {
+	core.Backend
+	idle []*conn // the last used at the end
+	out  int     // fetches that have not ended
+	gone bool    // nothing is kept for another fetch
+}
+
 type key struct {
 	req     dw.RequestID
 	attempt int
@@ -54,7 +68,7 @@
 // conn is one connection; it carries one fetch at a time, as an answer would wait behind a slow one before it.
 type conn struct {
 	net.Conn
-	addr  string
+	pool  *pool
 	r     *resp.Reader
 	since time.Time // idle since
 	raw   syscall.RawConn
@@ -62,6 +76,7 @@
 
 type fetch struct {
 	core.Fetch
+	pool   *pool
 	done   func(core.FetchEnd)
 	ctx    context.Context // ends when the module gives the fetch up
 	cancel context.CancelFunc
@@ -69,7 +84,7 @@
 
 // New makes empty pools.
 func New(n Names, l Limits) *Pools {
-	return &Pools{names: n, limits: l, idle: map[string][]*conn{}, fetches: map[key]*fetch{}}
+	return &Pools{names: n, limits: l, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{}}
 }
 
 // Start implements core.Backends.
@@ -78,17 +93,70 @@
 	k, x := key{f.Req, f.Attempt}, &fetch{Fetch: f, done: done, ctx: ctx, cancel: cancel}
 	p.mu.Lock()
 	p.fetches[k] = x
+	if x.pool = p.pools[f.Backend]; x.pool == nil {
+		x.pool = &pool{Backend: f.Backend}
+		p.pools[f.Backend] = x.pool
+	}
+	x.pool.gone = false // it is on the list, or nothing would be sent
+	x.pool.out++
 	p.mu.Unlock()
 	go func() {
 		end := p.run(x)
 		cancel()
 		p.mu.Lock()
 		delete(p.fetches, k)
+		x.pool.out--
+		p.tidy(x.pool)
 		p.mu.Unlock()
 		done(end)
 	}()
 }
 
+// tidy forgets a pool that nothing needs; the lock is held.
+func (p *Pools) tidy(l *pool) {
+	if l.out == 0 && len(l.idle) == 0 && p.pools[l.Backend] == l {
+		delete(p.pools, l.Backend)
+	}
+}
+
+// Run closes connections that are idle for too long, until the context ends: a backend closes them too, and what it
+// has closed still takes a descriptor here.
+func (p *Pools) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			p.sweep(now.Add(-p.idleTime()))
+		}
+	}
+}
+
+// sweep closes what has been idle since before then.
+func (p *Pools) sweep(then time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	for _, l := range p.pools {
+		n := 0
+		for n < len(l.idle) && l.idle[n].since.Before(then) {
+			n++
+		}
+		old = append(old, l.idle[:n]...)
+		l.idle = slices.Delete(l.idle, 0, n)
+		p.tidy(l)
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
+
+func (p *Pools) idleTime() time.Duration {
+	return time.Duration(idleShare * float64(p.limits.Idle))
+}
+
 // Cancel implements core.Backends.
 func (p *Pools) Cancel(req dw.RequestID, attempt int) {
 	p.mu.Lock()
@@ -100,21 +168,24 @@
 }
 
 // Forget implements core.Backends.
-func (p *Pools) Forget(addr string) {
+func (p *Pools) Forget(b core.Backend) {
 	p.mu.Lock()
-	gone := p.idle[addr]
-	delete(p.idle, addr)
+	var idle []*conn
+	if l := p.pools[b]; l != nil {
+		idle, l.idle, l.gone = l.idle, nil, true
+		p.tidy(l)
+	}
 	p.mu.Unlock()
-	for _, c := range gone {
+	for _, c := range idle {
 		p.drop(c)
 	}
 }
 
 // run carries out one fetch and tells how it ended.
 func (p *Pools) run(f *fetch) core.FetchEnd {
-	c, err := p.take(f.ctx, f.Backend.Addr)
+	c, err := p.take(f.ctx, f.pool)
 	if err != nil {
-		if errors.Is(f.ctx.Err(), context.Canceled) {
+		if errors.Is(f.ctx.Err(), context.Canceled) || errors.Is(err, errFull) { // no fault of the backend's
 			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
 		}
 		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}
@@ -141,16 +212,27 @@
 		}
 		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}, false
 	}
-	v, err := c.r.ReadValue()
+	// An answer that begins and is not whole soon is spoilt, though the connection may stay open for good.
+	_, err := c.r.Peek()
+	if err == nil {
+		c.SetReadDeadline(time.Now().Add(wholeTime))
+		if f.ctx.Err() != nil { // the hook may have run before
+			c.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	var v resp.Value
+	if err == nil {
+		v, err = c.r.ReadValue()
+	}
+	end, whole := outcome(v, err == nil)
 	switch {
-	case err == nil:
-		end = outcome(v)
-		return end, c.r.Buffered() == 0
+	case err == nil || end.Outcome == dw.OutcomeOK:
+		return end, whole && c.r.Buffered() == 0
 	case errors.Is(f.ctx.Err(), context.Canceled):
 		end.Outcome = dw.OutcomeCancelled
 	case f.ctx.Err() != nil:
 		end.Outcome = dw.OutcomeTimeout
-	case errors.Is(err, resp.ErrProtocol):
+	case errors.Is(err, resp.ErrProtocol) || errors.Is(err, os.ErrDeadlineExceeded):
 		end.Outcome = dw.OutcomeError
 	default:
 		end.Outcome = dw.OutcomeReset
@@ -196,35 +278,44 @@
 	return "0000000000000000"[len(s):] + s
 }
 
-// outcome reads a backend's answer.
-func outcome(v resp.Value) (end core.FetchEnd) {
-	end.Outcome = dw.OutcomeError // it came whole, so it may have run
+// parts is how many an answer has: the value, the figures on use, the load report.
+const parts = 3
+
+// outcome reads a backend's answer, or as much of it as could be read. It is whole if it is one that a backend gives:
+// with any other the connection is of no further use, as nobody knows where the next answer begins.
+func outcome(v resp.Value, read bool) (end core.FetchEnd, whole bool) {
+	end.Outcome = dw.OutcomeError // it may have run
 	switch {
-	case v.Kind == resp.Array && len(v.Items) > 0 && v.Items[0].Kind == resp.Bulk && !v.Items[0].Null:
+	case v.Kind == resp.Array && v.Len == parts && len(v.Items) > 0:
+		// What can't be read behind the value takes nothing from it.
+		if v.Items[0].Kind != resp.Bulk || v.Items[0].Null {
+			return end, false
+		}
 		end.Outcome, end.Value = dw.OutcomeOK, v.Items[0].Text
-		if len(v.Items) > 2 && !v.Items[2].Null {
+		if len(v.Items) == parts {
 			end.Load = load(v.Items[2].Text)
 		}
-	case v.Kind == resp.Failure:
+		return end, read
+	case v.Kind == resp.Failure && read:
 		words := bytes.Fields(v.Text)
 		if len(words) == 0 {
-			break
+			return end, false
 		}
-		if string(words[0]) == "BUSY" {
-			end.Outcome = dw.OutcomeRejected
+		if whole = string(words[0]) == "ERR"; string(words[0]) == "BUSY" {
+			end.Outcome, whole = dw.OutcomeRejected, true
 		}
 		if last := words[len(words)-1]; len(words) > 1 {
 			end.Load = load(last)
 		}
 	}
-	return end
+	return end, whole
 }
 
 // load reads a load report, such as queue=2,inflight=7,qps=14.5; what is no number is passed over.
 func load(text []byte) (l dw.Load) {
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
-		if v, err := strconv.ParseFloat(string(value), 64); err == nil && v-v == 0 {
+		if v, err := strconv.ParseFloat(string(value), 64); err == nil && v >= 0 && v-v == 0 {
 			l.Set(string(name), v)
 		}
 	}
@@ -234,18 +325,18 @@
 var errFull = errors.New("backend: no descriptor is free")
 
 // take finds an idle connection that is still good, or opens one within the descriptor budget.
-func (p *Pools) take(ctx context.Context, addr string) (*conn, error) {
+func (p *Pools) take(ctx context.Context, l *pool) (*conn, error) {
 	for {
+		now := time.Now()
 		p.mu.Lock()
-		list := p.idle[addr]
-		if len(list) == 0 {
+		c := l.rested(now)
+		if c == nil {
 			break
 		}
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
 		p.mu.Unlock()
-		// The backend may have closed it meanwhile: a command written to it would be lost as a reset.
-		if time.Since(c.since) < time.Duration(idleShare*float64(p.limits.Idle)) && c.quiet() {
+		// The backend may have closed it meanwhile: a command written to it would be lost as a reset. And what has
+		// come on it since its last answer is no answer to the next command.
+		if now.Sub(c.since) < p.idleTime() && c.quiet() {
 			return c, nil
 		}
 		p.drop(c)
@@ -262,12 +353,12 @@
 	if spare != nil {
 		p.drop(spare)
 	}
-	n, err := (&net.Dialer{Timeout: p.limits.Connect, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	n, err := (&net.Dialer{Timeout: p.limits.Connect, KeepAlive: -1}).DialContext(ctx, "tcp", l.Addr)
 	if err != nil {
 		p.closed()
 		return nil, err
 	}
-	c := &conn{Conn: n, addr: addr, r: resp.NewReader(n, readBuffer)}
+	c := &conn{Conn: n, pool: l, r: resp.NewReader(n, readBuffer)}
 	if c.raw, err = n.(*net.TCPConn).SyscallConn(); err != nil {
 		p.drop(c)
 		return nil, err
@@ -275,25 +366,44 @@
 	return c, nil
 }
 
+// rested takes the last used connection that has rested out of the pool; the lock is held.
+func (l *pool) rested(now time.Time) *conn {
+	for i, c := range slices.Backward(l.idle) {
+		if now.Sub(c.since) >= rest {
+			l.idle = slices.Delete(l.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // oldest takes the connection that has been idle longest out of its pool; the lock is held.
 func (p *Pools) oldest() (old *conn) {
-	for _, list := range p.idle {
-		if len(list) > 0 && (old == nil || list[0].since.Before(old.since)) {
-			old = list[0]
+	for _, l := range p.pools {
+		if len(l.idle) > 0 && (old == nil || l.idle[0].since.Before(old.since)) {
+			old = l.idle[0]
 		}
 	}
 	if old != nil {
-		p.idle[old.addr] = p.idle[old.addr][1:]
+		old.pool.idle = slices.Delete(old.pool.idle, 0, 1)
+		p.tidy(old.pool)
 	}
 	return old
 }
 
-// put gives a connection back to its pool.
+// put gives a connection back to its pool, if that still has a backend.
 func (p *Pools) put(c *conn) {
+	c.SetDeadline(time.Time{}) // of the fetch that is over
 	c.since = time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	kept := !c.pool.gone
+	if kept {
+		c.pool.idle = append(c.pool.idle, c)
+	}
+	p.mu.Unlock()
+	if !kept {
+		p.drop(c)
+	}
 }
 
 // drop closes a connection and gives its descriptor back.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,8 +91,8 @@
 	Start(f Fetch, done func(FetchEnd))
 	// Cancel gives a fetch up, if it is still out.
 	Cancel(req dw.RequestID, attempt int)
-	// Forget closes the idle connections to an address.
-	Forget(addr string)
+	// Forget closes the idle connections to a backend, and keeps none after the fetches that are out.
+	Forget(b Backend)
 }
 
 // Counter adds to shared numbers; it may not block.
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -52,6 +52,7 @@
 	stop   chan struct{} // closed when Run ends: nobody may wait for it then
 	timers timers
 	reqs   map[dw.RequestID]*taken
+	open   map[string]bool // by the clients' names, the bookings among reqs
 	routes map[dw.ServerID]Backend
 	lastID uint64
 	acts   []dw.Action
@@ -70,7 +71,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, log: log, inbox: make(chan message, inboxSize),
-		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, routes: map[dw.ServerID]Backend{}}, nil
+		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{}}, nil
 }
 
 // post hands the planner a message, and waits while its inbox is full.
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -20,7 +20,7 @@
 		old, known := p.routes[s.ID]
 		p.routes[s.ID] = Backend{ID: s.ID, Addr: l.Addrs[i]}
 		if known && (old.Addr != l.Addrs[i] || s.State == dw.Gone) {
-			p.backends.Forget(old.Addr)
+			p.backends.Forget(old)
 		}
 		if s.State == dw.Gone {
 			delete(p.routes, s.ID)
@@ -30,7 +30,7 @@
 		for id, b := range p.routes {
 			if !named[id] {
 				delete(p.routes, id)
-				p.backends.Forget(b.Addr)
+				p.backends.Forget(b)
 			}
 		}
 	}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -40,6 +40,15 @@
 func (m takeIn) handle(p *Planner) {
 	m.ticket.id = p.nextID()
 	t := &taken{id: m.ticket.id, req: m.req}
+	// Danger: a client may send the id of a req that another's is open under. A backend would be sent two of one id,
+	// and could not tell that it is no copy; nor does the customer's quota pay for it.
+	if name := m.req.Message.Name; m.req.Kind == Book {
+		if p.open[name] {
+			m.req.Answer(Answer{Verdict: Failed})
+			return
+		}
+		p.open[name] = true
+	}
 	p.reqs[t.id] = t
 	p.admit(t)
 }
@@ -60,7 +69,10 @@
 
 // drop forgets a req that nothing is owed to and nothing is out for.
 func (p *Planner) drop(t *taken) {
-	if t.answered && t.out == 0 {
+	if t.answered && t.out == 0 && p.reqs[t.id] == t {
 		delete(p.reqs, t.id)
+		if t.req.Kind == Book {
+			delete(p.open, t.req.Message.Name)
+		}
 	}
 }
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -102,9 +103,23 @@
 			Since: core.FromUnixMS(m.UpSinceMS), Rating: m.Size, State: state})
 		out.Addrs = append(out.Addrs, m.HostPort)
 	}
+	d.forget(l)
 	return out, nil
 }
 
+// forget drops the ids that have gone from the list: new backends come under new ids all day.
+func (d *Decoder) forget(l list) {
+	named := make(map[string]bool, len(l.Members))
+	for _, m := range l.Members {
+		if named[m.ID] = true; phases[m.Phase] == dw.Gone {
+			delete(d.ids, m.ID)
+		}
+	}
+	if l.Complete {
+		maps.DeleteFunc(d.ids, func(id string, _ dw.ServerID) bool { return !named[id] })
+	}
+}
+
 // Known reads the list that the configuration holds, which may be out of date, or missing.
 func (d *Decoder) Known(text []byte) (core.Listing, error) {
 	if len(text) == 0 {
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -17,6 +17,10 @@
 	MaxArgs  = 16       // words of a command, or elements of an answer
 	MaxLine  = 1 << 10  // bytes of a line: a length, a number, an error
 	maxDepth = 2        // arrays within arrays
+
+	// MaxCommand bounds all words of a command together: one large value, and what names it.
+	MaxCommand = MaxBulk + 4<<10
+	firstPart  = 4 << 10 // of a value; the rest is made room for as it comes
 )
 
 // ErrProtocol is what every breach of the protocol wraps: the stream can't be read any further.
@@ -41,12 +45,15 @@
 	Integer Kind = ':'
 )
 
+var kinds = []byte{byte(Bulk), byte(Array), byte(Status), byte(Failure), byte(Integer)}
+
 // Value is one answer.
 type Value struct {
 	Kind  Kind
 	Null  bool
-	Text  []byte // of a bulk string, a status or a failure
+	Text  []byte // of a bulk string, a status or a failure; of an integer that is none
 	Int   int64
+	Len   int // that an array is said to have; Items may have fewer if it could not be read
 	Items []Value
 }
 
@@ -61,6 +68,15 @@
 // Buffered is how many bytes have been read ahead.
 func (r *Reader) Buffered() int { return r.b.Buffered() }
 
+// Peek waits for the first byte of what comes next, and returns it.
+func (r *Reader) Peek() (byte, error) {
+	b, err := r.b.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	return b[0], nil
+}
+
 // line returns the next line without its end; it is valid until the next read.
 func (r *Reader) line() ([]byte, error) {
 	s, err := r.b.ReadSlice('\n')
@@ -108,9 +124,15 @@
 }
 
 func (r *Reader) bulk(n int) ([]byte, error) {
-	b := make([]byte, n+2)
-	if _, err := io.ReadFull(r.b, b); err != nil {
-		return nil, cut(err, true)
+	// Danger: a length is quickly written. Memory is taken for what has come, not for what is announced.
+	b := make([]byte, min(n+2, firstPart))
+	for at := 0; ; b = append(b, make([]byte, min(len(b), n+2-len(b)))...) {
+		if _, err := io.ReadFull(r.b, b[at:]); err != nil {
+			return nil, cut(err, true)
+		}
+		if at = len(b); at == n+2 {
+			break
+		}
 	}
 	if b[n] != '\r' || b[n+1] != '\n' {
 		return nil, breach("bulk string does not end in CR LF")
@@ -135,6 +157,7 @@
 		return nil, breach("empty command")
 	}
 	c := make(Command, n)
+	all := 0
 	for i := range c {
 		head, err := r.line()
 		if err != nil {
@@ -150,6 +173,9 @@
 		if size < 0 {
 			return nil, breach("null in a command")
 		}
+		if all += size; all > MaxCommand {
+			return nil, breach("command of over %d bytes", MaxCommand)
+		}
 		if c[i], err = r.bulk(size); err != nil {
 			return nil, err
 		}
@@ -160,21 +186,24 @@
 // ReadValue reads one answer.
 func (r *Reader) ReadValue() (Value, error) { return r.value(0) }
 
+// value reads a value; of an array that breaks off, what was read of it comes with the error.
 func (r *Reader) value(depth int) (v Value, err error) {
+	if b, err := r.Peek(); err == nil && bytes.IndexByte(kinds, b) < 0 { // noise need not have a line's end
+		return v, breach("unknown type %q", b)
+	}
 	head, err := r.line()
 	if err != nil {
 		return v, cut(err, depth > 0)
 	}
-	if len(head) == 0 {
-		return v, breach("empty line")
-	}
 	v.Kind = Kind(head[0])
 	rest := head[1:]
 	switch v.Kind {
 	case Status, Failure:
 		v.Text = append([]byte(nil), rest...)
 	case Integer:
-		v.Int, err = number(rest)
+		if v.Int, err = number(rest); err != nil { // the line was whole: what follows can be read
+			v.Text, err = append([]byte(nil), rest...), nil
+		}
 	case Bulk:
 		var n int
 		if n, err = length(rest, MaxBulk); err == nil && n >= 0 {
@@ -186,7 +215,7 @@
 		if n, err = length(rest, MaxArgs); err != nil {
 			return v, err
 		}
-		if v.Null = n < 0; n > 0 && depth >= maxDepth {
+		if v.Len, v.Null = n, n < 0; n > 0 && depth >= maxDepth {
 			return v, breach("arrays too deep")
 		}
 		for range n {
@@ -196,8 +225,6 @@
 			}
 			v.Items = append(v.Items, item)
 		}
-	default:
-		err = breach("unknown type %q", head[0])
 	}
 	return v, err
 }
@@ -256,7 +283,7 @@
 		return b
 	case v.Kind == Bulk:
 		return AppendBulk(b, v.Text)
-	case v.Kind == Integer:
+	case v.Kind == Integer && v.Text == nil:
 		return AppendInt(b, v.Int)
 	}
 	return appendLine(b, v.Kind, string(v.Text))
