Bound sessions in time and memory, let silent ones go first, and read arguments strictly

Change: a session has 1.5 s for its first byte, 1.3 s for a command, 5 s idle; a new one waits with its place only while none is idle, and those that never asked for anything useful go first. Errors slow their session down, and end it. Bounds follow from the memory limit; a value takes memory as it comes. Arguments are checked against the settings.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -53,7 +53,7 @@
 		})
 	})
 	taking, stopTaking := context.WithCancel(work)
-	server := &front.Server{Listener: listener, Log: log,
+	server := &front.Server{Listener: listener, Log: log, Bounds: front.NewBounds(l.Forward.MemoryMB << 20),
 		Open: func() front.Commands { return forward.New(planners, l.Forward.Gateways, log) }}
 	group.Go(func() error {
 		defer stopWork()
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -89,14 +89,15 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	commands := &platform.Commands{Planner: planner, Words: n.Words, Classes: n.Settings.Classes}
-	servers := []*front.Server{{Open: func() front.Commands { return commands }, Log: log}}
+	commands := &platform.Commands{Planner: planner, Words: n.Words, Settings: n.Settings}
+	bounds := front.NewBounds(n.MemoryMB << 20)
+	servers := []*front.Server{{Open: func() front.Commands { return commands }, Bounds: bounds, Log: log}}
 	if servers[0].Listener, err = net.Listen("tcp", n.Listen); err != nil {
 		return fmt.Errorf("configuration: listen (NODE_LISTEN): %w", err)
 	}
 	if l.Listen != "" {
-		asks := &limits.Commands{Commands: commands, Plans: n.Settings.Plans}
-		second := &front.Server{Open: func() front.Commands { return asks }, Log: log}
+		asks := &limits.Commands{Commands: commands}
+		second := &front.Server{Open: func() front.Commands { return asks }, Bounds: bounds, Log: log}
 		if second.Listener, err = net.Listen("tcp", l.Listen); err != nil {
 			return fmt.Errorf("configuration: listen (limits file): %w", err)
 		}
@@ -111,6 +112,7 @@
 		return err
 	}
 	group.Go(func() error { return planner.Run(work) })
+	group.Go(func() error { return pools.Run(work) })
 	group.Go(func() error { return count.Run(work) })
 	list := director.New(n.Discovery, decoder, planner.Listed, log)
 	group.Go(func() error { return list.Run(work) })
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -27,6 +27,7 @@
 	Listen   string
 	Gateways int // how many there are, as a customer's set is counted round
 	Sockets  int
+	MemoryMB int
 }
 
 // The defaults, where the limits file leaves a key out.
@@ -48,6 +49,7 @@
 		Forward struct {
 			Listen            string
 			Gateways, Sockets int
+			MemoryMB          int `toml:"memory_mb"`
 		}
 	}
 	if _, err := toml.DecodeFile(path, &f); err != nil {
@@ -59,7 +61,8 @@
 	}
 	l := &Limits{Listen: f.Listen, Registry: Registry{f.Registry.Servers, f.Registry.Path,
 		time.Duration(or(f.Registry.SessionMS, defaultSessionMS)) * time.Millisecond},
-		Forward: Forward{f.Forward.Listen, f.Forward.Gateways, or(f.Forward.Sockets, defaultSockets)}}
+		Forward: Forward{f.Forward.Listen, f.Forward.Gateways, or(f.Forward.Sockets, defaultSockets),
+			or(f.Forward.MemoryMB, defaultMemoryMB)}}
 	if l.Registry.Path == "" {
 		l.Registry.Path = defaultPath
 	}
@@ -92,6 +95,8 @@
 		return fault("registry.servers", "missing; a forwarder finds the planners there")
 	case l.Forward.Gateways < 1:
 		return fault("forward.gateways", "%d; it needs 1 at least", l.Forward.Gateways)
+	case l.Forward.MemoryMB < leastMemoryMB:
+		return fault("forward.memory_mb", "%d; it needs %d at least", l.Forward.MemoryMB, leastMemoryMB)
 	case l.Forward.Sockets < leastSockets:
 		return fault("forward.sockets", "%d; it needs %d at least", l.Forward.Sockets, leastSockets)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -85,11 +85,11 @@
 	}
 	at, known := listAt[name]
 	if !known {
-		s.Fill(resp.AppendFailure(nil, fmt.Sprintf("ERR unknown command %.32q", cmd[0])))
+		s.Reject(fmt.Sprintf("unknown command %.32q", cmd[0]))
 		return
 	}
 	if len(cmd) <= at {
-		s.Fill(resp.AppendFailure(nil, "ERR wrong number of arguments"))
+		s.Reject("wrong number of arguments")
 		return
 	}
 	customer, err := platform.Customer(cmd[1])
@@ -100,7 +100,7 @@
 			return
 		}
 	}
-	s.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
+	s.Reject(err.Error())
 }
 
 // pass writes a command to the first planner of the set that takes it whole. A planner that has not been sent the
--- a/internal/front/limits/limits.go
+++ b/internal/front/limits/limits.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"dewhitch"
 	"dewhitch/internal/core"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/platform"
@@ -19,7 +18,6 @@
 // Commands carries out the commands of this front.
 type Commands struct {
 	*platform.Commands
-	Plans []dewhitch.Plan
 }
 
 // Do implements front.Commands.
@@ -37,7 +35,7 @@
 func (c *Commands) take(came time.Time, cmd resp.Command, kind core.Kind, s *front.Slot) {
 	r, err := c.decode(cmd, kind)
 	if err != nil {
-		s.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
+		s.Reject(err.Error())
 		return
 	}
 	r.Came = came
@@ -61,7 +59,7 @@
 	if _, err = c.Arguments(cmd[words-1], r); err != nil {
 		return nil, err
 	}
-	plan := c.Plans[r.Plan]
+	plan := c.Settings.Plans[r.Plan]
 	if plan.Rate <= 0 {
 		return nil, errors.New("t: this plan has no limit")
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	dw "dewhitch"
@@ -16,13 +18,16 @@
 	"dewhitch/internal/resp"
 )
 
-const longestWait = time.Hour // no client waits longer, whatever it writes
+const (
+	longestWait = time.Hour // no client waits longer, whatever it writes
+	customers   = 1 << 33   // all customers are below
+)
 
 // Commands carries out the platform's commands.
 type Commands struct {
-	Planner *core.Planner
-	Words   settings.Words
-	Classes []dw.Class
+	Planner  *core.Planner
+	Words    settings.Words
+	Settings dw.Settings
 }
 
 // Do implements front.Commands.
@@ -35,7 +40,7 @@
 	case "SVC.SUBMIT":
 		c.take(came, cmd, false, s)
 	default:
-		s.Fill(resp.AppendFailure(nil, fmt.Sprintf("ERR unknown command %.32q", cmd[0])))
+		s.Reject(fmt.Sprintf("unknown command %.32q", cmd[0]))
 	}
 }
 
@@ -43,7 +48,7 @@
 func (c *Commands) take(came time.Time, cmd resp.Command, query bool, s *front.Slot) {
 	r, err := c.decode(cmd, query)
 	if err != nil {
-		s.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
+		s.Reject(err.Error())
 		return
 	}
 	r.Came = came
@@ -86,7 +91,7 @@
 	if r.Class = slices.Index(c.Words.Classes, class); r.Class < 0 {
 		return nil, fmt.Errorf("c: no class %.32q", class)
 	}
-	if k := c.Classes[r.Class]; query != (k.Effect == dw.Safe) {
+	if k := c.Settings.Classes[r.Class]; query != (k.Effect == dw.Safe) {
 		return nil, fmt.Errorf("c: class %q is for the other command", class)
 	} else if k.Effect == dw.Keyed && r.Message.Key == "" {
 		return nil, errors.New("k: missing")
@@ -100,6 +105,9 @@
 	if err != nil || len(text) != 16 || bytes.ContainsAny(text, "ABCDEF") {
 		return 0, fmt.Errorf("customer: %.32q is not 16 hex digits", text)
 	}
+	if v >= customers {
+		return 0, fmt.Errorf("customer: %.32q is none", text)
+	}
 	return dw.CustomerID(v), nil
 }
 
@@ -112,6 +120,15 @@
 	if r.Plan = slices.Index(c.Words.Plans, plan); r.Plan < 0 {
 		return "", fmt.Errorf("t: no plan %.32q", plan)
 	}
+	// Danger: a set or units out of range would go into the customer's account, which its other reqs share.
+	switch set := c.Settings; {
+	case r.Units <= 0 || set.MaxUnits > 0 && r.Units > set.MaxUnits:
+		return "", fmt.Errorf("units: not above 0 and up to %v", set.MaxUnits)
+	case r.Spread > set.Instances:
+		return "", fmt.Errorf("spread: over %d", set.Instances)
+	case r.First >= set.Instances:
+		return "", fmt.Errorf("first: not below %d", set.Instances)
+	}
 	return class, nil
 }
 
@@ -149,15 +166,13 @@
 				return "", "", err
 			}
 		case "spread":
-			if n, err = number("spread", v, 1, 1e6); err != nil {
+			if r.Spread, err = whole("spread", v, 1, 1e6); err != nil {
 				return "", "", err
 			}
-			r.Spread = int(n)
 		case "first":
-			if n, err = number("first", v, 0, 1e6); err != nil {
+			if r.First, err = whole("first", v, 0, 1e6); err != nil {
 				return "", "", err
 			}
-			r.First = int(n)
 		}
 	}
 	switch {
@@ -171,14 +186,24 @@
 	return class, plan, nil
 }
 
+// number reads a decimal number as people write it; what else a parser would take is no client's.
 func number(name, s string, least, most float64) (float64, error) {
 	v, err := strconv.ParseFloat(s, 64)
-	if err != nil || !(v >= least && v <= most) {
+	if err != nil || strings.Trim(s, "0123456789.") != "" || !(v >= least && v <= most) {
 		return 0, fmt.Errorf("%s: %.32q is not a number from %v to %v", name, s, least, most)
 	}
 	return v, nil
 }
 
+// whole reads a whole number. A part of one would be lost on the way to the backend, which knows what was sent.
+func whole(name, s string, least, most float64) (int, error) {
+	v, err := number(name, s, least, most)
+	if err == nil && v != math.Trunc(v) {
+		err = fmt.Errorf("%s: %.32q is not a whole number", name, s)
+	}
+	return int(v), err
+}
+
 // AppendAnswer appends the answer to a req.
 func AppendAnswer(b []byte, a core.Answer) []byte {
 	switch a.Verdict {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,12 +15,12 @@
 	Listener net.Listener
 	Open     func() Commands // for each session
 	Sessions int             // most at once
+	Bounds   *Bounds
 	Log      *zap.Logger
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
-	unsent   atomic.Int64
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
@@ -33,14 +32,6 @@
 	places := make(chan struct{}, f.Sessions)
 taking:
 	for {
-		if len(places) == cap(places) {
-			f.makeRoom()
-		}
-		select {
-		case <-ctx.Done():
-			break taking
-		case places <- struct{}{}:
-		}
 		conn, err := f.Listener.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -48,11 +39,25 @@
 			}
 			// Out of descriptors, or the client left at once: neither ends the gateway.
 			f.Log.Warn("a client session could not be taken in", zap.Error(err))
-			<-places
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		s := newSession(conn, f.Open(), &f.unsent)
+		select {
+		case places <- struct{}{}:
+		default: // it holds a descriptor of the reserve until there is a place for it
+			for waiting := true; waiting; {
+				f.makeRoom()
+				select {
+				case places <- struct{}{}:
+					waiting = false
+				case <-ctx.Done():
+					conn.Close()
+					break taking
+				case <-time.After(roomEvery):
+				}
+			}
+		}
+		s := newSession(conn, f.Open(), f.Bounds)
 		f.mu.Lock()
 		f.sessions[s] = struct{}{}
 		f.mu.Unlock()
@@ -73,19 +78,29 @@
 	return nil
 }
 
-// makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer
-// use, and a new one would wait for them for ever.
+const (
+	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
+	grace     = 200 * time.Millisecond // in which a new session's first command comes
+)
+
+// makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer use,
+// and a new one would wait for them for ever. Those that have asked for nothing that could be used go first: whoever
+// connects by hundreds and says nothing takes the place of no client that is served. A client that has connected a
+// moment ago has had no time to ask.
 func (f *Server) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var longest *session
 	var since time.Time
+	served := false
 	for s := range f.sessions {
-		if at, idle := s.idle(); idle && (longest == nil || at.Before(since)) {
-			longest, since = s, at
+		at, useful, idle := s.idle()
+		useful = useful || time.Since(at) < grace
+		if idle && (longest == nil || served && !useful || served == useful && at.Before(since)) {
+			longest, since, served = s, at, useful
 		}
 	}
 	if longest != nil {
-		longest.finish()
+		longest.end(0)
 	}
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -3,27 +3,60 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"dewhitch/internal/resp"
 )
 
 // The bounds of one client session.
 const (
-	pipelined  = 64        // commands that may wait for their answers; more are left unread
-	unsent     = 512 << 10 // bytes of answers that wait for a client to read, beyond which no command is taken
-	allUnsent  = 24 << 20  // and of those of all sessions, beyond which a session with so many is ended
-	readBuffer = 2 << 10
-	keptBuffer = 16 << 10 // a larger buffer of answers is not kept
-	linger     = 300 * time.Millisecond
-	sendTime   = 10 * time.Second // for one write; a client that takes nothing for so long has gone
+	pipelined   = 64 // commands that may wait for their answers; more are left unread
+	readBuffer  = 2 << 10
+	keptBuffer  = 16 << 10 // a larger buffer of answers is not kept
+	largeSize   = 2 << 10  // of a command; those that are larger share what memory there is for them
+	linger      = 300 * time.Millisecond
+	lingerBytes = 256 << 10               // that are read and passed over meanwhile
+	sendTime    = 5 * time.Second         // for one write; a client that takes nothing for so long has gone
+	helloTime   = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
+	commandTime = 1300 * time.Millisecond // from a command's first byte to its last
+	idleTime    = 5 * time.Second         // a client that asks for nothing for so long can connect again
+	strikes     = 16                      // commands that can't be used, after which the session ends
+	strikePause = 50 * time.Millisecond
+	longPause   = time.Second
+)
+
+// Bounds are shared by all sessions of a gateway, and follow from its memory.
+type Bounds struct {
+	unsent    int64 // bytes of answers that wait for a client to read, beyond which no command of its is taken
+	allUnsent int64 // and of those of all sessions, beyond which a session with so many is ended
+	waiting   atomic.Int64
+	large     *semaphore.Weighted // bytes of large commands in hand
+}
+
+// The shares of the memory limit. It guards against a constant that fits one machine and overflows a smaller one.
+const (
+	unsentPart    = 8         // of the memory: answers that wait
+	sessionPart   = 8         // of those: of one session
+	largePart     = 8         // of the memory: large commands in hand
+	mostOfSession = 512 << 10 // bytes, whatever the memory
 )
 
+// NewBounds shares out so many bytes of memory.
+func NewBounds(memory int) *Bounds {
+	all := int64(memory / unsentPart)
+	return &Bounds{unsent: min(all/sessionPart, mostOfSession), allUnsent: all,
+		large: semaphore.NewWeighted(int64(max(memory/largePart, resp.MaxCommand)))}
+}
+
 // Commands carries out the commands of a client session. If it is an io.Closer, it is closed when that ends.
 type Commands interface {
 	// Do starts a command. It leads to one Fill of the slot.
@@ -35,6 +68,7 @@
 	session *session
 	answer  []byte
 	filled  bool
+	large   int64  // bytes of the command that Bounds.large holds a place for
 	gone    func() // called if the client leaves before the slot is filled
 }
 
@@ -42,7 +76,9 @@
 type session struct {
 	conn     net.Conn
 	commands Commands
-	all      *atomic.Int64 // bytes of answers that wait, of all sessions
+	bounds   *Bounds
+	ctx      context.Context // ends when the session is over
+	cancel   context.CancelFunc
 
 	mu    sync.Mutex
 	slots []*Slot // in the order of the commands, those whose answers are not in out yet
@@ -53,10 +89,13 @@
 	busy  time.Time     // when it last owed something
 	last  bool          // it ends as soon as nothing is owed
 	over  bool          // nothing more is taken or answered
+	taken int           // commands
+	bad   int           // of those, that could not be used
 }
 
-func newSession(conn net.Conn, c Commands, all *atomic.Int64) *session {
-	s := &session{conn: conn, commands: c, all: all, wake: make(chan struct{}, 1), busy: time.Now()}
+func newSession(conn net.Conn, c Commands, b *Bounds) *session {
+	s := &session{conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), busy: time.Now()}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.room = sync.NewCond(&s.mu)
 	return s
 }
@@ -70,24 +109,77 @@
 	var writer sync.WaitGroup
 	writer.Go(s.write)
 	s.read()
-	// What still comes is not taken. It is read for a moment all the same: a close with something unread would
-	// reset the connection, and the client could lose answers that are on their way.
-	io.Copy(io.Discard, s.conn)
+	s.passOver()
 	s.lost()
 	writer.Wait()
 }
 
+// passOver reads what still comes, which is not taken, until the client ends or a moment after all is answered: a
+// close with something unread would reset the connection, and the client could lose answers that are on their way.
+// It reads so much and no more, as a client may write without end; one that goes on waits for the close.
+func (s *session) passOver() {
+	buf := make([]byte, readBuffer)
+	for left := lingerBytes; left > 0; {
+		n, err := s.conn.Read(buf)
+		if left -= n; err == nil {
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !s.deadline(linger) {
+			return
+		}
+	}
+	<-s.ctx.Done() // what it is owed is on its way, or it has gone
+	time.Sleep(linger)
+}
+
+// deadline bounds the next read; false: the session is over, and its last deadline stands.
+func (s *session) deadline(d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.conn.SetReadDeadline(time.Now().Add(d))
+	}
+	return !s.over
+}
+
+// await waits for the first byte of a command. Danger: clients that connect and say nothing, or keep a session for
+// good, must take nobody's place.
+func (s *session) await(r *resp.Reader) bool {
+	for limit := helloTime; r.Buffered() == 0; {
+		if s.taken > 0 {
+			limit = idleTime
+		}
+		if !s.deadline(limit) {
+			return false
+		}
+		if _, err := r.Peek(); err == nil {
+			break
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) || s.end(limit) {
+			return false
+		}
+	}
+	return s.deadline(commandTime)
+}
+
+var errSlow = errors.New("the command is not whole in time")
+
 // read takes commands until the session is over or the client has broken the protocol.
 func (s *session) read() {
-	r := resp.NewReader(s.conn, readBuffer)
+	r, before := resp.NewReader(s.conn, readBuffer), 0
 	for {
+		if !s.await(r) {
+			s.lost()
+			return
+		}
 		c, err := r.ReadCommand()
 		came := time.Now()
-		if err != nil && !errors.Is(err, resp.ErrProtocol) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errSlow
+		} else if err != nil && !errors.Is(err, resp.ErrProtocol) {
 			s.lost()
 			return
 		}
-		slot := s.open()
+		slot := s.open(c)
 		if slot == nil {
 			return
 		}
@@ -98,24 +190,64 @@
 			return
 		}
 		s.commands.Do(came, c, slot)
+		s.mu.Lock()
+		bad := s.bad
+		s.mu.Unlock()
+		if bad > before && !s.strike(bad) {
+			return
+		}
+		before = bad
 	}
 }
 
+// strike has a client that sends what can't be used wait before its next command is read: an error at full speed, and
+// the same again, would take the time of all others. At last it ends the session.
+func (s *session) strike(n int) bool {
+	if n >= strikes {
+		s.finish()
+		return false
+	}
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(min(time.Duration(n)*strikePause, longPause)):
+	}
+	return true
+}
+
 // open makes the slot of the next command, once there is room.
-func (s *session) open() *Slot {
+func (s *session) open(c resp.Command) *Slot {
+	slot, size := &Slot{session: s}, 0
+	for _, word := range c {
+		size += len(word)
+	}
+	if size > largeSize {
+		if s.bounds.large.Acquire(s.ctx, int64(size)) != nil {
+			return nil
+		}
+		slot.large = int64(size)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for (len(s.slots) >= pipelined || s.owed > unsent) && !s.over {
+	for (len(s.slots) >= pipelined || int64(s.owed) > s.bounds.unsent) && !s.over {
 		s.room.Wait()
 	}
 	if s.over {
+		s.bounds.large.Release(slot.large)
 		return nil
 	}
-	slot := &Slot{session: s}
+	s.taken++
 	s.slots = append(s.slots, slot)
 	return slot
 }
 
+// Reject gives the slot an error, for a command that can't be used.
+func (o *Slot) Reject(why string) {
+	o.session.mu.Lock()
+	o.session.bad++
+	o.session.mu.Unlock()
+	o.Fill(resp.AppendFailure(nil, "ERR "+why))
+}
+
 // OnGone sets what is to happen if the client leaves before the slot is filled.
 func (o *Slot) OnGone(f func()) {
 	s := o.session
@@ -137,11 +269,12 @@
 		return
 	}
 	o.answer, o.filled, o.gone = answer, true, nil
+	s.bounds.large.Release(o.large)
 	if s.over {
 		return
 	}
 	s.owed += len(answer)
-	if s.all.Add(int64(len(answer))) > allUnsent && s.owed > unsent {
+	if s.bounds.waiting.Add(int64(len(answer))) > s.bounds.allUnsent && int64(s.owed) > s.bounds.unsent {
 		s.conn.Close() // a client that does not read may not fill the gateway's memory; read sees the end
 	}
 	if s.slots[0] != o {
@@ -168,12 +301,14 @@
 
 // write sends answers as they come into order.
 func (s *session) write() {
+	defer s.cancel()
 	var buf []byte
 	for {
 		s.mu.Lock()
 		buf, s.out = s.out, buf[:0]
 		if s.last && len(s.slots) == 0 && len(buf) == 0 {
 			s.over = true // all is answered, and nothing more is taken from here on
+			s.conn.SetReadDeadline(time.Now().Add(linger))
 		}
 		over := s.over
 		s.mu.Unlock()
@@ -181,7 +316,6 @@
 			if tcp, ok := s.conn.(*net.TCPConn); ok {
 				tcp.CloseWrite()
 			}
-			s.conn.SetReadDeadline(time.Now().Add(linger))
 			return
 		}
 		if len(buf) == 0 {
@@ -211,18 +345,32 @@
 	s.mu.Unlock()
 }
 
-// idle tells whether nothing is owed to the client, and since when.
-func (s *session) idle() (since time.Time, idle bool) {
+// idle tells whether nothing is owed to the client, since when, and whether it has asked for anything that could be
+// used.
+func (s *session) idle() (since time.Time, useful, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.busy, len(s.slots) == 0 && len(s.out) == 0 && !s.last
+	return s.busy, s.taken > s.bad, len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 && !s.last
+}
+
+// end ends the session at once if nothing is owed to its client and nothing has been for so long. A command that
+// crosses the close was not taken; the client sends it once more.
+func (s *session) end(after time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.slots) > 0 || s.owed > 0 || time.Since(s.busy) < after {
+		return s.over
+	}
+	s.over = true
+	s.conn.Close() // read sees the end
+	return true
 }
 
 // paid takes note that n bytes of answers wait no longer; the lock is held.
 func (s *session) paid(n int) {
 	n = min(n, s.owed) // a session that is lost has let go of all
 	s.owed -= n
-	s.all.Add(-int64(n))
+	s.bounds.waiting.Add(-int64(n))
 }
 
 // lost tells those that work for the client that it has left.
@@ -232,12 +380,21 @@
 	slots := s.slots
 	s.slots, s.out = nil, nil
 	s.paid(s.owed)
+	var gone []func()
+	for _, o := range slots {
+		if o.filled {
+			continue
+		}
+		s.bounds.large.Release(o.large)
+		if o.large = 0; o.gone != nil {
+			gone = append(gone, o.gone)
+		}
+	}
 	s.room.Broadcast()
 	s.signal()
 	s.mu.Unlock()
-	for _, o := range slots {
-		if f := o.gone; f != nil && !o.filled {
-			f()
-		}
+	s.cancel()
+	for _, f := range gone {
+		f()
 	}
 }
