Refuse for the servers' sake only if none fits, not if the one drawn by lot does not

A probe that logged what it believed at each such refusal (class, limit, expected time, all servers): part fell on a server that `pick` in gateway.go had drawn by lot, while others stood under the limit; `fit` then refused for that one. Change: `pick` is told the limit; servers that keep it come before those that don't, and the lot is drawn among them.

--- a/gateway.go
+++ b/gateway.go
@@ -306,12 +306,12 @@
 	// While the servers are pressed, what earns little gives way to what earns more.
 	worth := max(r.class.Points, minPoints) / g.sizes[r.kind]
 	g.worth += latencyWeight / 4 * (worth - g.worth)
-	s, expect := g.pick(r)
 	// What the work takes anyway is no sign of pressure.
 	limit := max(aimUse*seconds(r.aim-g.now), idleUse*g.idle*g.sizes[r.kind]) * math.Sqrt(worth/g.worth)
 	if !sure {
 		limit *= beyondUse
 	}
+	s, expect := g.pick(r, limit)
 	if s == nil || expect > limit || g.throttled() {
 		g.refuse(r, g.comeBack(r, expect/limit))
 		return nil
@@ -405,7 +405,7 @@
 // in which every request was counted that was asked about, is within what the rate brings in a window.
 func (g *Gateway) release(c *customer, told bool) {
 	for _, r := range c.held {
-		if s, _ := g.pick(r); g.now < c.listedTill {
+		if s, _ := g.pick(r, math.Inf(1)); g.now < c.listedTill {
 			g.refuse(r, Span(c.listedTill-g.now))
 		} else if r.take && (told || g.chance(c)) {
 			g.finish(r, Adjusted{Request: r.id, Units: r.units})
@@ -520,8 +520,9 @@
 
 // retry sends r once more if the budget of further attempts, the rules and the aim allow it.
 func (g *Gateway) retry(r *request) bool {
-	s, expect := g.pick(r)
-	if g.budget < 1 || s == nil || g.now+Instant(expect*1e9) > r.aim {
+	left := seconds(r.aim - g.now)
+	s, expect := g.pick(r, left)
+	if g.budget < 1 || s == nil || expect > left {
 		return false
 	}
 	g.budget--
@@ -983,8 +984,9 @@
 // blind is how little this gateway sees of a server: near 1 if it seldom sends there, 0 if all the time.
 func (g *Gateway) blind() float64 { return 1 / (1 + math.Pow(seconds(recoverSpan)/g.gap(), 2)) }
 
-// pick chooses the server that should finish r first.
-func (g *Gateway) pick(r *request) (*server, float64) {
+// pick chooses the server that should finish r first, and tells how long that should take: more than limit if none
+// is expected to do it sooner.
+func (g *Gateway) pick(r *request, limit float64) (*server, float64) {
 	ready, out := 0, 0
 	for _, s := range g.servers {
 		if s.State == Ready {
@@ -997,9 +999,11 @@
 	trust := float64(out) <= maxEjected*float64(ready)
 	// Danger: of many gateways, each sees a server too seldom to know how crowded it is, and all would rush to
 	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, in proportion
-	// to speed (the least of exponential draws); with much traffic of its own it takes the best.
+	// to speed (the least of exponential draws); with much traffic of its own it takes the best. The lot may fall
+	// on a server that is too slow, which says nothing against the others: they come first.
 	blind := g.blind()
 	var best *server
+	var soonest float64
 	least := math.Inf(1)
 	for _, s := range g.servers {
 		if s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) {
@@ -1011,7 +1015,11 @@
 				continue
 			}
 		}
-		cost := g.expect(s) * math.Pow(g.rng.ExpFloat64(), blind)
+		// Danger: the estimate of a server that is seen seldom is of an older load, and among many there is always
+		// one that looks idle. The less is seen of it, the more the latency of all speaks against it.
+		expect := g.expect(s)
+		cost := expect * math.Pow(g.rng.ExpFloat64(), blind)
+		expect = (expect + blind*max(0, g.latency-expect)) * g.sizes[r.kind]
 		if n := len(r.attempts); n > 0 && r.attempts[n-1].server == s {
 			cost += seconds(r.class.Aim)
 		}
@@ -1019,16 +1027,9 @@
 		if s.Zone != g.set.Zone {
 			cost *= 1 + crossZone
 		}
-		if cost < least {
-			best, least = s, cost
+		if late := expect > limit; best == nil || late == (soonest > limit) && cost < least || !late && soonest > limit {
+			best, least, soonest = s, cost, expect
 		}
 	}
-	if best == nil {
-		return nil, 0
-	}
-	// Danger: the estimate of a server that is seen seldom is of an older load, and among many there is always
-	// one that looks idle. The less is seen of it, the more the latency of all speaks against it.
-	expect := g.expect(best)
-	expect += blind * max(0, g.latency-expect)
-	return best, expect * g.sizes[r.kind]
+	return best, soonest
 }
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -742,3 +742,33 @@
 		t.Errorf("%d calls in 10 s for 20 customers", n)
 	}
 }
+
+// A gateway that sees little of the servers draws them by lot. Where the lot falls on a slow one, the request goes to
+// another: what one server can't do in time is no reason to refuse.
+func TestLotFallsOnSlowServer(t *testing.T) {
+	s := many()
+	s.Plans[0] = dw.Plan{Price: 1}
+	var servers []dw.ServerEntry
+	for i := range 20 {
+		servers = append(servers, dw.ServerEntry{ID: dw.ServerID(i)})
+	}
+	b := newBed(t, s, servers...)
+	refused := 0
+	for range 600 {
+		id, ok := b.ask(dw.Arrival{})
+		if !ok {
+			refused++
+		} else {
+			e := dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 20 * ms}
+			if e.Server < 2 {
+				e.Latency = 350 * ms // and the others are as quick as ever
+			}
+			b.pass(e.Latency)
+			b.do(e)
+		}
+		b.pass(50 * ms)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 600 refused beside eighteen idle servers", refused)
+	}
+}
