Use late totals, push those near their quota first, and shorten windows to two bursts

And `expire` in gateway.go never dropped an account whose plan has no ceiling, as its bucket, which never fills, was drawn on: 1,389 accounts after 60 s. Ruled out: the counter turned none away; one cut of the pace a time-out made no difference and is not in it.

--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -33,6 +33,7 @@
 	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
 	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
 	listWait    = time.Second            // at the start, for the director's first list
+	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
 	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
 )
 
@@ -78,7 +79,7 @@
 	}
 	connect := time.Duration(n.Settings.ConnectTimeout)
 	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle, Connect: connect})
-	count := counter.New(n.Counter, time.Duration(n.Settings.CounterTimeout), connect, log)
+	count := counter.New(n.Counter, lateAnswers*time.Duration(n.Settings.CounterTimeout), connect, log)
 	planner, err := core.NewPlanner(n.Settings, n.Seed, core.NewClock(), pools, count, log)
 	if err != nil {
 		return err
--- a/gateway.go
+++ b/gateway.go
@@ -13,8 +13,9 @@
 
 // The tuned values. Each is relative to something the settings tell.
 const (
-	windowBursts  = 4.0         // a window lasts so many bursts, as the design has it
+	windowBursts  = 2.0         // a window lasts so many bursts: a listed customer waits it out, room or not
 	maxWindow     = 60 * second // the counter forgets a name after that
+	expireEvery   = 5 * second  // idle accounts are looked for so often
 	pushesAWindow = 4           // ordinary batches: a quarter of a window apart
 	nearShare     = 0.25        // a tally of this share of the room is pushed without waiting for the period
 	shareFloor    = 0.125       // of the rate, over all gateways: what a quiet gateway is taken to ask
@@ -75,12 +76,11 @@
 }
 
 type attempt struct {
-	server  *server
-	at      Instant
-	beside  int // attempts out there when it was sent
-	failed  bool
-	ended   bool
-	outcome Outcome
+	server        *server
+	at            Instant
+	beside        int // attempts out there when it was sent
+	failed, ended bool
+	outcome       Outcome
 }
 
 type request struct {
@@ -90,10 +90,9 @@
 	customer *customer
 	units    float64
 	inside   bool // sent on within the quota
-	aim      Instant
-	due      Instant
+	aim, due Instant
 	attempts []attempt
-	out      int
+	out      int // of them
 	done     bool
 	take     bool    // only units, with nothing sent
 	spent    float64 // by the customer when this came: a query sees nothing of what is spent later
@@ -118,18 +117,16 @@
 	turn           int64   // the window that counts go to
 	total          float64 // as last read in this window
 	tally          float64 // not yet pushed
-	calling        bool
 	adding         float64
-	thin           bool       // a gateway's even share of the store is under one request
+	calling, thin  bool       // thin: a gateway's even share of the store is under one request
 	held           []*request // those that wait for the count
 	spent          float64    // units, ever
 	asks, asking   []*request // queries that wait for the next call, and for the one that is out
 	mine           float64    // units that this gateway surely has in the window's count
 	asked, askedIn float64    // by all, of late: units and the seconds in which they were asked; faded
 	past           float64    // seconds into the window at the last total
-	wants          bool
-	queued         bool
-	lastPush       Instant
+	wants, queued  bool
+	lastPush, seen Instant // seen: its last request
 	period         Instant // next ordinary push
 }
 
@@ -195,7 +192,7 @@
 			g.acts = append(g.acts, Subscribe{})
 		}
 		g.after(g.sweepEvery(), g.sweep)
-		g.after(maxWindow, g.expire)
+		g.after(expireEvery, g.expire)
 	}
 	switch e := e.(type) {
 	case ServerList:
@@ -601,6 +598,7 @@
 		c.lastTotal, c.wants, c.others = g.now-Instant(c.memory()*1e9), true, plan.Rate*(1-1/c.spread)
 		g.customers[e.Customer] = c
 	}
+	c.seen = g.now
 	return c
 }
 
@@ -708,10 +706,12 @@
 // sweep runs the periodic work.
 func (g *Gateway) sweep() {
 	g.after(g.sweepEvery(), g.sweep)
-	g.pushes = slices.DeleteFunc(g.pushes, func(c *customer) bool {
-		c.queued = c.calling || !g.push(c)
-		return !c.queued
-	})
+	for _, near := range []bool{true, false} { // where calls are short, those whose store is go first
+		g.pushes = slices.DeleteFunc(g.pushes, func(c *customer) bool {
+			c.queued = c.calling || !g.push(c, near)
+			return !c.queued
+		})
+	}
 	// Danger: of many stray estimates the best lets everything in, and who refuses all does not learn that
 	// things are better. An idle server's estimate goes to the mean; with none measured, the mean fades.
 	part := seconds(g.sweepEvery()) / seconds(recoverSpan)
@@ -727,26 +727,27 @@
 	}
 }
 
-// expire drops the accounts that have been idle for so long that they stand as a new one would.
+// expire drops the accounts that have been idle for so long that they stand as a new one would: by window, as
+// many customers come only once.
 func (g *Gateway) expire() {
-	g.after(maxWindow, g.expire)
+	g.after(expireEvery, g.expire)
 	for id, c := range g.customers { // in any order: nothing is sent
 		c.ceiling.fill(g.now, c.plan.CeilingRate/c.spread, c.plan.CeilingBurst/c.spread)
-		idle := g.now-c.at > Instant(maxWindow) && c.open == 0 && !c.queued && !c.calling
-		if idle && c.ceiling.level >= c.plan.CeilingBurst/c.spread {
+		idle := g.now-c.seen > Instant(2*c.window) && c.open == 0 && !c.queued && !c.calling
+		if idle && (c.plan.CeilingRate <= 0 || c.ceiling.level >= c.plan.CeilingBurst/c.spread) {
 			delete(g.customers, id)
 		}
 	}
 }
 
-// push sends the tally of c to the counter if it is due, and tells whether it did.
-func (g *Gateway) push(c *customer) bool {
+// push sends the tally of c to the counter if it is due, early or in its period, and tells whether it did.
+func (g *Gateway) push(c *customer, early bool) bool {
 	if !g.mayCall() {
 		return false
 	}
-	turn := g.turn(c)
-	near := c.wants || turn != c.turn || c.tally >= nearShare*max(0, g.room(c))
-	if !(near && (g.now-c.lastPush >= Instant(g.set.CounterTimeout) || len(c.asks) > 0)) && g.now < c.period {
+	near := c.wants || g.turn(c) != c.turn || c.tally >= nearShare*max(0, g.room(c))
+	near = near && (g.now-c.lastPush >= Instant(g.set.CounterTimeout) || len(c.asks) > 0)
+	if !near && (early || g.now < c.period) {
 		return false
 	}
 	g.count(c)
@@ -984,8 +985,7 @@
 // blind is how little this gateway sees of a server: near 1 if it seldom sends there, 0 if all the time.
 func (g *Gateway) blind() float64 { return 1 / (1 + math.Pow(seconds(recoverSpan)/g.gap(), 2)) }
 
-// pick chooses the server that should finish r first, and tells how long that should take: more than limit if none
-// is expected to do it sooner.
+// pick chooses the server that should finish r first and tells how long that takes: over limit if it must be.
 func (g *Gateway) pick(r *request, limit float64) (*server, float64) {
 	ready, out := 0, 0
 	for _, s := range g.servers {
@@ -999,12 +999,11 @@
 	trust := float64(out) <= maxEjected*float64(ready)
 	// Danger: of many gateways, each sees a server too seldom to know how crowded it is, and all would rush to
 	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, in proportion
-	// to speed (the least of exponential draws); with much traffic of its own it takes the best. The lot may fall
-	// on a server that is too slow, which says nothing against the others: they come first.
+	// to speed (the least of exponential draws); with much traffic of its own it takes the best. A server too
+	// slow for limit, on which the lot may fall, says nothing against the others: they come first.
 	blind := g.blind()
 	var best *server
-	var soonest float64
-	least := math.Inf(1)
+	least, soonest := math.Inf(1), 0.0
 	for _, s := range g.servers {
 		if s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) {
 			continue
@@ -1027,7 +1026,8 @@
 		if s.Zone != g.set.Zone {
 			cost *= 1 + crossZone
 		}
-		if late := expect > limit; best == nil || late == (soonest > limit) && cost < least || !late && soonest > limit {
+		late, was := expect > limit, soonest > limit
+		if best == nil || late == was && cost < least || was && !late {
 			best, least, soonest = s, cost, expect
 		}
 	}
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -772,3 +772,54 @@
 		t.Errorf("%d of 600 refused beside eighteen idle servers", refused)
 	}
 }
+
+// Many customers come only once: accounts that nothing is owed to or known of go with their windows, so that a long
+// day holds no more of them than a short one.
+func TestAccountsOfOnceOnlyCustomers(t *testing.T) {
+	b := newBed(t, settings(), dw.ServerEntry{ID: 7})
+	for i := range 400 {
+		b.serve(1, 100*ms, dw.Arrival{Customer: dw.CustomerID(1000 + i)})
+	}
+	if n := b.g.Accounts(); n > 250 {
+		t.Errorf("%d accounts after 400 customers in 40 s, whose windows last 6 s", n)
+	}
+}
+
+// Where calls to the counter are short, those whose room goes down quickly are told of first: the others can wait.
+func TestShortCallsGoToThoseNearTheirQuota(t *testing.T) {
+	s := settings()
+	s.Plans = append(s.Plans, dw.Plan{Rate: 20, Burst: 100, Price: 1, OverrunCost: 1})
+	b := newBed(t, s, dw.ServerEntry{ID: 1})
+	add := b.answer
+	b.answer = func(c dw.Count) *dw.Counted {
+		e := add(c)
+		e.Latency = 45 * ms * dw.Span(len(b.calls)%2)
+		return e
+	}
+	for i := range 400 {
+		b.serve(1, 10*ms, dw.Arrival{Customer: dw.CustomerID(2 + i%100), Plan: 1})
+		b.serve(1, 10*ms, dw.Arrival{Customer: 1})
+	}
+	near := 0
+	for _, c := range b.calls {
+		if strings.HasPrefix(c.Name, "1.") {
+			near++
+		}
+	}
+	if near < 25 {
+		t.Errorf("%d of %d calls for the one that asks for more than its quota", near, len(b.calls))
+	}
+}
+
+// A listed customer waits out its window, so that is no longer than it needs to be: two bursts.
+func TestWindowsOfTwoBursts(t *testing.T) {
+	b := newBed(t, settings(), dw.ServerEntry{ID: 1})
+	b.serve(240, 100*ms, dw.Arrival{Customer: 1})
+	windows := map[string]bool{}
+	for _, c := range b.calls {
+		windows[c.Name] = true
+	}
+	if len(windows) < 4 { // of 6 s each, as the burst is 6 and the rate 2 a second
+		t.Errorf("%d windows in 24 s", len(windows))
+	}
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -25,7 +25,7 @@
 	redial    = 100 * time.Millisecond // between two tries to connect
 	writeTime = time.Second            // for one write
 	wholeTime = 100 * time.Millisecond // from the first byte of an answer to its last
-	stuck     = 20                     // a line on which nothing comes for so many time-outs, with calls out, is dead
+	stuck     = 7                      // a line on which nothing comes for so many time-outs, with calls out, is dead
 )
 
 // Sockets is how many descriptors a client holds at most: besides each line's connection, one that the line has
