Answer the commands of RESP clients about their sessions, and make the stand-ins packages

Cause: go-redis with a ClientName sends CLIENT SETNAME on each connection; the limits front called it unknown, and not one command of that client passed. The stand-ins were test files that no tool could use.

Change: internal/front/sessions answers HELLO, CLIENT ID/GETNAME/SETNAME/SETINFO, SELECT, ECHO, QUIT, COMMAND and PING before the limits front and the forwarder; errors about them are no faults of the session. internal/standin has the backends (scripted deeds, seeded, with a record), the counter, the director and, in a folder, ZooKeeper.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -14,6 +14,7 @@
 	"dewhitch/internal/config"
 	"dewhitch/internal/forward"
 	"dewhitch/internal/front"
+	"dewhitch/internal/front/sessions"
 	"dewhitch/internal/registry"
 )
 
@@ -54,7 +55,9 @@
 	})
 	taking, stopTaking := context.WithCancel(work)
 	server := &front.Server{Listener: listener, Log: log, Bounds: front.NewBounds(l.Forward.MemoryMB << 20),
-		Open: func() front.Commands { return forward.New(planners, l.Forward.Gateways, log) }}
+		Open: func() front.Commands {
+			return sessions.New(forward.New(planners, l.Forward.Gateways, log), version)
+		}}
 	group.Go(func() error {
 		defer stopWork()
 		// A session holds its own connection and one to each planner that it needs.
--- a/cmd/dewhitch/limits_test.go
+++ b/cmd/dewhitch/limits_test.go
@@ -98,7 +98,7 @@
 // near checks an answer against the counter; 40 units come in so slowly that what comes in meanwhile does not count.
 func near(t *testing.T, w *world, haulier int, left float64) {
 	t.Helper()
-	if want := forty - w.counter.sum(prefix(haulier)); !(math.Abs(left-max(0, want)) <= 1) {
+	if want := forty - w.counter.Sum(prefix(haulier)); !(math.Abs(left-max(0, want)) <= 1) {
 		t.Errorf("haulier %d: %v left, the counter has %v left", haulier, left, want)
 	}
 }
@@ -158,8 +158,8 @@
 		})
 	}
 	all.Wait()
-	if w.counter.lowest < 0 {
-		t.Errorf("a count fell to %v", w.counter.lowest)
+	if w.counter.Lowest() < 0 {
+		t.Errorf("a count fell to %v", w.counter.Lowest())
 	}
 	if t.Failed() {
 		t.Log(p.log())
@@ -178,14 +178,14 @@
 	node := func(i int) string { return fmt.Sprintf("/dewhitch/planners/gateway-%d", i) }
 	for i := range 3 {
 		w := *first
-		w.listen, w.limits, w.self, w.registry = ownAddr(), ownAddr(), i, z.l.Addr().String()
+		w.listen, w.limits, w.self, w.registry = ownAddr(), ownAddr(), i, z.Addr()
 		planners[node(i)] = w.start("serve")
-		if !eventually(func() bool { return z.owner(node(i)) != 0 }) {
+		if !eventually(func() bool { return z.Owner(node(i)) != 0 }) {
 			t.Fatal("a planner is not registered\n", planners[node(i)].log())
 		}
 	}
 	front := *first
-	front.listen, front.registry = ownAddr(), z.l.Addr().String()
+	front.listen, front.registry = ownAddr(), z.Addr()
 	f := front.start("forward")
 	told := func(planners int) bool {
 		return eventually(func() bool {
@@ -213,9 +213,9 @@
 	}
 
 	// Haulier 3 (spread 3, first 0) is planner 0's. Its session expires: it makes its node again.
-	old := z.owner(node(0))
-	z.expire(old)
-	if !eventually(func() bool { o := z.owner(node(0)); return o != 0 && o != old }) {
+	old := z.Owner(node(0))
+	z.Expire(old)
+	if !eventually(func() bool { o := z.Owner(node(0)); return o != 0 && o != old }) {
 		t.Fatal("after the expiry of its session, the planner is not registered\n", planners[node(0)].log())
 	}
 	if !told(3) {
@@ -229,7 +229,7 @@
 	near(t, first, 3, left)
 
 	// With its counter silent, planner 0 owes an answer when it dies: that command is failed, not sent again.
-	first.counter.mode("silent")
+	first.counter.Mode("silent")
 	c.write(query(3))
 	time.Sleep(50 * time.Millisecond)
 	planners[node(0)].cmd.Process.Kill()
@@ -237,14 +237,14 @@
 		t.Errorf("answered %q", a)
 	}
 	// Its node stands until its session expires, but it can't be reached: another of the set takes what comes.
-	first.counter.mode("add")
+	first.counter.Mode("add")
 	c.write(adjust(3, 2), query(3))
 	if a := c.answer(); a != "2" {
 		t.Errorf("answered %q\n%s", a, f.log())
 	}
 	left, _ = c.left()
 	near(t, first, 3, left)
-	z.expire(z.owner(node(0)))
+	z.Expire(z.Owner(node(0)))
 	if !told(2) {
 		t.Fatal("the forwarder holds on to a planner that has gone\n", f.log())
 	}
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"dewhitch/internal/standin"
 )
 
 // patience is how long the tests wait for what must come. Nothing fails for being slow before that.
@@ -33,7 +35,7 @@
 	}
 	// The sources are opened for the test cache: it follows the files that a test opens, but not what a program
 	// that it starts was built of, and would hand out results of an older one.
-	for _, pattern := range []string{"../../*.go", "../../go.mod", "*.go", "../../internal/*/*.go", "../../internal/*/*/*.go"} {
+	for _, pattern := range []string{"../../*.go", "../../go.mod", "*.go", "../../internal/*/*.go", "../../internal/*/*/*.go", "../../internal/*/*/*/*.go"} {
 		files, _ := filepath.Glob(pattern)
 		for _, f := range files {
 			if c, err := os.Open(f); err == nil {
@@ -188,24 +190,23 @@
 		if !eventually(func() bool { return strings.Contains(p.prog.log(), rest) }) {
 			p.fail("it does not")
 		}
-	case "moves": // discovery and the counter are at other addresses, and the list there has these members
+	case "moves": // to a past of its own, and an older one: discovery and the counter are at other addresses, and the list there has these members
 		old := *p.world
-		p.world.counter, p.world.discovery = newCounter(p.t), newDiscovery(p.t, p.world.members(rest))
-		p.world.discovery.revision = 7 // a past of its own, and an older one
+		p.world.counter, p.world.discovery = newCounter(p.t), newDirector(p.t, p.world.members(rest), 7)
 		p.happen("anew", "{}")
-		old.counter.l.Close()
-		old.discovery.l.Close()
+		old.counter.Refuse()
+		old.discovery.Refuse()
 	case "members": // the list that discovery has from now on, as id=phase words
-		p.world.discovery.set(p.world.members(rest))
+		p.world.discovery.Set(p.world.members(rest))
 	case "counter": // how it answers from now on: add, silent, full, late, reset, spoilt, interim, doubled
-		p.world.counter.mode(rest)
+		p.world.counter.Mode(rest)
 	case "counted": // the sum of all totals
 		want, _ := strconv.ParseFloat(rest, 64)
-		if !eventually(func() bool { return p.world.counter.sum("") == want }) {
-			p.fail("the counter holds %v", p.world.counter.sum(""))
+		if !eventually(func() bool { return p.world.counter.Sum("") == want }) {
+			p.fail("the counter holds %v", p.world.counter.Sum(""))
 		}
 	case "backends": // closed: connections are refused
-		p.world.backends.l.Close()
+		p.world.backends.Refuse()
 	case "window":
 		earlyInWindow()
 	case "start":
@@ -327,15 +328,15 @@
 	listen, limits string
 	override       []string
 	self           int
-	backends       *backends
-	counter        *counter
-	discovery      *discovery
+	backends       *byHand
+	counter        *standin.Counter
+	discovery      *standin.Director
 	registry       string // address of a ZooKeeper stand-in, or empty
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, listen: ownAddr(), limits: ownAddr(), backends: newBackends(t), counter: newCounter(t)}
-	w.discovery = newDiscovery(t, w.members("s-00000001=up"))
+	w := &world{t: t, listen: ownAddr(), limits: ownAddr(), backends: newByHand(t), counter: newCounter(t)}
+	w.discovery = newDirector(t, w.members("s-00000001=up"), 41)
 	return w
 }
 
@@ -352,10 +353,9 @@
 	var list []string
 	for m := range strings.FieldsSeq(words) {
 		id, phase, _ := strings.Cut(m, "=")
-		list = append(list, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"std-3c","cell":0,"phase":%q,`+
-			`"size":1,"up_since_ms":0}`, id, w.backends.l.Addr(), phase))
+		list = append(list, standin.Member(id, w.backends.Addr(), phase))
 	}
-	return "[" + strings.Join(list, ",") + "]"
+	return standin.Members(list...)
 }
 
 // config is the node's configuration, with the overrides laid over it.
@@ -369,7 +369,7 @@
 		w.t.Fatal(err)
 	}
 	for _, o := range append([]string{fmt.Sprintf(`{"listen":%q,"discovery":%q,"counter":%q,"settings":{"MyNumber":%d}}`,
-		w.listen, w.discovery.l.Addr(), w.counter.l.Addr(), w.self)}, w.override...) {
+		w.listen, w.discovery.Addr(), w.counter.Addr(), w.self)}, w.override...) {
 		var over map[string]any
 		if err := json.Unmarshal([]byte(o), &over); err != nil {
 			w.t.Fatal(o, err)
@@ -403,7 +403,7 @@
 	os.WriteFile(filepath.Join(dir, "config.json"), w.config(), 0o600)
 	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml")}, args...)...)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "config.json"),
-		"NODE_DISCOVERY="+w.discovery.l.Addr().String())
+		"NODE_DISCOVERY="+w.discovery.Addr())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/dewhitch/redis_test.go
@@ -0,0 +1,85 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/redis/go-redis/v9"
+)
+
+// A client as the field has them, with a name set, gets in at a planner and through a forwarder, whichever version of
+// the protocol it would like.
+func TestRealClient(t *testing.T) {
+	t.Parallel()
+	z := newZookeeper(t)
+	w := newWorld(t)
+	go w.backends.serveAll()
+	w.registry = z.Addr()
+	p := w.start("serve")
+	if !eventually(func() bool { return z.Owner("/dewhitch/planners/gateway-0") != 0 }) {
+		t.Fatal("the planner is not registered\n", p.log())
+	}
+	f := *w
+	f.listen = ownAddr()
+	forwarder := f.start("forward")
+	if !eventually(func() bool { return strings.Contains(forwarder.log(), w.limits) }) {
+		t.Fatal("the forwarder does not know the planner\n", forwarder.log())
+	}
+	for front, addr := range map[string]string{"planner": w.limits, "forwarder": f.listen} {
+		for _, protocol := range []int{2, 3} {
+			t.Run(fmt.Sprintf("%s resp%d", front, protocol), func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 6*patience)
+				defer cancel()
+				c := redis.NewClient(&redis.Options{Addr: addr, ClientName: "lorries", Protocol: protocol,
+					ReadTimeout: patience, DialTimeout: patience, MaxRetries: -1})
+				defer c.Close()
+				check := func(what string, got any, err error, want any) {
+					t.Helper()
+					if err != nil || fmt.Sprint(got) != fmt.Sprint(want) {
+						t.Errorf("%s: %v, %v; want %v", what, got, err, want)
+					}
+				}
+				name, err := c.ClientGetName(ctx).Result()
+				check("CLIENT GETNAME", name, err, "lorries")
+				v, err := c.Ping(ctx).Result()
+				check("PING", v, err, "PONG")
+				v, err = c.Echo(ctx, "rain").Result()
+				check("ECHO", v, err, "rain")
+				id, err := c.ClientID(ctx).Result()
+				check("CLIENT ID", id > 0, err, true)
+				answer, err := c.Do(ctx, "SELECT", 0).Result()
+				check("SELECT 0", answer, err, "OK")
+				_, err = c.Do(ctx, "SELECT", 1).Result()
+				check("SELECT 1", err, nil, "ERR DB index is out of range")
+				commands, err := c.Command(ctx).Result()
+				check("COMMAND", len(commands) >= 11 && commands["limit.get"] != nil, err, true)
+				customer := fmt.Sprintf("%016x", 700+10*protocol+len(front))
+				// Far more commands of its own than a session has strikes, on one connection.
+				pipe := c.Pipeline()
+				for range 30 {
+					pipe.Do(ctx, "CLIENT", "SETINFO", "LIB-NAME", "go-redis")
+					pipe.Do(ctx, "SELECT", 0)
+				}
+				adjust := pipe.Do(ctx, "LIMIT.ADJUST", customer, 4, argsOf40)
+				left := pipe.Do(ctx, "LIMIT.GET", customer, argsOf40)
+				_, err = pipe.Exec(ctx)
+				check("a pipeline", adjust.Val(), err, "4")
+				values, _ := left.Slice()
+				check("LIMIT.GET", len(values) == 3 && values[0] == "40", left.Err(), true)
+				taken, err := c.Do(ctx, "SVC.QUERY", customer, "r"+customer[8:], "c=lookup,"+argsOf40).Result()
+				check("SVC.QUERY", taken, err, "r"+customer[8:])
+				quit := c.Conn()
+				defer quit.Close()
+				answer, err = quit.Do(ctx, "QUIT").Result()
+				check("QUIT", answer, err, "OK")
+				time.Sleep(time.Millisecond)
+				if _, err := quit.Do(ctx, "PING").Result(); err == nil {
+					t.Error("a session goes on after QUIT")
+				}
+			})
+		}
+	}
+}
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -24,6 +24,7 @@
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
 	"dewhitch/internal/front/platform"
+	"dewhitch/internal/front/sessions"
 	"dewhitch/internal/registry"
 )
 
@@ -72,7 +73,7 @@
 func serve(n *config.Node, l *config.Limits, log *zap.Logger, term, again <-chan os.Signal) error {
 	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
 	fetches := int(fetchShare * float64(sockets))
-	sessions := sockets - fetches
+	places := sockets - fetches
 	names := backend.Names{Classes: n.Words.Classes, Plans: n.Words.Plans}
 	for _, c := range n.Settings.Classes {
 		names.Safe = append(names.Safe, c.Effect == dw.Safe)
@@ -98,7 +99,7 @@
 	}
 	if l.Listen != "" {
 		asks := &limits.Commands{Commands: commands}
-		second := &front.Server{Open: func() front.Commands { return asks }, Bounds: bounds, Log: log}
+		second := &front.Server{Open: func() front.Commands { return sessions.New(asks, version) }, Bounds: bounds, Log: log}
 		if second.Listener, err = net.Listen("tcp", l.Listen); err != nil {
 			return fmt.Errorf("configuration: listen (limits file): %w", err)
 		}
@@ -141,7 +142,7 @@
 		case <-taking.Done():
 		case <-time.After(listWait):
 		}
-		return serveAll(taking, servers, sessions)
+		return serveAll(taking, servers, places)
 	})
 	group.Go(func() error {
 		defer stopTaking()
@@ -149,7 +150,7 @@
 		return nil
 	})
 	log.Info("serving", zap.String("name", n.Name), zap.String("listen", n.Listen), zap.Int("fetches", fetches),
-		zap.Int("sessions", sessions), zap.String("limits", l.Listen))
+		zap.Int("sessions", places), zap.String("limits", l.Listen))
 	err = group.Wait()
 	log.Info("ended", zap.Error(err))
 	return err
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -79,10 +79,6 @@
 // Do implements front.Commands.
 func (c *Commands) Do(came time.Time, cmd resp.Command, s *front.Slot) {
 	name := string(bytes.ToUpper(cmd[0]))
-	if name == "PING" {
-		s.Fill(resp.AppendStatus(nil, "PONG"))
-		return
-	}
 	at, known := listAt[name]
 	if !known {
 		s.Reject(fmt.Sprintf("unknown command %.32q", cmd[0]))
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -87,6 +87,7 @@
 	owed  int           // bytes of answers that wait to be written, in out and in slots
 	wake  chan struct{} // something is in out, or the session is over
 	busy  time.Time     // when it last owed something
+	quit  bool          // its client asked for its end: nothing that follows is read as a command
 	last  bool          // it ends as soon as nothing is owed
 	over  bool          // nothing more is taken or answered
 	taken int           // commands
@@ -191,8 +192,11 @@
 		}
 		s.commands.Do(came, c, slot)
 		s.mu.Lock()
-		bad := s.bad
+		bad, quit := s.bad, s.quit
 		s.mu.Unlock()
+		if quit {
+			return
+		}
 		if bad > before && !s.strike(bad) {
 			return
 		}
@@ -248,6 +252,16 @@
 	o.Fill(resp.AppendFailure(nil, "ERR "+why))
 }
 
+// Last gives the slot its answer, and has the session end as soon as all that came before it is answered too.
+func (o *Slot) Last(answer []byte) {
+	s := o.session
+	s.mu.Lock()
+	s.quit = true
+	s.mu.Unlock()
+	o.Fill(answer)
+	s.finish()
+}
+
 // OnGone sets what is to happen if the client leaves before the slot is filled.
 func (o *Slot) OnGone(f func()) {
 	s := o.session
--- /dev/null
+++ b/internal/standin/director.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Director stands in for the agent that has the list of backends.
+type Director struct {
+	*Listener
+	mu       sync.Mutex
+	changed  *sync.Cond
+	revision int
+	members  string
+}
+
+// NewDirector makes a director whose list, a JSON array, has the given revision.
+func NewDirector(members string, revision int) (*Director, error) {
+	d := &Director{revision: revision, members: members}
+	d.changed = sync.NewCond(&d.mu)
+	l, err := Listen("", d.serve)
+	d.Listener = l
+	return d, err
+}
+
+// Member is one backend of a list.
+func Member(id, addr, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"std-3c","cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
+		id, addr, phase)
+}
+
+// Members is a list.
+func Members(members ...string) string { return "[" + strings.Join(members, ",") + "]" }
+
+// Set replaces the list.
+func (d *Director) Set(members string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision, d.members = d.revision+1, members
+	d.changed.Broadcast()
+}
+
+func (d *Director) text(complete bool) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":%s}`, d.revision, complete, d.members)
+}
+
+func (d *Director) serve(conn net.Conn) {
+	for r := bufio.NewReader(conn); ; {
+		u, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		if u.Query().Get("follow") == "" {
+			text := d.text(true)
+			d.mu.Unlock()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			continue
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for since, _ := strconv.Atoi(u.Query().Get("since")); ; since = d.revision {
+			beat := time.AfterFunc(time.Second, d.changed.Broadcast)
+			if since == d.revision {
+				d.changed.Wait()
+			}
+			beat.Stop()
+			text := "\n" // nothing has changed
+			if since != d.revision {
+				text = d.text(false) + "\n"
+			}
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+				d.mu.Unlock()
+				return
+			}
+		}
+	}
+}
--- a/cmd/dewhitch/zookeeper_test.go
+++ b/internal/standin/zookeeper/zookeeper.go
@@ -1,4 +1,7 @@
-package main_test
+// Package zookeeper stands in for ZooKeeper: sessions, ephemeral nodes and watches, by its published wire format
+// (jute: big-endian integers, and strings and buffers with their length in front). It speaks what the client library
+// asks of it, and lets sessions expire when it is told to.
+package zookeeper
 
 import (
 	"bytes"
@@ -8,13 +11,13 @@
 	"path"
 	"sort"
 	"sync"
-	"testing"
+
+	"dewhitch/internal/standin"
 )
 
-// zookeeper stands in for ZooKeeper: sessions, ephemeral nodes and watches, by its published wire format (jute:
-// big-endian integers, and strings and buffers with their length in front).
-type zookeeper struct {
-	l        net.Listener
+// Server is one server that holds all of the store.
+type Server struct {
+	*standin.Listener
 	mu       sync.Mutex
 	zxid     int64
 	nodes    map[string]*znode
@@ -41,14 +44,16 @@
 	eventCreated, eventDeleted, eventOf = 1, 2, 4 // eventOf: the children have changed
 )
 
-func newZookeeper(t *testing.T) *zookeeper {
-	z := &zookeeper{nodes: map[string]*znode{"/": {}}, sessions: map[int64]*zsession{}}
-	z.l = accept(t, z.serve)
-	return z
+// New makes a server with nothing but the root.
+func New() (*Server, error) {
+	z := &Server{nodes: map[string]*znode{"/": {}}, sessions: map[int64]*zsession{}}
+	l, err := standin.Listen("", z.serve)
+	z.Listener = l
+	return z, err
 }
 
-// expire ends a session as the real one does after its silence: its nodes go, and it can't be resumed.
-func (z *zookeeper) expire(id int64) {
+// Expire ends a session as the real one does after its silence: its nodes go, and it can't be resumed.
+func (z *Server) Expire(id int64) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	s := z.sessions[id]
@@ -64,8 +69,8 @@
 	s.conn.Close()
 }
 
-// owner is the session that holds a node, or 0.
-func (z *zookeeper) owner(name string) int64 {
+// Owner is the session that holds a node, or 0.
+func (z *Server) Owner(name string) int64 {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if n := z.nodes[name]; n != nil {
@@ -74,14 +79,14 @@
 	return 0
 }
 
-func (z *zookeeper) remove(name string) {
+func (z *Server) remove(name string) {
 	delete(z.nodes, name)
 	z.zxid++
 	z.notify("data "+name, eventDeleted, name)
 	z.notify("children "+path.Dir(name), eventOf, path.Dir(name))
 }
 
-func (z *zookeeper) notify(watch string, event int32, name string) {
+func (z *Server) notify(watch string, event int32, name string) {
 	for _, s := range z.sessions {
 		if s.watches[watch] {
 			delete(s.watches, watch)
@@ -129,8 +134,7 @@
 	return string(b)
 }
 
-func (z *zookeeper) serve(conn net.Conn) {
-	defer conn.Close()
+func (z *Server) serve(conn net.Conn) {
 	hello, err := readFrame(conn)
 	if err != nil {
 		return
@@ -166,13 +170,13 @@
 		send(conn, append([]any{xid, z.zxid, code}, answer...)...)
 		z.mu.Unlock()
 		if op == opClose {
-			z.expire(s.id)
+			z.Expire(s.id)
 			return
 		}
 	}
 }
 
-func (z *zookeeper) do(s *zsession, op int32, f frame) (code int32, answer []any) {
+func (z *Server) do(s *zsession, op int32, f frame) (code int32, answer []any) {
 	switch op {
 	case opPing, opSetWatches, opClose:
 		return 0, nil
