--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -15,6 +15,8 @@
 	"dewhitch/internal/forward"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/sessions"
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/statement"
 	"dewhitch/internal/registry"
 )
 
@@ -33,6 +35,15 @@
 		return err
 	}
 	defer log.Sync()
+	o, err := config.LoadOperations(cli.Operations)
+	if err != nil {
+		return err
+	}
+	keep, err := keepBooks(o, "forwarder at "+l.Forward.Listen, statement.Forwarder, ledger.Names{}, log)
+	if err != nil {
+		return err
+	}
+	defer keep.close()
 	listener, err := net.Listen("tcp", l.Forward.Listen)
 	if err != nil {
 		return fmt.Errorf("configuration: forward.listen: %w", err)
@@ -56,7 +67,7 @@
 	taking, stopTaking := context.WithCancel(work)
 	server := &front.Server{Listener: listener, Log: log, Bounds: front.NewBounds(l.Forward.MemoryMB << 20),
 		Open: func() front.Commands {
-			return sessions.New(forward.New(planners, l.Forward.Gateways, log), version)
+			return sessions.New(forward.New(planners, l.Forward.Gateways, keep.books, log), version)
 		}}
 	group.Go(func() error {
 		defer stopWork()
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -18,6 +18,8 @@
 var cli struct {
 	Limits string `default:"deploy/limits.toml" help:"The limits file (${default})."`
 
+	Operations string `default:"deploy/operations.toml" help:"The operators' file (${default})."`
+
 	Serve   serveCmd   `cmd:"" help:"Serve as one gateway."`
 	Forward forwardCmd `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and end."`
@@ -49,6 +51,9 @@
 	if _, err := config.LoadLimits(cli.Limits); err != nil {
 		return err
 	}
+	if _, err := config.LoadOperations(cli.Operations); err != nil {
+		return err
+	}
 	fmt.Printf("configuration of %s is good\n", n.Name)
 	return nil
 }
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -332,6 +332,7 @@
 	counter        *standin.Counter
 	discovery      *standin.Director
 	registry       string // address of a ZooKeeper stand-in, or empty
+	operator       string // address of the operators' listener, or empty
 }
 
 func newWorld(t *testing.T) *world {
@@ -401,7 +402,11 @@
 		w.limits, servers, w.listen)
 	os.WriteFile(filepath.Join(dir, "limits.toml"), []byte(limits), 0o600)
 	os.WriteFile(filepath.Join(dir, "config.json"), w.config(), 0o600)
-	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml")}, args...)...)
+	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 50\nstatement_ms = 300\nsegment_mb = 1\ndir = %q\n"+
+		"[operator]\nlisten = %q\n", filepath.Join(dir, "ledger"), w.operator)
+	os.WriteFile(filepath.Join(dir, "operations.toml"), []byte(operations), 0o600)
+	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml"),
+		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "config.json"),
 		"NODE_DISCOVERY="+w.discovery.Addr())
 	return cmd
@@ -416,7 +421,14 @@
 		w.t.Fatal(err)
 	}
 	go func() { p.over <- p.cmd.Wait() }()
-	w.t.Cleanup(func() { p.cmd.Process.Kill(); p.wait() })
+	w.t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		p.wait()
+		// Whatever a test does, the books of the program must add up all the while.
+		if log := p.log(); strings.Contains(log, "the books do not add up") || strings.Contains(log, "could not be kept") {
+			w.t.Errorf("the ledger raised an alarm\n%s", log)
+		}
+	})
 	if !eventually(func() bool {
 		c, err := net.Dial("tcp", w.listen)
 		if err == nil {
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -25,6 +25,8 @@
 	"dewhitch/internal/front/limits"
 	"dewhitch/internal/front/platform"
 	"dewhitch/internal/front/sessions"
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/statement"
 	"dewhitch/internal/registry"
 )
 
@@ -51,6 +53,10 @@
 	if err != nil {
 		return err
 	}
+	o, err := config.LoadOperations(cli.Operations)
+	if err != nil {
+		return err
+	}
 	log, err := logger()
 	if err != nil {
 		return err
@@ -59,7 +65,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
 	debug.SetGCPercent(lazyGC) // the memory limit has it collect sooner when it must
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
-	return serve(n, l, log, signals(), again)
+	return serve(n, l, o, log, signals(), again)
 }
 
 func signals() <-chan os.Signal {
@@ -70,7 +76,7 @@
 
 // serve runs one gateway until a signal ends it. Then it goes on serving for a while, answers all that it has
 // taken, and returns. At a signal on again it reads its configuration anew.
-func serve(n *config.Node, l *config.Limits, log *zap.Logger, term, again <-chan os.Signal) error {
+func serve(n *config.Node, l *config.Limits, o *config.Operations, log *zap.Logger, term, again <-chan os.Signal) error {
 	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
 	fetches := int(fetchShare * float64(sockets))
 	places := sockets - fetches
@@ -79,19 +85,28 @@
 		names.Safe = append(names.Safe, c.Effect == dw.Safe)
 	}
 	connect := time.Duration(n.Settings.ConnectTimeout)
-	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle, Connect: connect})
-	count := counter.New(n.Counter, lateAnswers*time.Duration(n.Settings.CounterTimeout), connect, log)
-	planner, err := core.NewPlanner(n.Settings, n.Seed, core.NewClock(), pools, count, log)
+	keep, err := keepBooks(o, n.Name, statement.Gateway, ledger.Names{Plans: n.Words.Plans, Classes: n.Words.Classes}, log)
 	if err != nil {
 		return err
 	}
+	defer keep.close()
+	books := keep.books
+	pools := backend.New(names, backend.Limits{Conns: fetches, Idle: n.Words.ConnIdle, Connect: connect}, books)
+	count := counter.New(n.Counter, lateAnswers*time.Duration(n.Settings.CounterTimeout), connect, books, log)
+	planner, err := core.NewPlanner(n.Settings, n.Seed, core.NewClock(), pools, count, books, log)
+	if err != nil {
+		return err
+	}
+	if keep.desk != nil {
+		keep.desk.Tallies(planner.Tallies)
+	}
 	decoder := director.NewDecoder(director.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds})
 	known, err := decoder.Known(n.Known)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	commands := &platform.Commands{Planner: planner, Words: n.Words, Settings: n.Settings}
+	commands := &platform.Commands{Planner: planner, Books: books, Words: n.Words, Settings: n.Settings}
 	bounds := front.NewBounds(n.MemoryMB << 20)
 	servers := []*front.Server{{Open: func() front.Commands { return commands }, Bounds: bounds, Log: log}}
 	if servers[0].Listener, err = net.Listen("tcp", n.Listen); err != nil {
@@ -170,6 +185,9 @@
 		if err == nil {
 			_, err = config.LoadLimits(cli.Limits)
 		}
+		if err == nil {
+			_, err = config.LoadOperations(cli.Operations)
+		}
 		if err != nil {
 			log.Error("the new configuration is faulty; the old one stays", zap.Error(err))
 			continue
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -15,6 +15,7 @@
 
 	dw "dewhitch"
 	"dewhitch/internal/core"
+	"dewhitch/internal/ledger"
 	"dewhitch/internal/resp"
 )
 
@@ -44,6 +45,7 @@
 type Pools struct {
 	names  Names
 	limits Limits
+	books  Books
 
 	mu      sync.Mutex
 	pools   map[core.Backend]*pool
@@ -82,9 +84,12 @@
 	cancel context.CancelFunc
 }
 
+// Books are what the pools post to.
+type Books interface{ Post(ledger.Posting) }
+
 // New makes empty pools.
-func New(n Names, l Limits) *Pools {
-	return &Pools{names: n, limits: l, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{}}
+func New(n Names, l Limits, b Books) *Pools {
+	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{}}
 }
 
 // Start implements core.Backends.
@@ -100,8 +105,12 @@
 	x.pool.gone = false // it is on the list, or nothing would be sent
 	x.pool.out++
 	p.mu.Unlock()
+	entry := ledger.Posting{Event: ledger.FetchBegan, Key: f.Source.Row, Ref: f.Source.Ref}
+	p.books.Post(entry)
 	go func() {
 		end := p.run(x)
+		entry.Event = ends[end.Outcome]
+		p.books.Post(entry)
 		cancel()
 		p.mu.Lock()
 		delete(p.fetches, k)
@@ -112,6 +121,11 @@
 	}()
 }
 
+var ends = [dw.Outcomes]ledger.Event{dw.OutcomeOK: ledger.FetchOK, dw.OutcomeError: ledger.FetchError,
+	dw.OutcomeRejected: ledger.FetchRejected, dw.OutcomeTimeout: ledger.FetchTimeout,
+	dw.OutcomeConnectFailed: ledger.FetchConnectFailed, dw.OutcomeReset: ledger.FetchReset,
+	dw.OutcomeCancelled: ledger.FetchCancelled, dw.OutcomeNotSent: ledger.FetchNotSent}
+
 // tidy forgets a pool that nothing needs; the lock is held.
 func (p *Pools) tidy(l *pool) {
 	if l.out == 0 && len(l.idle) == 0 && p.pools[l.Backend] == l {
--- /dev/null
+++ b/internal/config/operations.go
@@ -0,0 +1,159 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"dewhitch/deploy"
+)
+
+// Operations is the operators' file: what is not the platform's to set.
+type Operations struct {
+	Operator Operator
+	Ledger   Ledger
+}
+
+// Operator is the operators' listener.
+type Operator struct {
+	Listen string // empty: off
+}
+
+// Ledger is how the books are kept.
+type Ledger struct {
+	Enabled            bool
+	Rows, Open, Flight int
+	Audit, Statement   time.Duration
+	AlarmFile, Dir     string
+	SegmentBytes       int
+	Segments, Records  int
+	Sync               bool
+}
+
+// operationsFile mirrors the file; what it leaves out keeps the value that it was made with.
+type operationsFile struct {
+	Operator struct {
+		Listen string
+	}
+	Ledger struct {
+		Enabled            bool
+		Rows, Open, Flight int
+		AuditMS            int    `toml:"audit_ms"`
+		AlarmFile          string `toml:"alarm_file"`
+		Dir                string
+		StatementMS        int `toml:"statement_ms"`
+		SegmentMB          int `toml:"segment_mb"`
+		Segments, Records  int
+		Sync               bool
+	}
+}
+
+// LoadOperations reads the operators' file and checks it against the published schema. Unlike other files it may hold no
+// key that is not known: a misspelt one would leave a guard off that somebody counts on.
+func LoadOperations(path string) (*Operations, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault(path, "%v", err)
+	}
+	return parseOperations(path, text)
+}
+
+func parseOperations(path string, text []byte) (*Operations, error) {
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		var wrong toml.ParseError
+		if errors.As(err, &wrong) {
+			return nil, fault(fmt.Sprintf("%s:%d", path, wrong.Position.Line), "%s: %s", wrong.LastKey, wrong.Message)
+		}
+		return nil, fault(path, "%v", err)
+	}
+	if err := checkTree(path, text, tree); err != nil {
+		return nil, err
+	}
+	var f operationsFile
+	l := &f.Ledger
+	l.Rows, l.Open, l.Flight, l.AuditMS, l.StatementMS = 20000, 65536, 4096, 1000, 10000
+	l.SegmentMB, l.Segments, l.Records, l.Sync = 4, 8, 1000000, true
+	if err := toml.Unmarshal(text, &f); err != nil { // the schema has seen to that
+		return nil, fault(path, "%v", err)
+	}
+	if f.Operator.Listen != "" {
+		if err := address("operator.listen", f.Operator.Listen); err != nil {
+			return nil, err
+		}
+	}
+	return &Operations{Operator: Operator{f.Operator.Listen}, Ledger: Ledger{Enabled: l.Enabled, Rows: l.Rows, Open: l.Open,
+		Flight: l.Flight, Audit: time.Duration(l.AuditMS) * time.Millisecond,
+		Statement: time.Duration(l.StatementMS) * time.Millisecond, AlarmFile: l.AlarmFile, Dir: l.Dir,
+		SegmentBytes: l.SegmentMB << 20, Segments: l.Segments, Records: l.Records, Sync: l.Sync}}, nil
+}
+
+// checkTree checks a file's keys against the schema; its error names the first key at fault, and the line.
+func checkTree(path string, text []byte, tree map[string]any) error {
+	// Through JSON and back: the schema knows its kinds of number alone.
+	b, err := json.Marshal(tree)
+	if err != nil {
+		return fault(path, "%v", err)
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(b))
+	if err != nil {
+		return fault(path, "%v", err)
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(deploy.OperationsSchema))
+	if err != nil {
+		return fault("operations.schema.json", "%v", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("operations.schema.json", doc); err != nil {
+		return fault("operations.schema.json", "%v", err)
+	}
+	schema, err := c.Compile("operations.schema.json")
+	if err != nil {
+		return fault("operations.schema.json", "%v", err)
+	}
+	var wrong *jsonschema.ValidationError
+	if err := schema.Validate(value); errors.As(err, &wrong) {
+		for len(wrong.Causes) > 0 {
+			wrong = wrong.Causes[0]
+		}
+		key := strings.Join(wrong.InstanceLocation, ".")
+		words := wrong.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+		if _, unknown, ok := strings.Cut(words, "additional properties '"); ok { // the key is the one that is too many
+			unknown, _, _ = strings.Cut(unknown, "'")
+			key = strings.TrimPrefix(key+"."+unknown, ".")
+			words = "there is no such key"
+		}
+		return fault(fmt.Sprintf("%s:%d", path, lineOf(text, key)), "%s: %s", key, words)
+	}
+	return nil
+}
+
+// lineOf finds the line of a key such as ledger.rows, or of its table; 1 if it is written in a form of its own.
+func lineOf(text []byte, key string) int {
+	table, found := "", 1
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if name, ok := strings.CutPrefix(line, "["); ok {
+			name, _, _ = strings.Cut(name, "]")
+			if table = strings.TrimSpace(name); table == key {
+				found = i + 1
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(line, "=")
+		name = strings.Trim(strings.TrimSpace(name), `"'`)
+		if ok && strings.TrimPrefix(table+"."+name, ".") == key {
+			return i + 1
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/config/operations_test.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestOperations(t *testing.T) {
+	o, err := LoadOperations("../../deploy/operations.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bare, err := parseOperations("bare.toml", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *o != *bare {
+		t.Errorf("the file that ships says %+v, the defaults are %+v", o, bare)
+	}
+	if o.Ledger.Enabled || o.Operator.Listen != "" || o.Ledger.Audit != time.Second {
+		t.Errorf("%+v", o)
+	}
+	for text, want := range map[string]string{
+		"[ledger]\n\nrows = 3":                    "f.toml:3: ledger.rows: ",
+		"[ledger]\nenabled = true\nhauliers = 20": "f.toml:3: ledger.hauliers: there is no such key",
+		"# books\n[legder]\nrows = 20":            "f.toml:2: legder: there is no such key",
+		"[ledger]\nenabled = 1":                   "f.toml:2: ledger.enabled: ",
+		"ledger.audit_ms = 1":                     "f.toml:1: ledger.audit_ms: ",
+		"[ledger]\nrows = ":                       "f.toml:2: ",
+		"[operator]\nlisten = \"here\"":           "operator.listen: \"here\" is not host:port",
+	} {
+		if _, err := parseOperations("f.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v; want %s", text, err, want)
+		}
+	}
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 // admit asks the module for a decision on a req.
@@ -25,13 +26,22 @@
 		Repeat: r.Repeat})
 }
 
+// What the books call the module's reasons.
+var (
+	refusals = map[dw.Why]ledger.Event{dw.WhyUnusable: ledger.PlanRefusedUnusable, dw.WhyQuota: ledger.PlanRefusedQuota,
+		dw.WhyCeiling: ledger.PlanRefusedCeiling, dw.WhyServers: ledger.PlanRefusedServers,
+		dw.WhyGaveUp: ledger.PlanRefusedGaveUp}
+	failures = map[dw.Why]ledger.Event{dw.WhyGaveUp: ledger.PlanFailedGaveUp, dw.WhyUnread: ledger.PlanFailedUnread}
+)
+
 // answer gives a req its one final answer, at once; whatever is decided later on it is passed over.
-func (p *Planner) answer(id dw.RequestID, a Answer) {
+func (p *Planner) answer(id dw.RequestID, as ledger.Event, a Answer) {
 	t := p.reqs[id]
 	if t == nil || t.answered {
 		return
 	}
 	t.answered = true
+	t.post(p, as)
 	t.req.Answer(a)
 	p.drop(t)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 // Kind is what a req asks for.
@@ -34,6 +35,8 @@
 	First    int           // from this one on
 	Repeat   bool
 	Message  Message      // of a booking
+	Ref      uint64       // under which the books have it, as they have
+	Row      ledger.Key   // its row
 	Answer   func(Answer) // called once, on the planner; it may not block
 }
 
@@ -95,8 +98,23 @@
 	Forget(b Backend)
 }
 
+// Call is one call to the counter.
+type Call struct {
+	Name   string
+	Amount float64
+	Life   time.Duration // of a new name
+	Ref    uint64        // under which the books have it, as they have
+	Row    ledger.Key    // its account
+}
+
 // Counter adds to shared numbers; it may not block.
 type Counter interface {
 	// Add calls done once, from any goroutine but the caller's; for one name, in the order of the calls.
-	Add(name string, amount float64, life time.Duration, done func(dw.Outcome, float64))
+	Add(c Call, done func(dw.Outcome, float64))
+}
+
+// Books are what the planner posts to.
+type Books interface {
+	Ref() uint64 // a number for a call
+	Post(ledger.Posting)
 }
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 // inboxSize bounds what waits for the planner: as each may be a req with a body of 64 KiB, 16 MB at most. Whoever
@@ -46,6 +47,7 @@
 	gate     *dw.Gateway
 	backends Backends
 	counter  Counter
+	books    Books
 	log      *zap.Logger
 
 	inbox  chan message
@@ -65,12 +67,12 @@
 var ErrStopped = errors.New("core: the planner has stopped")
 
 // NewPlanner makes a planner that knows no backends yet.
-func NewPlanner(s dw.Settings, seed uint64, c Clock, b Backends, n Counter, log *zap.Logger) (*Planner, error) {
+func NewPlanner(s dw.Settings, seed uint64, c Clock, b Backends, n Counter, k Books, log *zap.Logger) (*Planner, error) {
 	g, err := dw.New(s, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Planner{Clock: c, gate: g, backends: b, counter: n, log: log, inbox: make(chan message, inboxSize),
+	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, log: log, inbox: make(chan message, inboxSize),
 		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{}}, nil
 }
 
@@ -125,13 +127,16 @@
 		case dw.Cancel:
 			p.backends.Cancel(a.Request, a.Attempt)
 		case dw.Refuse:
-			p.answer(a.Request, Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
+			p.answer(a.Request, refusals[a.Why], Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
 		case dw.Fail:
-			p.answer(a.Request, Answer{Verdict: Failed})
+			p.answer(a.Request, failures[a.Why], Answer{Verdict: Failed})
 		case dw.Limit:
-			p.answer(a.Request, Answer{Limit: &a})
+			p.answer(a.Request, ledger.PlanServed, Answer{Limit: &a})
 		case dw.Adjusted:
-			p.answer(a.Request, Answer{Units: a.Units})
+			p.answer(a.Request, ledger.PlanServed, Answer{Units: a.Units})
+		case dw.Drawn:
+			p.books.Post(ledger.Posting{Event: ledger.UnitsDrawn, Key: ledger.Account(uint64(a.Customer)),
+				Units: ledger.MicroUnits(a.Units)})
 		case dw.SetTimer:
 			heap.Push(&p.timers, a)
 		case dw.Count:
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 // handle passes the value of a good fetch on to the client, and the outcome to the module, which may send again.
@@ -13,8 +14,11 @@
 		return
 	}
 	t.out--
+	if !m.unsent {
+		t.post(p, ledger.PlanHeard)
+	}
 	if m.end.Outcome == dw.OutcomeOK {
-		p.answer(t.id, Answer{Verdict: Served, Value: m.end.Value})
+		p.answer(t.id, ledger.PlanServed, Answer{Verdict: Served, Value: m.end.Value})
 	}
 	p.tell(dw.Ended{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Outcome: m.end.Outcome,
 		Final: t.answered, Latency: dw.Span(time.Since(m.began)), Load: m.end.Load})
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -4,12 +4,14 @@
 	"time"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 type fetchEnded struct {
-	fetch Fetch
-	began time.Time
-	end   FetchEnd
+	fetch  Fetch
+	began  time.Time
+	end    FetchEnd
+	unsent bool // it was never started
 }
 
 // send starts a fetch. The module alone decides to send again: nothing here does.
@@ -28,9 +30,10 @@
 	f.Backend = backend
 	if t.answered || !known || !now.Before(f.Until) { // it never left; told later, as any end is
 		f.Backend.ID = a.Server
-		end := fetchEnded{f, now, FetchEnd{Outcome: dw.OutcomeNotSent}}
+		end := fetchEnded{f, now, FetchEnd{Outcome: dw.OutcomeNotSent}, true}
 		go func() { _ = p.post(end) }()
 		return
 	}
-	p.backends.Start(f, func(end FetchEnd) { _ = p.post(fetchEnded{f, now, end}) })
+	t.post(p, ledger.PlanSent)
+	p.backends.Start(f, func(end FetchEnd) { _ = p.post(fetchEnded{f, now, end, false}) })
 }
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	dw "dewhitch"
+	"dewhitch/internal/ledger"
 )
 
 // taken is a req from take in until its answer is given and its last fetch has ended.
@@ -40,10 +41,13 @@
 func (m takeIn) handle(p *Planner) {
 	m.ticket.id = p.nextID()
 	t := &taken{id: m.ticket.id, req: m.req}
+	p.books.Post(ledger.Posting{Event: ledger.PlanTaken, Key: m.req.Row, Ref: m.req.Ref,
+		Units: ledger.MicroUnits(m.req.Units)})
 	// Danger: a client may send the id of a req that another's is open under. A backend would be sent two of one id,
 	// and could not tell that it is no copy; nor does the customer's quota pay for it.
 	if name := m.req.Message.Name; m.req.Kind == Book {
 		if p.open[name] {
+			t.post(p, ledger.PlanFailedOpen)
 			m.req.Answer(Answer{Verdict: Failed})
 			return
 		}
@@ -62,11 +66,17 @@
 func (m clientGone) handle(p *Planner) {
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
 		t.answered = true
+		t.post(p, ledger.PlanGone)
 		p.tell(dw.ClientGone{Request: t.id})
 		p.drop(t)
 	}
 }
 
+// post books an event of the planner's on a req.
+func (t *taken) post(p *Planner, e ledger.Event) {
+	p.books.Post(ledger.Posting{Event: e, Key: t.req.Row, Ref: t.req.Ref})
+}
+
 // drop forgets a req that nothing is owed to and nothing is out for.
 func (p *Planner) drop(t *taken) {
 	if t.answered && t.out == 0 && p.reqs[t.id] == t {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -16,7 +16,9 @@
 	"go.uber.org/zap"
 
 	dw "dewhitch"
+	"dewhitch/internal/core"
 	"dewhitch/internal/http1"
+	"dewhitch/internal/ledger"
 )
 
 const (
@@ -37,6 +39,7 @@
 	limit time.Duration // a call unanswered by then is given up
 	dial  time.Duration
 	log   *zap.Logger
+	books Books
 	lines [lines]line
 
 	mu    sync.Mutex
@@ -64,20 +67,30 @@
 	state  atomic.Int32
 	timer  *time.Timer
 	done   func(dw.Outcome, float64)
+	books  Books
+	entry  ledger.Posting
 }
 
+// Books are what the client posts to.
+type Books interface{ Post(ledger.Posting) }
+
+var ends = [dw.Outcomes]ledger.Event{dw.OutcomeOK: ledger.CallAdded, dw.OutcomeTimeout: ledger.CallUnknown,
+	dw.OutcomeRejected: ledger.CallRejected, dw.OutcomeConnectFailed: ledger.CallRejected}
+
 func (c *call) settle(from int32, o dw.Outcome, total float64) bool {
 	if !c.state.CompareAndSwap(from, settled) {
 		return false
 	}
 	c.timer.Stop()
+	c.entry.Event = ends[o]
+	c.books.Post(c.entry)
 	c.done(o, total)
 	return true
 }
 
 // New makes a client; Run makes it work.
-func New(addr string, limit, dial time.Duration, log *zap.Logger) *Client {
-	c := &Client{addr: addr, limit: limit, dial: dial, log: log, moved: make(chan struct{})}
+func New(addr string, limit, dial time.Duration, b Books, log *zap.Logger) *Client {
+	c := &Client{addr: addr, limit: limit, dial: dial, log: log, books: b, moved: make(chan struct{})}
 	for i := range c.lines {
 		c.lines[i].calls = make(chan *call, queued)
 	}
@@ -102,10 +115,12 @@
 }
 
 // Add makes one call.
-func (c *Client) Add(name string, amount float64, life time.Duration, done func(dw.Outcome, float64)) {
-	target := "/counters/" + name + "?by=" + strconv.FormatFloat(amount, 'f', -1, 64) +
-		"&expire_ms=" + strconv.FormatInt(max(1, life.Milliseconds()), 10)
-	k := &call{target: target, done: done}
+func (c *Client) Add(o core.Call, done func(dw.Outcome, float64)) {
+	target := "/counters/" + o.Name + "?by=" + strconv.FormatFloat(o.Amount, 'f', -1, 64) +
+		"&expire_ms=" + strconv.FormatInt(max(1, o.Life.Milliseconds()), 10)
+	k := &call{target: target, done: done, books: c.books, entry: ledger.Posting{Event: ledger.CallBegan, Key: o.Row,
+		Ref: o.Ref, Units: ledger.MicroUnits(o.Amount)}}
+	c.books.Post(k.entry)
 	// A call that is overdue is settled here; if it was written, its answer is still to come, and the line reads
 	// and passes over it, so that later answers stay with their calls.
 	k.timer = time.AfterFunc(c.limit, func() {
@@ -114,7 +129,7 @@
 		}
 	})
 	select {
-	case c.lines[hash(name)%lines].calls <- k:
+	case c.lines[hash(o.Name)%lines].calls <- k:
 	default:
 		go k.settle(waiting, dw.OutcomeRejected, 0)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,16 +6,21 @@
 	"bytes"
 	"fmt"
 	"net"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"dewhitch"
 	"dewhitch/internal/core"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/platform"
+	"dewhitch/internal/ledger"
 	"dewhitch/internal/resp"
 )
 
@@ -55,14 +60,23 @@
 // has needed; Close gives them back.
 type Commands struct {
 	planners *Planners
+	books    Books
 	gateways int
 	log      *zap.Logger
 	links    map[string]*link
 }
 
+// Books are what a forwarder posts to: as the front, as the one who decides on a planner, and as the links to them.
+type Books interface {
+	Ref() uint64
+	Post(ledger.Posting)
+	// RowByName is the key of a haulier's row.
+	RowByName(customer uint64, plan, class string) ledger.Key
+}
+
 // New makes the forwarding of one session.
-func New(p *Planners, gateways int, log *zap.Logger) *Commands {
-	return &Commands{planners: p, gateways: gateways, log: log, links: map[string]*link{}}
+func New(p *Planners, gateways int, b Books, log *zap.Logger) *Commands {
+	return &Commands{planners: p, books: b, gateways: gateways, log: log, links: map[string]*link{}}
 }
 
 // Close implements io.Closer.
@@ -91,7 +105,16 @@
 	customer, err := platform.Customer(cmd[1])
 	if err == nil {
 		var r core.Req
-		if err = platform.Route(cmd[at], &r); err == nil {
+		var class, plan string
+		if class, plan, err = platform.Route(cmd[at], &r); err == nil {
+			r.Row = c.books.RowByName(uint64(customer), plan, class)
+			switch name {
+			case "LIMIT.GET":
+				r.Row.Class, r.Units = ledger.ClassQuery, 0
+			case "LIMIT.ADJUST":
+				r.Row.Class = ledger.ClassAdjust
+				r.Units, _ = strconv.ParseFloat(string(cmd[2]), 64) // what is none, the planner says
+			}
 			c.pass(came, cmd, customer, &r, s)
 			return
 		}
@@ -106,6 +129,7 @@
 	for _, word := range cmd {
 		b = resp.AppendBulk(b, word)
 	}
+	o := c.take(r, s)
 	for _, addr := range c.planners.Of(customer, r.Spread, r.First, c.gateways) {
 		l := c.links[addr]
 		if l == nil || l.lost.Load() {
@@ -114,15 +138,86 @@
 				c.log.Warn("a planner can't be reached", zap.String("planner", addr), zap.Error(err))
 				continue
 			}
-			l = &link{conn: conn, log: c.log, addr: addr}
+			l = &link{conn: conn, log: c.log, addr: addr, books: c.books}
 			c.links[addr] = l
 			go l.read()
 		}
-		if l.send(b, s, time.Until(came.Add(r.Wait+grace))) {
+		if l.send(b, o, time.Until(came.Add(r.Wait+grace))) {
 			return
 		}
 	}
-	s.Fill(resp.AppendFailure(nil, "ERR no planner of this customer's set can be reached"))
+	o.answer(ledger.PlanFailedGaveUp, resp.AppendFailure(nil, "ERR no planner of this customer's set can be reached"))
+}
+
+// order is a command that was taken: it owes its slot one answer, and the books one end.
+type order struct {
+	slot  *front.Slot
+	books Books
+	entry ledger.Posting
+	end   ledger.Event // what the front books once the answer is written
+}
+
+// take books a command and has its end booked.
+func (c *Commands) take(r *core.Req, s *front.Slot) *order {
+	o := &order{slot: s, books: c.books, entry: ledger.Posting{Key: r.Row, Ref: c.books.Ref()}}
+	taken := o.entry
+	taken.Event, taken.Units, taken.Wait = ledger.FrontTaken, ledger.MicroUnits(r.Units), ledger.WholeSeconds(r.Wait)
+	c.books.Post(taken)
+	if r.Message.Key != "" && r.Row.Class >= 0 {
+		o.entry.Units = int64(xxhash.Sum64String(r.Message.Key))
+		o.post(ledger.FrontKeyed)
+		o.entry.Units = 0
+	}
+	s.OnSettled(func(f front.Fate) {
+		switch f {
+		case front.Gone:
+			o.post(ledger.FrontGone)
+		case front.Cut:
+			o.post(ledger.FrontCut)
+		default:
+			o.post(o.end)
+		}
+	})
+	taken.Event = ledger.PlanTaken
+	c.books.Post(taken)
+	return o
+}
+
+func (o *order) post(e ledger.Event) {
+	p := o.entry
+	p.Event = e
+	o.books.Post(p)
+}
+
+// answer gives the slot its answer, and books what was decided.
+func (o *order) answer(decided ledger.Event, text []byte) {
+	switch o.post(decided); decided {
+	case ledger.PlanServed:
+		o.end = ledger.FrontServed
+	case ledger.PlanRefusedQuota:
+		o.end = ledger.FrontRefused
+	default:
+		o.end = ledger.FrontFailed
+	}
+	o.slot.Fill(text)
+}
+
+// The errors of planners that have taken a command. With any other they have not: they could not use it.
+var takenErrors = []string{"ERR failed", "ERR no exact answer in time"}
+
+// ended books the answer of a planner and passes it on as it came.
+func (o *order) ended(v resp.Value) {
+	fetch, decided := ledger.FetchOK, ledger.PlanServed
+	if v.Kind == resp.Failure {
+		if word, _, _ := strings.Cut(string(v.Text), " "); word == "BUSY" {
+			decided = ledger.PlanRefusedQuota
+		} else if decided = ledger.PlanFailedGaveUp; !slices.Contains(takenErrors, string(v.Text)) {
+			fetch, decided = ledger.FetchRejected, ledger.PlanFailedGaveUp
+		}
+	}
+	o.post(fetch)
+	o.post(ledger.PlanHeard)
+	o.answer(decided, resp.AppendValue(nil, v))
 }
 
 // link is a connection to a planner, with the slots that wait for its answers, in order.
@@ -132,29 +227,35 @@
 	log  *zap.Logger
 	lost atomic.Bool
 
+	books Books
+
 	mu    sync.Mutex
 	slots []waiting
 }
 
 type waiting struct {
-	slot  *front.Slot
+	order *order
 	timer *time.Timer
 }
 
 // send writes a command; false means that its last byte was not written.
-func (l *link) send(command []byte, s *front.Slot, left time.Duration) bool {
+func (l *link) send(command []byte, o *order, left time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.lost.Load() {
 		return false
 	}
+	o.post(ledger.PlanSent)
+	o.post(ledger.FetchBegan)
 	l.conn.SetWriteDeadline(time.Now().Add(writeTime))
 	if n, _ := l.conn.Write(command); n < len(command) {
 		l.lost.Store(true)
 		l.conn.Close()
+		o.post(ledger.FetchNotSent)
+		o.post(ledger.PlanHeard)
 		return false
 	}
-	l.slots = append(l.slots, waiting{s, time.AfterFunc(max(0, left), func() {
+	l.slots = append(l.slots, waiting{o, time.AfterFunc(max(0, left), func() {
 		// The planner says nothing, though it would have, in time: it is cut off or hangs.
 		l.conn.Close()
 	})})
@@ -174,7 +275,7 @@
 		l.slots = l.slots[1:]
 		l.mu.Unlock()
 		w.timer.Stop()
-		w.slot.Fill(resp.AppendValue(nil, v))
+		w.order.ended(v)
 	}
 	l.lost.Store(true)
 	left := l.slots
@@ -183,7 +284,10 @@
 	l.conn.Close()
 	for _, w := range left {
 		w.timer.Stop()
-		w.slot.Fill(resp.AppendFailure(nil, "ERR the planner was lost; the command may have been applied"))
+		w.order.post(ledger.FetchReset)
+		w.order.post(ledger.PlanHeard)
+		w.order.answer(ledger.PlanFailedGaveUp,
+			resp.AppendFailure(nil, "ERR the planner was lost; the command may have been applied"))
 	}
 	if len(left) > 0 {
 		l.log.Warn("a planner was lost with commands out", zap.String("planner", l.addr), zap.Int("commands", len(left)))
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -11,10 +11,13 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	dw "dewhitch"
 	"dewhitch/internal/config/settings"
 	"dewhitch/internal/core"
 	"dewhitch/internal/front"
+	"dewhitch/internal/ledger"
 	"dewhitch/internal/resp"
 )
 
@@ -26,10 +29,19 @@
 // Commands carries out the platform's commands.
 type Commands struct {
 	Planner  *core.Planner
+	Books    Books
 	Words    settings.Words
 	Settings dw.Settings
 }
 
+// Books are what the fronts post to.
+type Books interface {
+	Ref() uint64 // a number for a req
+	Post(ledger.Posting)
+	// Row is the key of a haulier's row, by the places of plan and class in the settings.
+	Row(customer uint64, plan, class int) ledger.Key
+}
+
 // Do implements front.Commands.
 func (c *Commands) Do(came time.Time, cmd resp.Command, s *front.Slot) {
 	switch string(bytes.ToUpper(cmd[0])) {
@@ -57,15 +69,54 @@
 
 // Hand gives a req to the planner, and its answer, as words has it, to the slot.
 func (c *Commands) Hand(r *core.Req, s *front.Slot, words func([]byte, core.Answer) []byte) {
-	r.Answer = func(a core.Answer) { s.Fill(words(nil, a)) }
+	class := r.Class
+	switch r.Kind {
+	case core.Query:
+		class = int(ledger.ClassQuery)
+	case core.Adjust:
+		class = int(ledger.ClassAdjust)
+	}
+	r.Ref, r.Row = c.Books.Ref(), c.Books.Row(uint64(r.Customer), r.Plan, class)
+	verdict := core.Failed
+	r.Answer = func(a core.Answer) {
+		verdict = a.Verdict
+		s.Fill(words(nil, a))
+	}
+	taken := ledger.Posting{Event: ledger.FrontTaken, Key: r.Row, Ref: r.Ref, Units: ledger.MicroUnits(r.Units),
+		Wait: ledger.WholeSeconds(r.Wait)}
+	c.Books.Post(taken)
+	if r.Message.Key != "" && r.Kind == core.Book {
+		c.Books.Post(ledger.Posting{Event: ledger.FrontKeyed, Key: r.Row, Ref: r.Ref,
+			Units: int64(xxhash.Sum64String(r.Message.Key))})
+	}
+	kept := false
+	s.OnSettled(func(f front.Fate) {
+		end := ledger.Posting{Key: r.Row, Ref: r.Ref}
+		switch {
+		case kept:
+			end = taken
+			end.Event = ledger.FrontKept
+		case f == front.Gone:
+			end.Event = ledger.FrontGone
+		case f == front.Cut:
+			end.Event = ledger.FrontCut
+		default:
+			end.Event = ends[verdict]
+		}
+		c.Books.Post(end)
+	})
 	ticket, err := c.Planner.Take(r)
 	if err != nil {
+		kept = true
 		r.Answer(core.Answer{Verdict: core.Failed})
 		return
 	}
 	s.OnGone(func() { c.Planner.Leave(ticket) })
 }
 
+var ends = [...]ledger.Event{core.Served: ledger.FrontServed, core.Refused: ledger.FrontRefused,
+	core.Failed: ledger.FrontFailed}
+
 var errWords = errors.New("wrong number of arguments")
 
 func (c *Commands) decode(cmd resp.Command, query bool) (*core.Req, error) {
@@ -132,11 +183,8 @@
 	return class, nil
 }
 
-// Route reads of a list what a forwarder needs: the customer's set and the deadline.
-func Route(text []byte, r *core.Req) error {
-	_, _, err := list(text, r)
-	return err
-}
+// Route reads of a list what a forwarder needs: the customer's set, the deadline, and the names for its books.
+func Route(text []byte, r *core.Req) (class, plan string, err error) { return list(text, r) }
 
 // list reads a list of names and values; names that are not known are passed over.
 func list(text []byte, r *core.Req) (class, plan string, err error) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -70,6 +70,23 @@
 	filled  bool
 	large   int64  // bytes of the command that Bounds.large holds a place for
 	gone    func() // called if the client leaves before the slot is filled
+	settled func(Fate)
+}
+
+// Fate is what became of a slot's answer.
+type Fate int
+
+// The fates.
+const (
+	Written Fate = iota // its last byte was written
+	Gone                // the client left before there was an answer
+	Cut                 // there was one, and its last byte could not be written
+)
+
+// mark is where an answer ends in what is being written.
+type mark struct {
+	end     int
+	settled func(Fate)
 }
 
 // session is one client's connection. It is given back at the end of run.
@@ -84,6 +101,7 @@
 	slots []*Slot // in the order of the commands, those whose answers are not in out yet
 	room  *sync.Cond
 	out   []byte
+	marks []mark        // of the answers in out whose fate someone wants to know
 	owed  int           // bytes of answers that wait to be written, in out and in slots
 	wake  chan struct{} // something is in out, or the session is over
 	busy  time.Time     // when it last owed something
@@ -274,6 +292,13 @@
 	}
 }
 
+// OnSettled has f told, once, what becomes of the answer. It must be set before the slot can be filled; f may not block.
+func (o *Slot) OnSettled(f func(Fate)) {
+	o.session.mu.Lock()
+	defer o.session.mu.Unlock()
+	o.settled = f
+}
+
 // Fill gives the slot its answer. It does not block; a second answer is passed over.
 func (o *Slot) Fill(answer []byte) {
 	s := o.session
@@ -298,6 +323,9 @@
 	n := 0
 	for n < len(s.slots) && s.slots[n].filled {
 		s.out = append(s.out, s.slots[n].answer...)
+		if f := s.slots[n].settled; f != nil {
+			s.marks = append(s.marks, mark{len(s.out), f})
+		}
 		s.slots[n] = nil
 		n++
 	}
@@ -317,9 +345,11 @@
 func (s *session) write() {
 	defer s.cancel()
 	var buf []byte
+	var marks []mark
 	for {
 		s.mu.Lock()
 		buf, s.out = s.out, buf[:0]
+		marks, s.marks = s.marks, marks[:0]
 		if s.last && len(s.slots) == 0 && len(buf) == 0 {
 			s.over = true // all is answered, and nothing more is taken from here on
 			s.conn.SetReadDeadline(time.Now().Add(linger))
@@ -327,6 +357,7 @@
 		over := s.over
 		s.mu.Unlock()
 		if over {
+			settle(marks, 0)
 			if tcp, ok := s.conn.(*net.TCPConn); ok {
 				tcp.CloseWrite()
 			}
@@ -337,7 +368,9 @@
 			continue
 		}
 		s.conn.SetWriteDeadline(time.Now().Add(sendTime))
-		if _, err := s.conn.Write(buf); err != nil {
+		n, err := s.conn.Write(buf)
+		settle(marks, n)
+		if err != nil {
 			s.conn.Close() // read sees the end
 			return
 		}
@@ -351,6 +384,18 @@
 	}
 }
 
+// settle tells the fates of answers of which so many bytes were written, one behind the other.
+func settle(marks []mark, written int) {
+	for _, m := range marks {
+		if m.end <= written {
+			m.settled(Written)
+		} else {
+			m.settled(Cut)
+		}
+	}
+	clear(marks)
+}
+
 // finish has the session end as soon as all that it has taken is answered.
 func (s *session) finish() {
 	s.mu.Lock()
@@ -391,11 +436,18 @@
 func (s *session) lost() {
 	s.mu.Lock()
 	s.over = true
-	slots := s.slots
-	s.slots, s.out = nil, nil
+	slots, marks := s.slots, s.marks
+	s.slots, s.out, s.marks = nil, nil, nil
 	s.paid(s.owed)
 	var gone []func()
 	for _, o := range slots {
+		if o.settled != nil {
+			fate := Gone
+			if o.filled {
+				fate = Cut
+			}
+			gone = append(gone, func() { o.settled(fate) }) // before anyone is told that the client left
+		}
 		if o.filled {
 			continue
 		}
@@ -408,6 +460,7 @@
 	s.signal()
 	s.mu.Unlock()
 	s.cancel()
+	settle(marks, 0)
 	for _, f := range gone {
 		f()
 	}
--- a/internal/ledger/audit.go
+++ b/internal/ledger/audit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Mismatch says that two figures that must be equal are not.
@@ -35,26 +36,26 @@
 	return 0
 }
 
-func (t *transit) add(e *entry) {
-	if e.call {
-		calling, open, returning := e.told && !e.callBegan && !e.callOver, e.callBegan && !e.callOver, e.rejected && !e.returned
+func (t *transit) add(e *Entry) {
+	if e.Call {
+		calling, open, returning := e.Told && !e.CallBegan && !e.CallOver, e.CallBegan && !e.CallOver, e.Rejected && !e.Returned
 		t.calling += count(calling)
 		t.callOpen += count(open)
 		t.returning += count(returning)
-		t.callingUnits += count(calling) * uint64(e.units)
-		t.callOpenUnits += count(open) * uint64(e.units)
-		t.returningUnits += count(returning) * uint64(e.units)
+		t.callingUnits += count(calling) * uint64(e.Units)
+		t.callOpenUnits += count(open) * uint64(e.Units)
+		t.returningUnits += count(returning) * uint64(e.Units)
 		return
 	}
-	t.front += count(e.frontTaken && !e.frontEnded)
-	t.planner += count(e.planTaken && e.planEnded == undecided)
+	t.front += count(e.FrontTaken && !e.FrontEnded)
+	t.planner += count(e.PlanTaken && e.PlanEnded == undecided)
 	t.handed += count(e.handed())
-	t.handedUnits += count(e.handed()) * uint64(e.units)
+	t.handedUnits += count(e.handed()) * uint64(e.Units)
 	t.sending += uint64(e.sending())
 	t.fetching += uint64(e.fetching())
 	t.hearing += uint64(e.hearing())
-	if !e.frontEnded {
-		t.answering[e.planEnded]++
+	if !e.FrontEnded {
+		t.answering[e.PlanEnded]++
 	}
 }
 
@@ -65,10 +66,10 @@
 	found, l.found = l.found, nil
 	table := map[Key]*transit{}
 	for _, e := range l.table {
-		t := table[e.key]
+		t := table[e.Key]
 		if t == nil {
 			t = &transit{}
-			table[e.key] = t
+			table[e.Key] = t
 		}
 		t.add(e)
 	}
@@ -110,17 +111,17 @@
 	return found
 }
 
-// Overdue names the rows with entries that are open since before an instant, in Unix nanoseconds: every deadline has
-// passed since, so an owner has not posted what became of them. Audit alone takes them for open.
+// Overdue names the rows with entries whose time was up before an instant, in Unix nanoseconds: an owner has not posted
+// what became of them. Audit alone takes them for open.
 func (l *Ledger) Overdue(before int64) (found []Mismatch) {
 	rows := map[Key]uint64{}
 	for _, e := range l.table {
-		if e.since < before {
-			rows[e.key]++
+		if e.Since+int64(e.Wait)*int64(time.Second) < before {
+			rows[e.Key]++
 		}
 	}
 	for k, n := range rows {
-		m := Mismatch{Key: k, Check: "open beyond every deadline = 0", Books: [2]Book{Front, Planner}, Left: n}
+		m := Mismatch{Key: k, Check: "open beyond its deadline = 0", Books: [2]Book{Front, Planner}, Left: n}
 		if k.Class == ClassAccount {
 			m.Books = [2]Book{Counter, Units}
 		}
@@ -175,10 +176,15 @@
 	return found
 }
 
+// CheckTally is the check of AuditAccounts.
+const CheckTally = "units on the tally = drawn - told + returned"
+
 // AuditAccounts compares what the tallies of the decision module hold with the units' book, for the accounts that
-// Accounts named. tally tells what a haulier's tally holds, in units; unknown: the module
-// has forgotten the account, and whatever it had on its tally. It must be called where nothing is drawn meanwhile.
-func (l *Ledger) AuditAccounts(keys []Key, tally func(customer uint64) (units float64, known bool), at int64) (found []Mismatch) {
+// Accounts named. tally tells what a haulier's tally holds, in units; unknown: the module has dropped the account, with
+// whatever was on its tally, which the postings forgotten take note of; they are yet to be posted. It must be called
+// where nothing is drawn meanwhile.
+func (l *Ledger) AuditAccounts(keys []Key, tally func(customer uint64) (units float64, known bool)) (found []Mismatch,
+	forgotten []Posting) {
 	for _, k := range keys {
 		r := l.rows[k]
 		if r == nil || k.Class != ClassAccount || k.Customer == Others {
@@ -188,18 +194,18 @@
 		units, known := tally(k.Customer)
 		if !known {
 			if pending != 0 {
-				l.Post(Posting{Event: UnitsForgotten, Key: k, Units: pending, At: at})
+				forgotten = append(forgotten, Posting{Event: UnitsForgotten, Key: k, Units: pending})
 			}
 			continue
 		}
 		// Each posting was rounded to a millionth, and the module adds up unrounded.
 		slack := int64(r.counts.N[UnitsDrawn]+r.counts.N[UnitsTold]+r.counts.N[UnitsReturned])/2 + 1
 		if held := MicroUnits(units); held-pending > slack || pending-held > slack {
-			found = append(found, Mismatch{Key: k, Check: "units on the tally = drawn - told + returned", Books: [2]Book{Planner, Units},
+			found = append(found, Mismatch{Key: k, Check: CheckTally, Books: [2]Book{Planner, Units},
 				Left: uint64(held), Right: uint64(pending)})
 		}
 	}
-	return found
+	return found, forgotten
 }
 
 // Accounts names the accounts of hauliers that were posted to since it last did, and those that hold units.
--- a/internal/ledger/books.go
+++ b/internal/ledger/books.go
@@ -10,7 +10,10 @@
 // Counts are modulo 2^64 and so are their identities: a count that wraps raises no alarm. Units are kept in millionths.
 package ledger
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Key names a row: what one haulier asked for, under one plan and class. The numbers of plans and classes are the
 // desk's (it knows their names).
@@ -185,7 +188,8 @@
 	Key   Key
 	Ref   uint64 // of the req or of the call, the same in all books; 0: of neither
 	Units int64  // in millionths; of FrontKeyed, a hash
-	At    int64  // Unix time in nanoseconds; for readers alone, nothing is decided by it
+	At    int64  // Unix time in nanoseconds
+	Wait  uint16 // of FrontTaken: for how many seconds more its client waits, rounded up
 }
 
 // Try is one try of a client at a req that has an idempotency key. Tries of one booking, through whichever gateways, have
@@ -197,6 +201,11 @@
 	End          Event // by the front's book
 }
 
+// WholeSeconds rounds a client's wait up, to the most that a posting can hold.
+func WholeSeconds(d time.Duration) uint16 {
+	return uint16(min(math.MaxUint16, max(0, (d+time.Second-1)/time.Second)))
+}
+
 // MicroUnits turns units into millionths. What a parser lets in is far below the bound.
 func MicroUnits(units float64) int64 {
 	return int64(math.Round(max(-9e12, min(9e12, units)) * 1e6))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"cmp"
 	"container/list"
+	"maps"
 	"slices"
 )
 
@@ -29,22 +31,23 @@
 	return other
 }
 
-// entry is what is open under a Ref. It holds what the owners have said of this req or call, each in its own words.
-type entry struct {
-	key                       Key
-	units                     int64
-	since                     int64
-	keyed                     bool
-	hash                      uint64
-	call                      bool
-	frontTaken, frontEnded    bool
-	neverTaken                bool // the planner will not take it
-	lost                      bool // its answer did not reach the client
-	planTaken                 bool
-	planEnded                 verdict
-	sent, heard, began, ended uint16
-	told, callBegan, callOver bool // of a call
-	rejected, returned        bool
+// Entry is what is open under a Ref. It holds what the owners have said of this req or call, each in its own words.
+type Entry struct {
+	Key                       Key
+	Units                     int64
+	Since                     int64 // Unix time in nanoseconds
+	Wait                      uint16
+	Keyed                     bool
+	Hash                      uint64
+	Call                      bool
+	FrontTaken, FrontEnded    bool
+	NeverTaken                bool // the planner will not take it
+	Lost                      bool // its answer did not reach the client
+	PlanTaken                 bool
+	PlanEnded                 verdict
+	Sent, Heard, Began, Ended uint16
+	Told, CallBegan, CallOver bool // of a Call
+	Rejected, Returned        bool
 }
 
 // row holds the figures of a key.
@@ -72,7 +75,7 @@
 	limits    Limits
 	rows      map[Key]*row
 	recent    *list.List // of *row, the one posted to last in front; those rolled up are not in it
-	table     map[uint64]*entry
+	table     map[uint64]*Entry
 	total     Counts // over all rows, booked beside them
 	dirty     []*row
 	unkept    []*row
@@ -92,7 +95,7 @@
 // New makes empty books. With statements, Statement must be called now and then.
 func New(l Limits, statements bool) *Ledger {
 	return &Ledger{limits: Limits{max(16, l.Rows), max(16, l.Open), max(16, l.Flight)}, rows: map[Key]*row{},
-		recent: list.New(), table: map[uint64]*entry{}, stating: statements}
+		recent: list.New(), table: map[uint64]*Entry{}, stating: statements}
 }
 
 // Post books one posting. Whatever it says is booked: that it fits is for Audit to say.
@@ -106,8 +109,8 @@
 		l.flight[l.flown%uint64(len(l.flight))] = p
 	}
 	l.flown++
-	if e := l.table[p.Ref]; e != nil && e.key.Customer == Others {
-		p.Key = e.key // its row was rolled up while it was open
+	if e := l.table[p.Ref]; e != nil && e.Key.Customer == Others {
+		p.Key = e.Key // its row was rolled up while it was open
 	}
 	r := l.row(p.Key)
 	r.counts.Book(p.Event, p.Units)
@@ -188,8 +191,8 @@
 	if r.open > 0 { // its open entries go along
 		to.open += r.open
 		for _, e := range l.table {
-			if e.key == r.key {
-				e.key = k
+			if e.Key == r.key {
+				e.Key = k
 			}
 		}
 	}
@@ -228,57 +231,57 @@
 		if len(l.table) >= l.limits.Open {
 			l.abandon()
 		}
-		e = &entry{key: p.Key, units: p.Units, since: p.At, call: p.Event == UnitsTold || p.Event == CallBegan}
+		e = &Entry{Key: p.Key, Units: p.Units, Since: p.At, Call: p.Event == UnitsTold || p.Event == CallBegan}
 		l.table[p.Ref] = e
 		r.open++
 	}
 	switch ev := p.Event; {
 	case ev == FrontTaken:
-		e.frontTaken = true
+		e.FrontTaken, e.Wait = true, p.Wait
 	case ev == FrontKeyed:
-		e.keyed, e.hash = true, uint64(p.Units)
+		e.Keyed, e.Hash = true, uint64(p.Units)
 	case ev == FrontKept || ev == FrontNeverTaken:
-		e.neverTaken = true
-		e.frontEnded = e.frontEnded || ev == FrontKept
+		e.NeverTaken = true
+		e.FrontEnded = e.FrontEnded || ev == FrontKept
 	case ev == FrontGone || ev == FrontCut || ev == FrontCutoff:
-		e.lost = !e.frontEnded
+		e.Lost = !e.FrontEnded
 		l.over(e, r)
 	case ev > FrontTaken && ev < FrontGone:
 		l.over(e, r)
 	case ev == PlanTaken:
-		e.planTaken = true
+		e.PlanTaken = true
 	case ev == PlanSent:
-		e.sent++
+		e.Sent++
 	case ev == PlanHeard || ev == PlanHeardCutoff:
-		e.heard++
+		e.Heard++
 	case ev > PlanTaken && ev < PlanSent:
-		if e.planEnded == undecided {
-			e.planEnded = decided(ev)
-			if e.frontEnded && e.lost {
-				r.lost[e.planEnded]++
+		if e.PlanEnded == undecided {
+			e.PlanEnded = decided(ev)
+			if e.FrontEnded && e.Lost {
+				r.lost[e.PlanEnded]++
 			}
 		}
 	case ev == FetchBegan || ev == FetchNeverBegan:
-		e.began++
+		e.Began++
 		if ev == FetchNeverBegan {
-			e.ended++
+			e.Ended++
 		}
 	case ev > FetchBegan && ev <= FetchCutoff:
-		e.ended++
+		e.Ended++
 	case ev == UnitsTold:
-		e.told = true
+		e.Told = true
 	case ev == UnitsReturned || ev == UnitsNeverReturned:
-		e.returned = true
+		e.Returned = true
 	case ev == CallBegan || ev == CallNeverBegan:
-		e.callBegan = true
-		e.callOver = e.callOver || ev == CallNeverBegan
+		e.CallBegan = true
+		e.CallOver = e.CallOver || ev == CallNeverBegan
 	case ev >= CallAdded && ev <= CallCutoff:
-		e.callOver = true
-		e.rejected = ev == CallRejected
+		e.CallOver = true
+		e.Rejected = ev == CallRejected
 	}
-	if e.keyed && e.frontEnded {
-		e.keyed = false
-		l.tried(Try{Key: e.key, Hash: e.hash, Taken: e.since, Ended: p.At, End: p.Event})
+	if e.Keyed && e.FrontEnded {
+		e.Keyed = false
+		l.tried(Try{Key: e.Key, Hash: e.Hash, Taken: e.Since, Ended: p.At, End: p.Event})
 	}
 	if e.done() {
 		delete(l.table, p.Ref)
@@ -300,47 +303,35 @@
 }
 
 // closed takes note that an entry has left the table.
-func (l *Ledger) closed(e *entry) {
-	if r := l.rows[e.key]; r != nil {
+func (l *Ledger) closed(e *Entry) {
+	if r := l.rows[e.Key]; r != nil {
 		r.open--
 	}
 }
 
-func (l *Ledger) over(e *entry, r *row) {
-	if !e.frontEnded {
-		e.frontEnded = true
-		if e.lost && e.planEnded != undecided {
-			r.lost[e.planEnded]++
+func (l *Ledger) over(e *Entry, r *row) {
+	if !e.FrontEnded {
+		e.FrontEnded = true
+		if e.Lost && e.PlanEnded != undecided {
+			r.lost[e.PlanEnded]++
 		}
 	}
 }
 
 // done says that nothing more is to come under the entry's Ref.
-func (e *entry) done() bool {
-	if e.call {
-		return e.callOver && e.callBegan && (!e.rejected || e.returned)
+func (e *Entry) done() bool {
+	if e.Call {
+		return e.CallOver && e.CallBegan && (!e.Rejected || e.Returned)
 	}
-	return e.frontEnded && (e.planEnded != undecided || e.neverTaken) && e.heard >= e.sent && e.ended <= e.heard
+	return e.FrontEnded && (e.PlanEnded != undecided || e.NeverTaken) && e.Heard >= e.Sent && e.Ended <= e.Heard
 }
 
 // abandon gives up an eighth of the table: entries that the front has ended first, as only a fault leaves many of
 // those, then any. Their rows say what does not add up from then on.
 func (l *Ledger) abandon() {
-	refs := make([]uint64, 0, len(l.table))
-	for ref := range l.table {
-		refs = append(refs, ref)
-	}
-	slices.SortFunc(refs, func(a, b uint64) int {
-		if x, y := l.table[a].frontEnded, l.table[b].frontEnded; x != y {
-			if x {
-				return -1
-			}
-			return 1
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+	refs := slices.Sorted(maps.Keys(l.table))
+	slices.SortStableFunc(refs, func(a, b uint64) int {
+		return cmp.Compare(count(l.table[b].FrontEnded), count(l.table[a].FrontEnded))
 	})
 	for _, ref := range refs[:max(1, len(refs)/8)] {
 		l.closed(l.table[ref])
@@ -371,6 +362,23 @@
 	return lines
 }
 
+// Sums adds up the rows by plan and class, and says how many there are.
+func (l *Ledger) Sums() (rows int, lines []Line) {
+	sums := map[Key]*Counts{}
+	for k, r := range l.rows {
+		k.Customer = Others
+		if sums[k] == nil {
+			sums[k] = &Counts{}
+		}
+		sums[k].Add(&r.counts)
+	}
+	for k, c := range sums {
+		lines = append(lines, Line{k, *c})
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return a.Key.compare(b.Key) })
+	return len(l.rows), lines
+}
+
 func (k Key) compare(o Key) int {
 	switch {
 	case k.Customer != o.Customer && k.Customer < o.Customer:
@@ -402,7 +410,14 @@
 type Statement struct {
 	Deltas []Line
 	Rows   []Kept
-	Tries  []Try // that have ended, in that order
+	Tries  []Try  // that have ended, in that order
+	Open   []Open // what is open, in the order of the Refs
+}
+
+// Open is an entry of the table, as a store keeps it.
+type Open struct {
+	Ref uint64
+	Entry
 }
 
 // Kept is a row as a store keeps it.
@@ -438,6 +453,10 @@
 		s.Rows = append(s.Rows, r.kept())
 	}
 	l.unkept = l.unkept[:0]
+	for ref, e := range l.table {
+		s.Open = append(s.Open, Open{ref, *e})
+	}
+	slices.SortFunc(s.Open, func(a, b Open) int { return cmp.Compare(a.Ref, b.Ref) })
 	slices.SortFunc(s.Deltas, func(a, b Line) int { return a.Key.compare(b.Key) })
 	return s
 }
@@ -458,6 +477,13 @@
 	l.total.Add(&k.Counts)
 }
 
+// RestoreOpen puts an entry back that a store kept; its row was restored before.
+func (l *Ledger) RestoreOpen(o Open) {
+	e := o.Entry
+	l.table[o.Ref] = &e
+	l.row(e.Key).open++
+}
+
 // CutOff closes what is open, as a process that has ended left it, and returns the postings that do so; they are booked.
 // After it the identities hold with nothing open.
 func (l *Ledger) CutOff(at int64) (ps []Posting) {
@@ -466,22 +492,17 @@
 		ps = append(ps, p)
 		l.Post(p)
 	}
-	refs := make([]uint64, 0, len(l.table))
-	for ref := range l.table {
-		refs = append(refs, ref)
-	}
-	slices.Sort(refs)
-	for _, ref := range refs {
+	for _, ref := range slices.Sorted(maps.Keys(l.table)) {
 		e := l.table[ref]
-		k := e.key
-		if e.call {
-			if e.told && !e.callBegan {
-				post(CallNeverBegan, k, ref, e.units)
-			} else if !e.callOver {
-				post(CallCutoff, k, ref, e.units)
+		k := e.Key
+		if e.Call {
+			if e.Told && !e.CallBegan {
+				post(CallNeverBegan, k, ref, e.Units)
+			} else if !e.CallOver {
+				post(CallCutoff, k, ref, e.Units)
 			}
-			if e.rejected && !e.returned {
-				post(UnitsNeverReturned, k, ref, e.units)
+			if e.Rejected && !e.Returned {
+				post(UnitsNeverReturned, k, ref, e.Units)
 			}
 			continue
 		}
@@ -495,12 +516,12 @@
 			post(PlanHeardCutoff, k, ref, 0)
 		}
 		if e.handed() {
-			post(FrontNeverTaken, k, ref, e.units)
+			post(FrontNeverTaken, k, ref, e.Units)
 		}
-		if e.planTaken && e.planEnded == undecided {
+		if e.PlanTaken && e.PlanEnded == undecided {
 			post(PlanCutoff, k, ref, 0)
 		}
-		if e.frontTaken && !e.frontEnded {
+		if e.FrontTaken && !e.FrontEnded {
 			post(FrontCutoff, k, ref, 0)
 		}
 	}
@@ -519,10 +540,10 @@
 }
 
 // handed: on its way from the front to the planner, which has said nothing of it yet.
-func (e *entry) handed() bool {
-	return e.frontTaken && !e.planTaken && e.planEnded == undecided && !e.neverTaken
+func (e *Entry) handed() bool {
+	return e.FrontTaken && !e.PlanTaken && e.PlanEnded == undecided && !e.NeverTaken
 }
 
-func (e *entry) sending() int  { return max(0, int(e.sent)-int(max(e.began, e.heard))) }
-func (e *entry) fetching() int { return max(0, int(e.began)-int(max(e.ended, e.heard))) }
-func (e *entry) hearing() int  { return max(0, int(e.ended)-int(e.heard)) }
+func (e *Entry) sending() int  { return max(0, int(e.Sent)-int(max(e.Began, e.Heard))) }
+func (e *Entry) fetching() int { return max(0, int(e.Began)-int(max(e.Ended, e.Heard))) }
+func (e *Entry) hearing() int  { return max(0, int(e.Ended)-int(e.Heard)) }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,99 +1,15 @@
-package ledger
+package ledger_test
 
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"testing"
 
 	"pgregory.net/rapid"
-)
-
-// script is the legal postings on one req or call, in any order that the owners could post in. After each prefix the
-// books must add up.
-type script []Posting
 
-func reqScript(r *rand.Rand, ref uint64, k Key) script {
-	units := int64(1+r.IntN(5)) * 1e6
-	p := func(e Event, u int64) Posting { return Posting{Event: e, Key: k, Ref: ref, Units: u} }
-	s := script{p(FrontTaken, units)}
-	if k.Class == 1 {
-		s = append(s, p(FrontKeyed, int64(ref%7)))
-	}
-	if r.IntN(20) == 0 {
-		return append(s, p(FrontKept, units))
-	}
-	goneFirst := r.IntN(12) == 0
-	if goneFirst {
-		s = append(s, p(FrontGone, 0))
-	}
-	s = append(s, p(PlanTaken, units))
-	fetches, ok := 0, false
-	if k.Class >= 0 {
-		fetches = r.IntN(3)
-	}
-	for i := range fetches {
-		end := FetchError + Event(r.IntN(int(FetchNotSent-FetchError)+1))
-		if ok = i == fetches-1 && r.IntN(2) == 0; ok {
-			end = FetchOK
-		}
-		s = append(s, p(PlanSent, 0), p(FetchBegan, 0), p(end, 0), p(PlanHeard, 0))
-	}
-	if goneFirst {
-		return append(s, p(PlanGone, 0))
-	}
-	decision, end := PlanRefusedQuota+Event(r.IntN(5)), FrontRefused
-	if ok || k.Class < 0 && r.IntN(2) == 0 {
-		decision, end = PlanServed, FrontServed
-	} else if r.IntN(3) == 0 {
-		decision, end = PlanFailedGaveUp+Event(r.IntN(3)), FrontFailed
-	}
-	if r.IntN(10) == 0 {
-		end = FrontCut
-	}
-	if s = append(s, p(decision, 0)); r.IntN(6) == 0 && k.Class >= 0 { // a fetch that ends after the answer
-		late := []Posting{p(PlanSent, 0), p(FetchBegan, 0), p(FetchCancelled, 0), p(PlanHeard, 0)}
-		s = append(s[:len(s)-1], late[0], late[1], s[len(s)-1], p(end, 0), late[2], late[3])
-		return s
-	}
-	return append(s, p(end, 0))
-}
-
-func callScript(r *rand.Rand, ref uint64, k Key) script {
-	units := int64(1+r.IntN(9)) * 1e6
-	p := func(e Event, ref uint64) Posting { return Posting{Event: e, Key: k, Ref: ref, Units: units} }
-	s := script{p(UnitsDrawn, 0), p(UnitsTold, ref), p(CallBegan, ref)}
-	switch r.IntN(3) {
-	case 0:
-		return append(s, p(CallAdded, ref))
-	case 1:
-		return append(s, p(CallUnknown, ref))
-	}
-	return append(s, p(CallRejected, ref), p(UnitsReturned, ref))
-}
-
-// storm interleaves many scripts at random and calls each after every posting.
-func storm(seed uint64, reqs, hauliers int, each func(Posting)) {
-	r := rand.New(rand.NewPCG(seed, 5))
-	var open []script
-	for i := 0; i < reqs || len(open) > 0; {
-		if i < reqs && (len(open) < 20 && r.IntN(3) == 0 || len(open) == 0) {
-			i++
-			h := uint64(1 + r.IntN(hauliers))
-			if r.IntN(4) == 0 {
-				open = append(open, callScript(r, uint64(i), Account(h)))
-			} else {
-				open = append(open, reqScript(r, uint64(i), Key{h, int16(r.IntN(3)), int16(r.IntN(4)) - 2}))
-			}
-			continue
-		}
-		at := r.IntN(len(open))
-		each(open[at][0])
-		if open[at] = open[at][1:]; len(open[at]) == 0 {
-			open = append(open[:at], open[at+1:]...)
-		}
-	}
-}
+	. "dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/ledgertest"
+)
 
 func quiet(t interface {
 	Helper()
@@ -123,7 +39,7 @@
 			l.Restore(Kept{Key: Key{1, 0, 0}, Counts: c})
 		}
 		n := 0
-		storm(seed, 300, 12, func(p Posting) {
+		ledgertest.Storm(seed, 300, 12, func(p Posting) {
 			l.Post(p)
 			if n++; n%7 == 0 {
 				quiet(t, l, fmt.Sprint("posting ", n))
@@ -140,7 +56,7 @@
 func TestCutOffAtEveryPosting(t *testing.T) {
 	for seed := range uint64(8) {
 		var all []Posting
-		storm(seed, 40, 6, func(p Posting) { all = append(all, p) })
+		ledgertest.Storm(seed, 40, 6, func(p Posting) { all = append(all, p) })
 		for at := range all {
 			l := New(Limits{Rows: 1000, Open: 1000, Flight: 100}, false)
 			for _, p := range all[:at] {
@@ -165,7 +81,7 @@
 	for seed := range uint64(6) {
 		var all []Posting
 		module := map[uint64]int64{} // what its tallies hold
-		storm(seed, 30, 8, func(p Posting) {
+		ledgertest.Storm(seed, 30, 8, func(p Posting) {
 			all = append(all, p)
 			switch p.Event {
 			case UnitsDrawn, UnitsReturned:
@@ -193,9 +109,10 @@
 					}
 				}
 				found := append(l.Audit(true), l.Overdue(1)...)
-				found = append(found, l.AuditAccounts(l.Accounts(), func(c uint64) (float64, bool) {
+				units, _ := l.AuditAccounts(l.Accounts(), func(c uint64) (float64, bool) {
 					return float64(module[c]) / 1e6, true
-				}, 0)...)
+				})
+				found = append(found, units...)
 				right := false
 				for _, m := range found {
 					if m.Key != bad.Key {
@@ -253,6 +170,7 @@
 		l := New(Limits{Rows: rapid.SampledFrom([]int{16, 1000}).Draw(t, "rows"), Open: 1000, Flight: 10}, true)
 		tries, keyed := 0, 0
 		sum, rows, n := map[Key]*Counts{}, map[Key]Kept{}, 0
+		var open []Open
 		take := func() {
 			s := l.Statement()
 			tries += len(s.Tries)
@@ -262,19 +180,29 @@
 				}
 				sum[d.Key].Add(&d.Counts)
 			}
+			open = s.Open
 			for _, k := range s.Rows {
 				if rows[k.Key] = k; k.Gone {
 					delete(rows, k.Key)
 				}
 			}
 		}
-		storm(rapid.Uint64().Draw(t, "seed"), 200, 12, func(p Posting) {
+		ledgertest.Storm(rapid.Uint64().Draw(t, "seed"), 200, 12, func(p Posting) {
 			l.Post(p)
 			if p.Event == FrontKeyed {
 				keyed++
 			}
 			if n++; n%23 == 0 {
 				take()
+				// What a store holds after any statement adds up as well as what it was made of.
+				again := New(Limits{Rows: 1000, Open: 1000, Flight: 10}, true)
+				for _, k := range rows {
+					again.Restore(k)
+				}
+				for _, o := range open {
+					again.RestoreOpen(o)
+				}
+				quiet(t, again, "restored")
 			}
 		})
 		take()
@@ -301,7 +229,7 @@
 func BenchmarkPost(b *testing.B) {
 	l := New(Limits{Rows: 20000, Open: 10000, Flight: 4096}, true)
 	var all []Posting
-	storm(1, 2000, 300, func(p Posting) { all = append(all, p) })
+	ledgertest.Storm(1, 2000, 300, func(p Posting) { all = append(all, p) })
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		l.Post(all[i%len(all)])
--- /dev/null
+++ b/internal/ledger/names.go
@@ -0,0 +1,34 @@
+package ledger
+
+import "strconv"
+
+// Names are the words behind the numbers in keys, in their order.
+type Names struct{ Plans, Classes []string }
+
+// HaulierText is a haulier as commands and exports have it.
+func HaulierText(customer uint64) string {
+	if customer == Others {
+		return "others"
+	}
+	s := strconv.FormatUint(customer, 16)
+	return "0000000000000000"[min(16, len(s)):] + s
+}
+
+// Plan is the word for a plan's number.
+func (n Names) Plan(i int16) string { return word(n.Plans, i, map[int16]string{NoPlan: "-"}) }
+
+// Class is the word for a class's number.
+func (n Names) Class(i int16) string {
+	return word(n.Classes, i, map[int16]string{ClassQuery: "limit.get", ClassAdjust: "limit.adjust",
+		ClassAccount: "account"})
+}
+
+func word(words []string, i int16, own map[int16]string) string {
+	if s, ok := own[i]; ok {
+		return s
+	}
+	if i >= 0 && int(i) < len(words) {
+		return words[i]
+	}
+	return strconv.Itoa(int(i))
+}
--- /dev/null
+++ b/internal/ledger/store/store_test.go
@@ -0,0 +1,450 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+	"go.uber.org/zap"
+
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/ledgertest"
+	"dewhitch/internal/ledger/statement"
+)
+
+var names = ledger.Names{Plans: []string{"basic", "regular", "fleet"}, Classes: []string{"space-query", "booking"}}
+
+func options(dir string) Options {
+	return Options{Dir: dir, Node: "n0", Role: statement.Gateway, SegmentBytes: 16 << 10, Segments: 8, Records: 1 << 20,
+		Limits: ledger.Limits{Rows: 1000, Open: 1000, Flight: 64}, Log: zap.NewNop(), Wait: 50 * time.Millisecond}
+}
+
+// books are a ledger and its store, as a desk holds them.
+type books struct {
+	t *testing.T
+	*Store
+	l *ledger.Ledger
+}
+
+func opened(t *testing.T, o Options) (*books, *Recovered) {
+	t.Helper()
+	s, l, _, found, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &books{t, s, l}, found
+}
+
+func (b *books) post(p ledger.Posting) {
+	p.At = 1
+	b.l.Post(p)
+	b.Append(p)
+}
+
+func (b *books) state() error {
+	b.Cut(b.l.Statement())
+	return b.Commit(names)
+}
+
+// ready waits for the segment that is made ahead: with the disk well there is one before long.
+func (b *books) ready() {
+	for range 1000 {
+		if len(b.spares) > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// killed copies a folder as a SIGKILL at this moment would leave it.
+func killed(t *testing.T, dir string) string {
+	t.Helper()
+	to := t.TempDir()
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		b, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(to, e.Name()), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return to
+}
+
+// addUp checks that a ledger adds up with nothing open, and that its export adds up to it, each record once.
+func addUp(t *testing.T, dir string, l *ledger.Ledger) {
+	t.Helper()
+	if found := l.Audit(true); len(found) > 0 || l.Open() > 0 {
+		t.Fatalf("%v, %d open", found, l.Open())
+	}
+	total := l.Total()
+	if total.N[ledger.FrontTaken] != total.Ended() {
+		t.Fatalf("%d taken, %d ended", total.N[ledger.FrontTaken], total.Ended())
+	}
+	var stated ledger.Counts
+	var chain statement.Chain
+	if err := Records(dir, 0, func(_ []byte, r statement.Record) error {
+		if err := chain.Next(r); err != nil {
+			return err
+		}
+		c, err := r.ToCounts()
+		stated.Add(&c)
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if stated != total {
+		t.Fatalf("exported %d taken, %d served; in the books %d, %d", stated.N[ledger.FrontTaken],
+			stated.N[ledger.FrontServed], total.N[ledger.FrontTaken], total.N[ledger.FrontServed])
+	}
+}
+
+// 200 kills: at any posting, in the middle of a record, and of a statement; then again during the repair. Nothing that
+// was posted is lost, what was open is closed, and no record comes twice.
+func TestKills(t *testing.T) {
+	for seed := range uint64(10) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		dir := t.TempDir()
+		b, _ := opened(t, options(dir))
+		if err := b.state(); err != nil {
+			t.Fatal(err)
+		}
+		var taken uint64
+		kill := func(torn bool) {
+			copied := killed(t, dir)
+			if torn { // the record that was being written is there in part
+				path := filepath.Join(copied, filepath.Base(b.cur.path))
+				f, err := os.ReadFile(path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				at := headSize + b.cur.at*recordSize
+				for i := range 1 + r.IntN(recordSize-1) {
+					f[at+i] = byte(r.Uint32())
+				}
+				os.WriteFile(path, f, 0o600)
+			}
+			if r.IntN(2) == 0 { // killed again while it is repaired
+				again, _ := opened(t, options(copied))
+				again.Cut(again.l.Statement())
+				copied = killed(t, copied)
+				again.Close()
+			}
+			after, found := opened(t, options(copied))
+			defer after.Close()
+			if len(found.Notes) > 0 {
+				t.Fatalf("seed %d: %v", seed, found.Notes)
+			}
+			total := after.l.Total()
+			if total.N[ledger.FrontTaken] != taken {
+				t.Fatalf("seed %d: %d taken are known after the kill, of %d", seed, total.N[ledger.FrontTaken], taken)
+			}
+			if err := after.state(); err != nil {
+				t.Fatal(err)
+			}
+			addUp(t, copied, after.l)
+		}
+		n, kills := 0, 0
+		ledgertest.Storm(seed, 400, 30, func(p ledger.Posting) {
+			b.ready()
+			b.post(p)
+			if p.Event == ledger.FrontTaken {
+				taken++
+			}
+			n++
+			switch {
+			case r.IntN(90) == 0 && kills < 18:
+				kills++
+				kill(r.IntN(2) == 0)
+			case r.IntN(200) == 0: // cut, and not yet committed; then committed
+				b.Cut(b.l.Statement())
+				if kills < 19 {
+					kills++
+					kill(false)
+				}
+				if err := b.Commit(names); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+		for ; kills < 20; kills++ {
+			kill(kills%2 == 0)
+		}
+		if err := b.state(); err != nil {
+			t.Fatal(err)
+		}
+		addUp(t, dir, b.l)
+		b.Close()
+	}
+}
+
+// failing is a disk that has no room while full is set.
+type failing struct {
+	disk
+	full atomic.Bool
+}
+
+func (f *failing) Create(path string, size int) ([]byte, error) {
+	if f.full.Load() {
+		return nil, &os.PathError{Op: "create", Path: path, Err: syscall.ENOSPC}
+	}
+	return f.disk.Create(path, size)
+}
+
+// A disk that is full, and a store that can't be written: the books go on in memory, the log breaks off with a mark and
+// is taken up again, a crash meanwhile leaves figures that add up and says what was not kept, and afterwards all is there.
+func TestDiskFull(t *testing.T) {
+	dir := t.TempDir()
+	o := options(dir)
+	files := &failing{}
+	o.Files = files
+	b, _ := opened(t, o)
+	defer b.Close()
+	if err := b.state(); err != nil {
+		t.Fatal(err)
+	}
+	reader, err := bbolt.Open(filepath.Join(dir, dbName), 0o600, &bbolt.Options{ReadOnly: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.ready()
+	files.full.Store(true)
+	var taken uint64
+	flood := func(seed uint64) {
+		ledgertest.Storm(seed, 400, 30, func(p ledger.Posting) {
+			if !files.full.Load() {
+				b.ready()
+			}
+			p.Ref += seed << 32
+			b.post(p)
+			if p.Event == ledger.FrontTaken {
+				taken++
+			}
+		})
+	}
+	flood(1)
+	if b.Kept() {
+		t.Fatal("more was kept than there is room for")
+	}
+	if err := b.state(); !errors.Is(err, bbolt.ErrTimeout) {
+		t.Fatalf("a statement to a store that is held: %v", err)
+	}
+	flood(2)
+	copied := killed(t, dir)
+	after, found := opened(t, options(copied))
+	if notes := strings.Join(found.Notes, "; "); !strings.Contains(notes, "was not kept") {
+		t.Errorf("after a crash with a full disk it says %q", notes)
+	}
+	if err := after.state(); err != nil {
+		t.Fatal(err)
+	}
+	addUp(t, copied, after.l)
+	after.Close()
+
+	files.full.Store(false)
+	reader.Close()
+	for range 2 { // the first makes room for the log, the second takes it up
+		if err := b.state(); err != nil {
+			t.Fatal(err)
+		}
+		b.ready()
+	}
+	if !b.Kept() {
+		t.Fatal("with room on the disk, the log is not taken up")
+	}
+	flood(3)
+	copied = killed(t, dir)
+	after, found = opened(t, options(copied))
+	defer after.Close()
+	if total := after.l.Total(); total.N[ledger.FrontTaken] != taken || len(found.Notes) > 0 {
+		t.Errorf("%d taken are known, of %d; %v", total.N[ledger.FrontTaken], taken, found.Notes)
+	}
+	if err := after.state(); err != nil {
+		t.Fatal(err)
+	}
+	addUp(t, copied, after.l)
+}
+
+// What is torn or corrupt is found, set aside and said, and the next books begin at nothing or at what can be trusted.
+func TestCorruption(t *testing.T) {
+	dir := t.TempDir()
+	b, _ := opened(t, options(dir))
+	if err := b.state(); err != nil {
+		t.Fatal(err)
+	}
+	post := func(p ledger.Posting) {
+		b.ready()
+		b.post(p)
+	}
+	ledgertest.Storm(3, 300, 20, post)
+	if err := b.state(); err != nil {
+		t.Fatal(err)
+	}
+	ledgertest.Storm(4, 100, 20, post)
+	total := b.l.Total()
+	spoil := func(dir, name string, at func(size int) int, with string) {
+		path := filepath.Join(dir, name)
+		f, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i := at(len(f)); with == "" {
+			f = f[:i]
+		} else {
+			copy(f[i:], with)
+		}
+		os.WriteFile(path, f, 0o600)
+	}
+	row := func(dir string) func(int) int { // where some haulier's row begins in the store
+		f, _ := os.ReadFile(filepath.Join(dir, dbName))
+		i := bytes.LastIndex(f, rowKey(b.l.Lines()[9].Key))
+		return func(int) int { return i + 14 }
+	}
+	wal := filepath.Base(b.cur.path)
+	for what, c := range map[string]struct {
+		do    func(dir string)
+		aside bool
+		least uint64 // taken that are still known
+	}{
+		"a row":                {func(dir string) { spoil(dir, dbName, row(dir), "~~~~") }, true, 0},
+		"both heads":           {func(dir string) { spoil(dir, dbName, func(int) int { return 0 }, strings.Repeat("~", 8192)) }, true, 0},
+		"a store cut short":    {func(dir string) { spoil(dir, dbName, func(int) int { return 9000 }, "") }, true, 0},
+		"the middle of a log":  {func(dir string) { spoil(dir, wal, func(int) int { return headSize + 50*recordSize + 7 }, "~~~") }, false, 200},
+		"the head of a log":    {func(dir string) { spoil(dir, wal, func(int) int { return 3 }, "~~~") }, false, 200},
+		"a log cut short":      {func(dir string) { spoil(dir, wal, func(int) int { return 20 }, "") }, false, 200},
+		"a store of no length": {func(dir string) { spoil(dir, dbName, func(int) int { return 100 }, "") }, true, 0},
+	} {
+		t.Run(what, func(t *testing.T) {
+			copied := killed(t, dir)
+			c.do(copied)
+			after, found := opened(t, options(copied))
+			defer after.Close()
+			if len(found.Notes) == 0 {
+				t.Error("nothing is said")
+			}
+			bad, _ := filepath.Glob(filepath.Join(copied, dbName+".bad-*"))
+			if c.aside != (len(bad) == 1) {
+				t.Errorf("set aside: %v", bad)
+			}
+			got := after.l.Total()
+			if n := got.N[ledger.FrontTaken]; n < c.least || n > total.N[ledger.FrontTaken] {
+				t.Errorf("%d taken are known", n)
+			}
+			if err := after.state(); err != nil {
+				t.Fatal(err)
+			}
+			addUp(t, copied, after.l)
+		})
+	}
+	if _, _, _, _, err := Open(options(dir)); !errors.Is(err, ErrInUse) {
+		t.Errorf("a second gateway on the same folder: %v", err)
+	}
+	b.Close()
+}
+
+// A reader beside a gateway at work sees what was posted up to then, and records beyond the bound are gone.
+func TestReadBeside(t *testing.T) {
+	o := options(t.TempDir())
+	o.Records = 50
+	b, _ := opened(t, o)
+	defer b.Close()
+	if err := b.state(); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	ledgertest.Storm(5, 300, 20, func(p ledger.Posting) {
+		b.ready()
+		b.post(p)
+		if n++; n%200 != 0 {
+			return
+		}
+		v, err := Read(o.Dir)
+		if err != nil || v.Ledger.Total() != b.l.Total() || v.Ledger.Open() != b.l.Open() {
+			t.Fatalf("after %d postings: %v", n, err)
+		}
+		if found := v.Ledger.Audit(true); len(found) > 0 {
+			t.Fatal(found)
+		}
+		if err := b.state(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	v, err := Read(o.Dir)
+	if err != nil || v.Last-v.First != 49 {
+		t.Errorf("records %d to %d, %v", v.First, v.Last, err)
+	}
+	if fmt.Sprint(v.Names) != fmt.Sprint(names) {
+		t.Errorf("names %v", v.Names)
+	}
+}
+
+// Ways to make a posting last, as docs/design/ledger.md weighs them.
+func BenchmarkKeep(b *testing.B) {
+	p := ledger.Posting{Event: ledger.FrontTaken, Key: ledger.Key{Customer: 7}, Ref: 1, Units: 1e6, At: 1}
+	b.Run("mapped log", func(b *testing.B) {
+		o := options(b.TempDir())
+		o.SegmentBytes = 4 << 20
+		s, _, _, _, err := Open(o)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer s.Close()
+		for i := 0; b.Loop(); i++ {
+			if i%80000 == 0 { // as a statement does in time
+				b.StopTimer()
+				time.Sleep(5 * time.Millisecond)
+				s.Cut(ledger.Statement{})
+				if err := s.Commit(names); err != nil {
+					b.Fatal(err)
+				}
+				b.StartTimer()
+			}
+			s.Append(p)
+		}
+	})
+	b.Run("written log", func(b *testing.B) {
+		f, err := os.Create(filepath.Join(b.TempDir(), "log"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer f.Close()
+		rec := make([]byte, recordSize)
+		for i := 0; b.Loop(); i++ {
+			encode(rec, 1, uint32(i), p)
+			if _, err := f.Write(rec); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("embedded store, a transaction each, unsynced", func(b *testing.B) {
+		db, err := bbolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, &bbolt.Options{NoSync: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer db.Close()
+		rec := make([]byte, recordSize)
+		for i := 0; b.Loop(); i++ {
+			encode(rec, 1, uint32(i), p)
+			if err := db.Update(func(tx *bbolt.Tx) error {
+				k, err := tx.CreateBucketIfNotExists(bucketRows)
+				if err != nil {
+					return err
+				}
+				return k.Put(rowKey(p.Key), rec)
+			}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
