Read, check, export and merge the books; add a long run with kills that reckons up

Change: dewhitch ledger show, verify, export, merge. internal/soak and cmd/soak run three gateways and a forwarder among stand-ins that reset, stall, spoil and break off, kill a node every so often, some again during their repair, and compare the books with what clients, backends and the counter saw.

--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -22,6 +22,7 @@
 
 	Serve   serveCmd   `cmd:"" help:"Serve as one gateway."`
 	Forward forwardCmd `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
+	Ledger  ledgerCmd  `cmd:"" help:"Read, check, export and merge the books."`
 	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and end."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,359 @@
+// Package soak runs gateways and a forwarder among stand-ins that reset, stall and spoil, kills one every so often, and
+// then reckons up: what the ledgers say against what hauliers' clients, backends and the counter saw, to the request. It
+// owns the processes and stand-ins of a run; it decides nothing in them and shares no code with what it checks.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dewhitch/internal/ledger/statement"
+	"dewhitch/internal/ledger/store"
+	"dewhitch/internal/standin"
+	"dewhitch/internal/standin/zookeeper"
+)
+
+// Plan says what to run.
+type Plan struct {
+	Program  string        // dewhitch, built
+	Dir      string        // for the nodes' files; it must be empty
+	Length   time.Duration // of the load
+	Kill     time.Duration // between two kills
+	Seed     uint64
+	Hauliers int // that come to the gateways themselves; half as many more come through the forwarder
+	Out      io.Writer
+}
+
+const (
+	gateways = 3
+	nodes    = 6
+	patience = 30 * time.Second // for what must come
+)
+
+// word is a plan or class of the settings.
+var (
+	plans   = []string{"basic", "regular", "fleet"}
+	classes = []string{"space-query", "booking"}
+)
+
+// node is one program of the run.
+type node struct {
+	name, role, listen, limits string
+	dir                        string
+	args                       []string
+	mu                         sync.Mutex
+	prog                       *standin.Program
+	logs                       []string // of earlier lives
+	kills                      int
+}
+
+// world is all of a run.
+type world struct {
+	Plan
+	backends *standin.Backends
+	counter  *standin.Counter
+	director *standin.Director
+	registry *zookeeper.Server
+	nodes    []*node // the gateways, then the forwarder
+	tallies  tallies
+}
+
+// Run carries a plan out and prints the reckoning. An error says what does not hold.
+func Run(ctx context.Context, p Plan) error {
+	w := &world{Plan: p, tallies: tallies{rows: map[Row]*Tally{}}}
+	defer w.close()
+	if err := w.open(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w.Out, "seed %d: %d gateways, a forwarder, %d backends, for %v, a kill every %v\n", p.Seed, gateways, nodes,
+		p.Length, p.Kill)
+	load, stop := context.WithTimeout(ctx, p.Length)
+	defer stop()
+	var all sync.WaitGroup
+	for h := range p.Hauliers + p.Hauliers/2 {
+		all.Go(func() { w.haulier(load, uint64(h+1)) })
+	}
+	faults := make(chan error, 3)
+	all.Go(func() { faults <- w.kill(load) })
+	all.Go(func() { w.trouble(load) })
+	all.Go(func() { faults <- w.look(load) })
+	all.Wait()
+	for range 2 {
+		if err := <-faults; err != nil {
+			return err
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if err := w.end(); err != nil {
+		return err
+	}
+	return w.reckon()
+}
+
+// open starts the stand-ins and the programs.
+func (w *world) open() (err error) {
+	weights := map[standin.Deed]struct {
+		Weight float64
+		Delay  time.Duration
+	}{standin.Serve: {90, 20 * time.Millisecond}, standin.Fail: {2, 0}, standin.Busy: {2, 0}, standin.Reset: {1.5, 5 * time.Millisecond},
+		standin.Stall: {0.5, 0}, standin.Spoil: {1, 0}, standin.Extra: {1, 0}, standin.Broken: {1, 0}}
+	if w.backends, err = standin.NewBackends(nodes, true, standin.Weighted(w.Seed, weights)); err != nil {
+		return err
+	}
+	if w.counter, err = standin.NewCounter(); err != nil {
+		return err
+	}
+	if w.director, err = standin.NewDirector(w.members(-1), 1); err != nil {
+		return err
+	}
+	if w.registry, err = zookeeper.New(); err != nil {
+		return err
+	}
+	for i := range gateways {
+		n := &node{name: "n" + strconv.Itoa(i), role: statement.Gateway, listen: standin.OwnAddr(), limits: standin.OwnAddr(),
+			args: []string{"serve"}}
+		w.nodes = append(w.nodes, n)
+	}
+	f := &node{name: "forwarder", role: statement.Forwarder, listen: standin.OwnAddr(), args: []string{"forward"}}
+	w.nodes = append(w.nodes, f)
+	for i, n := range w.nodes {
+		if err := w.configure(i, n); err != nil {
+			return err
+		}
+		if err := w.start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// members is the list of backends, with one of them draining unless that is below 0.
+func (w *world) members(draining int) string {
+	var list []string
+	for i, l := range w.backends.Nodes {
+		phase := "up"
+		if i == draining {
+			phase = "draining"
+		}
+		list = append(list, standin.Member(fmt.Sprintf("s-%08x", i+1), l.Addr(), phase))
+	}
+	return standin.Members(list...)
+}
+
+// configure writes a node's files.
+func (w *world) configure(i int, n *node) error {
+	n.dir = filepath.Join(w.Dir, n.name)
+	if err := os.MkdirAll(n.dir, 0o750); err != nil {
+		return err
+	}
+	type object = map[string]any
+	config := object{"name": n.name, "listen": n.listen, "discovery": w.director.Addr(), "counter": w.counter.Addr(),
+		"seed":   fmt.Sprintf("%016x", w.Seed+uint64(i)),
+		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 512},
+		"settings": object{"NInstances": gateways, "MyNumber": i % gateways, "Areas": []string{"hall-a"}, "Kinds": []string{"std-3c"},
+			"Tick": 4_000_000,
+			"Caps": object{"ConnIdle": 15_000_000_000, "ConnectTimeout": 250_000_000, "MaxRetryAfter": 500_000_000, "MayCancel": true,
+				"RetryAfter": true, "TryLimit": 6},
+			"Contracts": []object{
+				{"Name": plans[0], "QuotaRate": 20, "Depth": 30, "OverrunCost": 0.8, "Pays": 0.8},
+				{"Name": plans[1], "QuotaRate": 40, "Depth": 80, "BeyondEarns": 0.2, "Pays": 1.1},
+				{"Name": plans[2], "QuotaRate": 60, "Depth": 90, "CapRate": 120, "HardBurst": 180, "Tolerance": 18, "Open": 40,
+					"OverrunCost": 1, "Pays": 1.4}},
+			"FamilyInfo": object{"Counter": true, "CountLimit": 30_000_000, "UnitsTop": 4},
+			"Feedback":   object{"Source": "answers", "Fields": []string{"queue", "inflight", "qps"}},
+			"RequestClasses": []object{
+				{"Name": classes[0], "Aim": 1_500_000_000, "Deadline": 4_000_000_000, "Effect": "safe", "Points": 1},
+				{"Name": classes[1], "Aim": 2_000_000_000, "Deadline": 5_000_000_000, "DedupWindow": 3_000_000_000, "Effect": "keyed",
+					"Group": "all", "Points": 5}},
+			"Rules": object{"AnswerSlack": 16_000_000, "Cold": 13_000_000_000, "Fall": 3_000_000_000, "FallMultiple": 3,
+				"StartCapacity": 0.22, "StopSendingWithin": 500_000_000}}}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	limits := fmt.Sprintf("listen = %q\n[registry]\nservers = [%q]\nsession_ms = 1500\n[forward]\nlisten = %q\ngateways = %d\n",
+		n.limits, w.registry.Addr(), n.listen, gateways)
+	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 250\nstatement_ms = 1000\nsegment_mb = 1\nrows = 2000\ndir = %q\n",
+		filepath.Join(n.dir, "ledger"))
+	for name, text := range map[string]string{"config.json": string(text), "limits.toml": limits, "operations.toml": operations} {
+		if err := os.WriteFile(filepath.Join(n.dir, name), []byte(text), 0o640); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts a node and waits until it listens.
+func (w *world) start(n *node) error {
+	cmd := exec.Command(w.Program, append([]string{"--limits", filepath.Join(n.dir, "limits.toml"), "--operations",
+		filepath.Join(n.dir, "operations.toml")}, n.args...)...)
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(n.dir, "config.json"))
+	p, err := standin.Start(cmd)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.prog = p
+	n.mu.Unlock()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if c, err := standin.Dial(n.listen, time.Second); err == nil {
+			c.Close()
+			return nil
+		}
+		if p.Over() {
+			break
+		}
+	}
+	return fmt.Errorf("%s does not listen: %s", n.name, p.Log())
+}
+
+// kill ends a node outright every so often, the forwarder each fourth time, and starts it again; now and then it is
+// killed once more while it repairs its books.
+func (w *world) kill(ctx context.Context) error {
+	rng := rand.New(rand.NewPCG(w.Seed, 11))
+	tick := time.NewTicker(w.Kill)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		n := w.nodes[rng.IntN(gateways)]
+		if i%4 == 3 {
+			n = w.nodes[gateways]
+		}
+		for again := true; again; again = rng.IntN(4) == 0 {
+			n.prog.Kill()
+			n.logs = append(n.logs, n.prog.Log())
+			n.kills++
+			if rng.IntN(3) == 0 { // a start that is killed at once, in the midst of its repair
+				cmd := exec.Command(n.prog.Cmd.Path, n.prog.Cmd.Args[1:]...)
+				cmd.Env = n.prog.Cmd.Env
+				if p, err := standin.Start(cmd); err == nil {
+					time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+					p.Kill()
+					n.logs = append(n.logs, p.Log())
+					n.kills++
+				}
+			}
+			if err := w.start(n); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// trouble has the counter misbehave for short spells, and backends drain and come back.
+func (w *world) trouble(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(w.Seed, 12))
+	modes := []string{"silent", "full", "reset", "spoilt", "late", "doubled", "interim"}
+	for ctx.Err() == nil {
+		wait(ctx, time.Duration(500+rng.IntN(2000))*time.Millisecond)
+		w.counter.Mode(modes[rng.IntN(len(modes))])
+		w.director.Set(w.members(rng.IntN(nodes)))
+		wait(ctx, time.Duration(100+rng.IntN(700))*time.Millisecond)
+		w.counter.Mode("add")
+		w.director.Set(w.members(-1))
+	}
+	w.counter.Mode("add")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// look reads the books of all nodes while they work, as an export does, and checks them each time.
+func (w *world) look(ctx context.Context) error {
+	for {
+		wait(ctx, 700*time.Millisecond)
+		if ctx.Err() != nil {
+			return nil
+		}
+		for _, n := range w.nodes {
+			dir := filepath.Join(n.dir, "ledger")
+			v, err := store.Read(dir)
+			if err != nil { // it is being started, or a statement is going in
+				continue
+			}
+			if found := v.Ledger.Audit(true); len(found) > 0 {
+				return fmt.Errorf("%s, read while it works: %+v: %v", n.name, found[0].Key, found[0])
+			}
+			var chain statement.Chain
+			if err := store.Records(dir, 0, func(_ []byte, r statement.Record) error { return chain.Next(r) }); errors.As(err, &statement.Fault{}) {
+				return err
+			}
+		}
+	}
+}
+
+// end has all nodes end as at a planned restart, the forwarder first.
+func (w *world) end() error {
+	for i := len(w.nodes) - 1; i >= 0; i-- {
+		n := w.nodes[i]
+		n.prog.Cmd.Process.Signal(syscall.SIGTERM)
+		if err := n.prog.Wait(patience); err != nil {
+			return fmt.Errorf("%s, at SIGTERM: %w\n%s", n.name, err, n.prog.Log())
+		}
+		n.logs = append(n.logs, n.prog.Log())
+	}
+	for _, n := range w.nodes {
+		for _, log := range n.logs {
+			for line := range strings.SplitSeq(log, "\n") {
+				for _, bad := range []string{"the books do not add up", "could not keep everything", "could not be kept",
+					"can't be used", "panic:", "DATA RACE"} {
+					if strings.Contains(line, bad) {
+						return fmt.Errorf("%s says: %s", n.name, line)
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		if n.prog != nil {
+			n.prog.Kill()
+		}
+		n.mu.Unlock()
+	}
+	if w.backends != nil {
+		w.backends.Close()
+	}
+	for _, s := range []interface{ Close() }{w.counter, w.director, w.registry} {
+		switch s := s.(type) {
+		case *standin.Counter:
+			if s != nil {
+				s.Close()
+			}
+		case *standin.Director:
+			if s != nil {
+				s.Close()
+			}
+		case *zookeeper.Server:
+			if s != nil {
+				s.Close()
+			}
+		}
+	}
+}
--- a/internal/standin/backends.go
+++ b/internal/standin/backends.go
@@ -182,7 +182,7 @@
 	case Extra:
 		good += "+noise\r\n"
 	case Broken:
-		good = good[:len(good)/2]
+		good = good[:strings.Index(good, "\r\n"+value)+2+len(value)/2]
 	}
 	_, err := conn.Write([]byte(good))
 	return err == nil && c.Did != Broken
