Book postings in batches, and write records without reflection

Change: what is posted is kept at once and waits in a queue that is booked many postings at a time; the last row is at hand; a row moves in the list once between two audits; records are written by an encoder of their own, rows in order.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,5 +1,6 @@
 // Command soak runs gateways and a forwarder under load among stand-ins that fail, kills one every so often, and prints
-// what the books say beside what everybody else saw. It ends with 1 if they do not agree.
+// what the books say beside what everybody else saw; it ends with 1 if they do not agree. It also measures what books
+// cost.
 package main
 
 import (
@@ -14,22 +15,46 @@
 )
 
 var cli struct {
-	Program  string        `default:"bin/dewhitch" help:"The program, built (${default})."`
+	Program string  `default:"bin/dewhitch" help:"The program, built (${default})."`
+	Run     runCmd  `cmd:"" default:"withargs" help:"Run, kill and reckon up."`
+	Cost    costCmd `cmd:"" help:"Measure books off, in memory and on the disk, in turn."`
+}
+
+type runCmd struct {
 	Length   time.Duration `default:"10m" help:"Of the load (${default})."`
 	Kill     time.Duration `default:"10s" help:"Between two kills (${default})."`
 	Hauliers int           `default:"24" help:"That come to the gateways; half as many more come through the forwarder (${default})."`
 	Seed     uint64        `default:"1" help:"Of all that is drawn (${default})."`
 }
 
+func (c runCmd) Run(ctx context.Context, dir folder) error {
+	return soak.Run(ctx, soak.Plan{Program: cli.Program, Dir: string(dir), Length: c.Length, Kill: c.Kill, Seed: c.Seed,
+		Hauliers: c.Hauliers, Out: os.Stdout})
+}
+
+type costCmd struct {
+	Rounds  int           `default:"7" help:"Of all three (${default})."`
+	Length  time.Duration `default:"5s" help:"Of each (${default})."`
+	Clients int           `default:"16" help:"That send one req after another (${default})."`
+	Pace    time.Duration `default:"8ms" help:"Between two reqs of a client (${default})."`
+}
+
+func (c costCmd) Run(ctx context.Context, dir folder) error {
+	return soak.Cost(ctx, soak.CostPlan{Program: cli.Program, Dir: string(dir), Rounds: c.Rounds, Length: c.Length,
+		Clients: c.Clients, Pace: c.Pace, Out: os.Stdout})
+}
+
+// folder holds the nodes' files.
+type folder string
+
 func main() {
 	k := kong.Parse(&cli, kong.Name("soak"), kong.Description("A long run of dewhitch among failures, with a reckoning."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	dir, err := os.MkdirTemp("", "soak")
 	k.FatalIfErrorf(err)
-	err = soak.Run(ctx, soak.Plan{Program: cli.Program, Dir: dir, Length: cli.Length, Kill: cli.Kill, Seed: cli.Seed,
-		Hauliers: cli.Hauliers, Out: os.Stdout})
-	if err == nil {
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err = k.Run(folder(dir)); err == nil {
 		os.RemoveAll(dir)
 	} else {
 		k.Errorf("the nodes' files are in %s", dir)
--- a/internal/ledger/audit.go
+++ b/internal/ledger/audit.go
@@ -63,6 +63,8 @@
 // and the sum over them. What does not add up is returned, in the order of the keys. A row that nothing was posted to
 // stands as it stood.
 func (l *Ledger) Audit(all bool, watched ...Key) (found []Mismatch) {
+	l.last = nil
+	l.epoch++
 	found, l.found = l.found, nil
 	table := map[Key]*transit{}
 	for _, e := range l.table {
@@ -210,6 +212,7 @@
 
 // Accounts names the accounts of hauliers that were posted to since it last did, and those that hold units.
 func (l *Ledger) Accounts() (keys []Key) {
+	l.last = nil
 	kept := l.accounts[:0]
 	for _, r := range l.accounts {
 		if l.rows[r.key] != r {
--- /dev/null
+++ b/internal/ledger/desk/bench_test.go
@@ -0,0 +1,56 @@
+package desk_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/desk"
+	"dewhitch/internal/ledger/store"
+
+	"go.uber.org/zap"
+)
+
+// BenchmarkReq posts what one served req leads to: nine postings, and a tenth for the units drawn.
+func BenchmarkReq(b *testing.B) {
+	for _, mode := range []string{"memory", "disk"} {
+		b.Run(mode, func(b *testing.B) {
+			o := desk.Options{Limits: ledger.Limits{Rows: 20000, Open: 65536, Flight: 4096}, Patience: time.Second,
+				Names: ledger.Names{Plans: []string{"basic"}, Classes: []string{"space-query"}}, Log: zap.NewNop()}
+			l := ledger.New(o.Limits, mode == "disk")
+			var k desk.Keeper
+			if mode == "disk" {
+				s, kept, _, _, err := store.Open(store.Options{Dir: b.TempDir(), Node: "n0", SegmentBytes: 4 << 20, Segments: 8,
+					Records: 1 << 20, Limits: o.Limits, Log: o.Log})
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer s.Close()
+				k, l = s, kept
+			}
+			d := desk.New(l, ledger.Names{}, k, o)
+			d.State()
+			events := []ledger.Event{ledger.FrontTaken, ledger.PlanTaken, ledger.UnitsDrawn, ledger.PlanSent, ledger.FetchBegan,
+				ledger.FetchOK, ledger.PlanHeard, ledger.PlanServed, ledger.FrontServed}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if i%10000 == 9999 {
+					b.StopTimer()
+					d.State()
+					time.Sleep(time.Millisecond)
+					b.StartTimer()
+				}
+				key, ref := d.Row(uint64(i%1600), 0, 0), d.Ref()
+				for _, e := range events {
+					p := ledger.Posting{Event: e, Key: key, Ref: ref, Units: 1e6}
+					if e == ledger.UnitsDrawn {
+						p.Key, p.Ref = ledger.Account(key.Customer), 0
+					}
+					d.Post(p)
+				}
+			}
+		})
+	}
+	_ = fmt.Sprint()
+}
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -1,6 +1,7 @@
 // Package desk is where the parts of a running gateway post to the ledger: it numbers reqs, keeps the names of plans and
 // classes, puts the time on postings, audits the books every second, and raises and clears alarms. It owns the one
-// ledger.Ledger of the process, under a lock that is held for one posting or one audit. It decides nothing on reqs, and
+// ledger.Ledger of the process. What is posted is kept at once, under a lock that is held for that alone, and booked a
+// moment later, many postings at a time. It decides nothing on reqs, and
 // nothing that it does can refuse or delay one beyond that lock.
 package desk
 
@@ -34,11 +35,13 @@
 // Row implements the owners' interfaces.
 func (Nobody) Row(uint64, int, int) ledger.Key { return ledger.Key{} }
 
-// Keeper makes the books last. Append is called under the desk's lock, and must neither block nor fail; the others are
-// called by Run alone.
+// Keeper makes the books last. Append and Mark are called under the desk's lock, and must neither block nor fail; the
+// others are called by Run alone.
 type Keeper interface {
 	Append(ledger.Posting)
-	// Cut is called under the desk's lock, with the statement that closes a period: what is appended later is not in it.
+	// Mark ends a period: what is appended later belongs to the next.
+	Mark()
+	// Cut takes the statement that closes the period that was marked.
 	Cut(ledger.Statement)
 	// Commit makes what was cut last, and may take its time.
 	Commit(ledger.Names) error
@@ -57,11 +60,13 @@
 
 // The bounds.
 const (
-	fullEvery = 4   // audits: every so manyth is of all rows
-	maxNames  = 200 // of plans, and of classes
-	flightOf  = 32  // postings of a row that an alarm shows
-	maxAlarms = 256 // that are told apart; more are counted
-	Overflow  = "…" // the name of plans and classes beyond maxNames
+	fullEvery = 4     // audits: every so manyth is of all rows
+	maxNames  = 200   // of plans, and of classes
+	flightOf  = 32    // postings of a row that an alarm shows
+	maxAlarms = 256   // that are told apart; more are counted
+	batch     = 1024  // postings that wait to be booked, before Run is told
+	maxBatch  = 65536 // and before whoever posts books them itself
+	Overflow  = "…"   // the name of plans and classes beyond maxNames
 )
 
 // Desk keeps one gateway's books.
@@ -69,9 +74,18 @@
 	o    Options
 	refs atomic.Uint64
 
+	// What is posted is kept at once, and waits here to be booked: many at a time cost a fraction of one by one. It is
+	// held for a posting, no longer.
+	posting sync.Mutex
+	keeper  Keeper
+	queue   []ledger.Posting
+	empty   []ledger.Posting // the other buffer
+	now     int64
+	full    chan struct{}
+
+	// Behind mu are the books. Whoever needs both takes mu first.
 	mu     sync.Mutex
 	l      *ledger.Ledger
-	keeper Keeper
 	names  ledger.Names
 	plans  []int16 // by the settings' places
 	class  []int16
@@ -95,7 +109,7 @@
 // New makes a desk for books that may hold something already, with the names that the numbers in them stand for. The
 // keeper may be nil.
 func New(l *ledger.Ledger, known ledger.Names, k Keeper, o Options) *Desk {
-	d := &Desk{o: o, l: l, keeper: k, names: known, alarms: map[alarmKey]bool{}, read: map[ledger.Key]bool{}}
+	d := &Desk{o: o, l: l, keeper: k, full: make(chan struct{}, 1), names: known, alarms: map[alarmKey]bool{}, read: map[ledger.Key]bool{}}
 	for i, names := range [2][]string{known.Plans, known.Classes} {
 		d.byName[i] = map[string]int16{}
 		for n, s := range names {
@@ -150,18 +164,52 @@
 
 // Post books one posting, at the present.
 func (d *Desk) Post(p ledger.Posting) {
-	now := time.Now().UnixNano()
-	d.mu.Lock()
-	d.post(p, now)
-	d.mu.Unlock()
-}
-
-func (d *Desk) post(p ledger.Posting, now int64) {
-	p.At = now
-	d.l.Post(p)
+	now := int64(0)
+	if timed[p.Event] {
+		now = time.Now().UnixNano()
+	}
+	d.posting.Lock()
+	if now != 0 {
+		d.now = now
+	}
+	p.At = d.now // of the last that was timed: readers want the order more than the microsecond
 	if d.keeper != nil {
 		d.keeper.Append(p)
 	}
+	d.queue = append(d.queue, p)
+	n := len(d.queue)
+	d.posting.Unlock()
+	if n == batch {
+		select {
+		case d.full <- struct{}{}:
+		default:
+		}
+	} else if n >= maxBatch { // Run does not come to it
+		d.mu.Lock()
+		d.book(nil)
+		d.mu.Unlock()
+	}
+}
+
+// timed are the events whose time is of use: they open something, or end a req.
+var timed = [ledger.Events]bool{ledger.FrontTaken: true, ledger.FrontServed: true, ledger.FrontRefused: true,
+	ledger.FrontFailed: true, ledger.FrontGone: true, ledger.FrontCut: true, ledger.FrontKept: true, ledger.UnitsTold: true}
+
+// book books what waits; mark, if any, is called where the next posting begins anew. The lock mu is held.
+func (d *Desk) book(mark func()) {
+	d.posting.Lock()
+	waiting := d.queue
+	d.queue = d.empty[:0]
+	if mark != nil {
+		mark()
+	}
+	d.posting.Unlock()
+	for _, p := range waiting {
+		d.l.Post(p)
+	}
+	if d.empty = waiting[:0]; cap(waiting) > 4*batch {
+		d.empty = nil
+	}
 }
 
 // Tallies tells how the decision module's tallies are read: f is to be called where nothing is drawn meanwhile.
@@ -191,6 +239,10 @@
 			d.Audit(d.audits%fullEvery == 0)
 		case <-state:
 			d.State()
+		case <-d.full:
+			d.mu.Lock()
+			d.book(nil)
+			d.mu.Unlock()
 		}
 	}
 }
@@ -201,6 +253,7 @@
 		return
 	}
 	d.mu.Lock()
+	d.book(d.keeper.Mark)
 	d.keeper.Cut(d.l.Statement())
 	names := ledger.Names{Plans: slices.Clone(d.names.Plans), Classes: slices.Clone(d.names.Classes)}
 	d.mu.Unlock()
@@ -215,18 +268,21 @@
 	if visit == nil {
 		return
 	}
+	d.mu.Lock()
+	d.book(nil) // here, so that little is left to do on the planner
+	d.mu.Unlock()
 	_ = (*visit)(func(tally func(uint64) (float64, bool)) { // a planner that has stopped has no tallies
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		d.book(nil)
 		keys := d.l.Accounts()
-		now := time.Now().UnixNano()
 		for _, k := range keys {
 			d.read[k] = true
 		}
 		found, forgotten := d.l.AuditAccounts(keys, tally)
 		d.fresh = append(d.fresh, found...)
 		for _, p := range forgotten {
-			d.post(p, now)
+			d.Post(p)
 		}
 	})
 }
@@ -234,6 +290,7 @@
 // Audit checks the books, raises what is new and clears what is over.
 func (d *Desk) Audit(all bool) {
 	d.mu.Lock()
+	d.book(nil)
 	watched := make([]ledger.Key, 0, len(d.alarms))
 	for a := range d.alarms {
 		if !a.all {
@@ -346,6 +403,7 @@
 func (d *Desk) Report() Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.book(nil)
 	r := Report{Names: d.names, Total: d.l.Total(), Open: d.l.Open(), Evictions: d.l.Evictions, Abandoned: d.l.Abandoned,
 		Alarms: len(d.alarms), Raised: d.raised.Load(), Cleared: d.cleared.Load()}
 	r.Rows, r.Lines = d.l.Sums()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -61,6 +61,7 @@
 	unkept bool             // and since the last statement
 	unread bool             // it is in the ledger's accounts
 	at     *list.Element
+	moved  uint64 // epoch in which it was moved to the front
 }
 
 // Limits bound a ledger's memory.
@@ -76,6 +77,8 @@
 	rows      map[Key]*row
 	recent    *list.List // of *row, the one posted to last in front; those rolled up are not in it
 	table     map[uint64]*Entry
+	last      *row   // that was posted to, and has been touched since the last audit or statement
+	epoch     uint64 // audits and statements
 	total     Counts // over all rows, booked beside them
 	dirty     []*row
 	unkept    []*row
@@ -122,6 +125,9 @@
 
 // row finds or makes the row of a key, and takes note that it changes.
 func (l *Ledger) row(k Key) *row {
+	if l.last != nil && l.last.key == k { // postings on one req come close together
+		return l.last
+	}
 	r := l.rows[k]
 	if r == nil {
 		if l.recent.Len() >= l.limits.Rows && k.Customer != Others {
@@ -132,9 +138,10 @@
 		if k.Customer != Others {
 			r.at = l.recent.PushFront(r)
 		}
-	} else if r.at != nil {
+	} else if r.at != nil && r.moved != l.epoch { // once between two audits is order enough
 		l.recent.MoveToFront(r.at)
 	}
+	r.moved, l.last = l.epoch, r
 	l.touch(r)
 	return r
 }
@@ -180,6 +187,9 @@
 	}
 	l.recent.Remove(r.at)
 	delete(l.rows, r.key)
+	if l.last == r {
+		l.last = nil
+	}
 	l.Evictions++
 	k := r.key
 	k.Customer = Others
@@ -430,6 +440,7 @@
 
 // Statement closes a period.
 func (l *Ledger) Statement() Statement {
+	l.last = nil
 	s := Statement{Deltas: l.evicted, Tries: l.tries}
 	for _, k := range l.gone { // one that has come again follows below
 		s.Rows = append(s.Rows, Kept{Key: k, Gone: true})
--- a/internal/ledger/statement/merge.go
+++ b/internal/ledger/statement/merge.go
@@ -68,16 +68,11 @@
 	n.Lives = max(n.Lives, r.Life)
 	switch r.Kind {
 	case Figures:
-		c, err := r.ToCounts()
-		if err != nil {
-			m.Faults = append(m.Faults, err)
-			return
-		}
 		name := Name{r.Haulier, r.Plan, r.Class}
 		if n.Rows[name] == nil {
 			n.Rows[name] = &ledger.Counts{}
 		}
-		n.Rows[name].Add(&c)
+		n.Rows[name].Add(r.Figures)
 	case Try:
 		if m.many++; m.many <= maxTries {
 			at := [2]string{r.Haulier, r.Key}
--- a/internal/ledger/statement/record.go
+++ b/internal/ledger/statement/record.go
@@ -35,66 +35,135 @@
 
 // Record is one line of an export.
 type Record struct {
-	Seq     uint64            `json:"seq"` // by node, from 1 without gaps
-	Node    string            `json:"node"`
-	Role    string            `json:"role"`
-	Life    uint64            `json:"life"` // of the process, from 1
-	Kind    string            `json:"kind"`
-	From    time.Time         `json:"from"`
-	To      time.Time         `json:"to"`
-	Haulier string            `json:"haulier,omitempty"`
-	Plan    string            `json:"plan,omitempty"`
-	Class   string            `json:"class,omitempty"`
-	Counts  map[string]uint64 `json:"counts,omitempty"`
-	Units   map[string]int64  `json:"units_millionths,omitempty"`
-	Key     string            `json:"key_hash,omitempty"` // of a try
-	End     string            `json:"end,omitempty"`
-	Note    string            `json:"note,omitempty"`
-	Chain   string            `json:"chain"` // a hash of the chain before and of this record
+	Seq     uint64         `json:"seq"` // by node, from 1 without gaps
+	Node    string         `json:"node"`
+	Role    string         `json:"role"`
+	Life    uint64         `json:"life"` // of the process, from 1
+	Kind    string         `json:"kind"`
+	From    time.Time      `json:"from"`
+	To      time.Time      `json:"to"`
+	Haulier string         `json:"haulier,omitempty"`
+	Plan    string         `json:"plan,omitempty"`
+	Class   string         `json:"class,omitempty"`
+	Figures *ledger.Counts `json:"-"`                  // of figures: as counts and units_millionths, by the events' names, zeros left out
+	Key     string         `json:"key_hash,omitempty"` // of a try
+	End     string         `json:"end,omitempty"`
+	Note    string         `json:"note,omitempty"`
+	Chain   string         `json:"chain"` // a hash of the chain before and of this record
 }
 
-// Seal sets the record's chain, behind the one of the record before; it returns the line, without its end.
-func (r *Record) Seal(before string) ([]byte, error) {
-	r.Chain = ""
-	line, err := json.Marshal(r)
-	if err != nil {
-		return nil, err
+// Seal sets the record's chain, behind the one of the record before, and appends the record's line, without its end.
+func (r *Record) Seal(b []byte, before string) []byte {
+	from := len(b)
+	b = r.append(b)
+	h := sha256.New()
+	h.Write([]byte(before))
+	h.Write(b[from:])
+	var sum [sha256.Size]byte
+	r.Chain = hex.EncodeToString(h.Sum(sum[:0])[:8])
+	return append(appendText(b, `,"chain":`, r.Chain), '}')
+}
+
+// append writes the record but for its chain and its end. There is one way to write a record, so that a reader can write
+// it again and find the same hash.
+func (r *Record) append(b []byte) []byte {
+	b = strconv.AppendUint(append(b, `{"seq":`...), r.Seq, 10)
+	b = appendText(b, `,"node":`, r.Node)
+	b = appendText(b, `,"role":`, r.Role)
+	b = strconv.AppendUint(append(b, `,"life":`...), r.Life, 10)
+	b = appendText(b, `,"kind":`, r.Kind)
+	b = append(r.From.UTC().AppendFormat(append(b, `,"from":"`...), time.RFC3339Nano), '"')
+	b = append(r.To.UTC().AppendFormat(append(b, `,"to":"`...), time.RFC3339Nano), '"')
+	for _, t := range [...]struct{ name, value string }{{`,"haulier":`, r.Haulier}, {`,"plan":`, r.Plan}, {`,"class":`, r.Class},
+		{`,"key_hash":`, r.Key}, {`,"end":`, r.End}, {`,"note":`, r.Note}} {
+		if t.value != "" {
+			b = appendText(b, t.name, t.value)
+		}
 	}
-	sum := sha256.Sum256(append([]byte(before), line...))
-	r.Chain = hex.EncodeToString(sum[:8])
-	return json.Marshal(r)
+	if r.Figures != nil {
+		b = AppendFigures(b, r.Figures)
+	}
+	return b
 }
 
-// FromCounts fills in the figures.
-func (r *Record) FromCounts(c *ledger.Counts) {
-	r.Counts, r.Units = map[string]uint64{}, map[string]int64{}
-	for e := ledger.None + 1; e < ledger.Events; e++ {
-		if n := c.N[e]; n != 0 {
-			r.Counts[e.String()] = n
+// AppendFigures writes figures as two members of an object, behind another one.
+func AppendFigures(b []byte, c *ledger.Counts) []byte {
+	list := func(name string, each func(e ledger.Event) bool) {
+		b = append(b, name...)
+		first := true
+		for e := ledger.None + 1; e < ledger.Events; e++ {
+			if !each(e) {
+				continue
+			}
+			if !first {
+				b = append(b, ',')
+			}
+			first = false
+			b = append(append(append(b, '"'), e.String()...), '"', ':')
+			if name == countsName {
+				b = strconv.AppendUint(b, c.N[e], 10)
+			} else {
+				b = strconv.AppendInt(b, c.Units(e), 10)
+			}
 		}
-		if u := c.Units(e); u != 0 {
-			r.Units[e.String()] = u
+		b = append(b, '}')
+	}
+	list(countsName, func(e ledger.Event) bool { return c.N[e] != 0 })
+	list(unitsName, func(e ledger.Event) bool { return c.Units(e) != 0 })
+	return b
+}
+
+const (
+	countsName = `,"counts":{`
+	unitsName  = `,"units_millionths":{`
+)
+
+// appendText writes a member whose value is a text.
+func appendText(b []byte, name, s string) []byte {
+	b = append(b, name...)
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			quoted, _ := json.Marshal(s) // of a string: it can't fail
+			return append(b, quoted...)
 		}
 	}
+	return append(append(append(b, '"'), s...), '"')
 }
 
-// ToCounts reads the figures; a name that is not known is an error, as what it stands for would be missing.
-func (r *Record) ToCounts() (c ledger.Counts, err error) {
-	for name, n := range r.Counts {
+// Parse reads a record's line. A figure whose name is not known is an error, as what it stands for would be missing.
+func Parse(line []byte) (r Record, err error) {
+	var figures struct {
+		Counts map[string]uint64 `json:"counts"`
+		Units  map[string]int64  `json:"units_millionths"`
+	}
+	if err = json.Unmarshal(line, &r); err != nil {
+		return r, err
+	}
+	if r.Seq == 0 || r.Node == "" || r.Kind == "" {
+		return r, errors.New("no record of a ledger")
+	}
+	if r.Kind != Figures {
+		return r, nil
+	}
+	if err = json.Unmarshal(line, &figures); err != nil {
+		return r, err
+	}
+	r.Figures = &ledger.Counts{}
+	for name, n := range figures.Counts {
 		e, ok := ledger.ByName(name)
 		if !ok {
-			return c, fmt.Errorf("record %d of %s: no figure is called %q", r.Seq, r.Node, name)
+			return r, fmt.Errorf("no figure is called %q", name)
 		}
-		c.Set(e, n, r.Units[name])
+		r.Figures.Set(e, n, 0)
 	}
-	for name, u := range r.Units {
+	for name, u := range figures.Units {
 		e, ok := ledger.ByName(name)
 		if !ok || !e.HasUnits() {
-			return c, fmt.Errorf("record %d of %s: no units are called %q", r.Seq, r.Node, name)
+			return r, fmt.Errorf("no units are called %q", name)
 		}
-		c.Set(e, c.N[e], u)
+		r.Figures.Set(e, r.Figures.N[e], u)
 	}
-	return c, nil
+	return r, nil
 }
 
 // Fault is something wrong with the records of a node.
@@ -117,13 +186,10 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var r Record
-		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+		r, err := Parse(lines.Bytes())
+		if err != nil {
 			return fmt.Errorf("line %d: %w", n, err)
 		}
-		if r.Seq == 0 || r.Node == "" || r.Kind == "" {
-			return fmt.Errorf("line %d: no record of a ledger", n)
-		}
 		if err := f(r); err != nil {
 			return fmt.Errorf("line %d: %w", n, err)
 		}
@@ -151,7 +217,7 @@
 	}
 	if c.begun || r.Seq == 1 {
 		said := r.Chain
-		if _, err := r.Seal(c.chain); err != nil || r.Chain != said {
+		if r.Seal(nil, c.chain); r.Chain != said {
 			return Fault{r.Node, r.Seq, "its chain does not follow from the record before"}
 		}
 	}
@@ -183,10 +249,14 @@
 	row := []string{strconv.FormatUint(r.Seq, 10), r.Node, r.Role, strconv.FormatUint(r.Life, 10), r.Kind,
 		r.From.UTC().Format(time.RFC3339Nano), r.To.UTC().Format(time.RFC3339Nano), r.Haulier, r.Plan, r.Class, r.Key,
 		r.End, r.Note}
+	figures := r.Figures
+	if figures == nil {
+		figures = &ledger.Counts{}
+	}
 	for e := ledger.None + 1; e < ledger.Events; e++ {
-		row = append(row, strconv.FormatUint(r.Counts[e.String()], 10))
+		row = append(row, strconv.FormatUint(figures.N[e], 10))
 		if e.HasUnits() {
-			row = append(row, strconv.FormatFloat(float64(r.Units[e.String()])/1e6, 'f', -1, 64))
+			row = append(row, strconv.FormatFloat(float64(figures.Units(e))/1e6, 'f', -1, 64))
 		}
 	}
 	return c.w.Write(row)
--- a/internal/ledger/store/read.go
+++ b/internal/ledger/store/read.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -83,13 +85,11 @@
 	return k, nil
 }
 
-func sortedKeys(m map[ledger.Key]*ledger.Counts) []ledger.Key {
-	keys := make([]ledger.Key, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b ledger.Key) int { return bytes.Compare(rowKey(a), rowKey(b)) })
-	return keys
+func sortedKeys[T any](m map[ledger.Key]T) []ledger.Key {
+	return slices.SortedFunc(maps.Keys(m), func(a, b ledger.Key) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(uint16(a.Plan), uint16(b.Plan)),
+			cmp.Compare(uint16(a.Class), uint16(b.Class))) // as the store has them
+	})
 }
 
 // content is what an embedded store holds of figures.
@@ -190,9 +190,9 @@
 			}
 			c := b.Cursor()
 			for k, v := c.Seek(binary.BigEndian.AppendUint64(nil, after+1)); k != nil; k, v = c.Next() {
-				var r statement.Record
-				if err := json.Unmarshal(v, &r); err != nil {
-					return fmt.Errorf("%w: record %x", errCorrupt, k)
+				r, err := statement.Parse(v)
+				if err != nil {
+					return fmt.Errorf("%w: record %x: %v", errCorrupt, k, err)
 				}
 				if err := f(v, r); err != nil {
 					return err
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -102,7 +102,7 @@
 	meta  meta
 	names ledger.Names
 
-	// Under the desk's lock.
+	// Under the desk's lock, and in Run.
 	cur  *segment
 	kept atomic.Bool
 	lost uint64 // postings that are in no log
@@ -375,23 +375,12 @@
 	}
 }
 
-// Cut implements desk.Keeper.
-func (s *Store) Cut(st ledger.Statement) {
+// Mark implements desk.Keeper.
+func (s *Store) Mark() {
 	if s.pend == nil {
 		s.pend = newPending()
 	}
 	p := s.pend
-	for _, k := range st.Rows {
-		p.rows[k.Key] = k
-	}
-	for _, d := range st.Deltas {
-		if p.deltas[d.Key] == nil {
-			p.deltas[d.Key] = &ledger.Counts{}
-		}
-		p.deltas[d.Key].Add(&d.Counts)
-	}
-	p.open = st.Open
-	p.tries = append(p.tries, st.Tries...)
 	p.to = time.Now()
 	if s.lost > 0 {
 		p.notes = append(p.notes, statement.Record{Kind: statement.Gap, From: p.to, To: p.to, Note: fmt.Sprintf(
@@ -416,6 +405,22 @@
 	}
 }
 
+// Cut implements desk.Keeper.
+func (s *Store) Cut(st ledger.Statement) {
+	p := s.pend
+	for _, k := range st.Rows {
+		p.rows[k.Key] = k
+	}
+	for _, d := range st.Deltas {
+		if p.deltas[d.Key] == nil {
+			p.deltas[d.Key] = &ledger.Counts{}
+		}
+		p.deltas[d.Key].Add(&d.Counts)
+	}
+	p.open = st.Open
+	p.tries = append(p.tries, st.Tries...)
+}
+
 func (s *Store) firstFree() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -502,7 +507,9 @@
 			}
 			m.Names, m.Segment, m.At, m.Stated = names, p.segment, p.at, p.to
 			rows, records := tx.Bucket(bucketRows), tx.Bucket(bucketRecords)
-			for k, row := range p.rows {
+			records.FillPercent = 1 // they come in their order
+			for _, k := range sortedKeys(p.rows) {
+				row := p.rows[k]
 				if row.Gone {
 					err = rows.Delete(rowKey(k))
 				} else {
@@ -522,10 +529,7 @@
 			add := func(r statement.Record) error {
 				m.Seq++
 				r.Seq, r.Node, r.Role, r.Life = m.Seq, m.Node, m.Role, m.Life
-				line, err := r.Seal(m.Chain)
-				if err != nil {
-					return err
-				}
+				line := r.Seal(nil, m.Chain) // the store keeps it until the end of the transaction
 				m.Chain = r.Chain
 				return records.Put(binary.BigEndian.AppendUint64(nil, m.Seq), line)
 			}
@@ -536,8 +540,7 @@
 			}
 			for _, k := range sortedKeys(p.deltas) {
 				r := statement.Record{Kind: statement.Figures, From: from, To: p.to, Haulier: ledger.HaulierText(k.Customer),
-					Plan: names.Plan(k.Plan), Class: names.Class(k.Class)}
-				r.FromCounts(p.deltas[k])
+					Plan: names.Plan(k.Plan), Class: names.Class(k.Class), Figures: p.deltas[k]}
 				if err := add(r); err != nil {
 					return err
 				}
--- a/internal/ledger/store/store_test.go
+++ b/internal/ledger/store/store_test.go
@@ -50,8 +50,13 @@
 	b.Append(p)
 }
 
-func (b *books) state() error {
+func (b *books) cut() {
+	b.Mark()
 	b.Cut(b.l.Statement())
+}
+
+func (b *books) state() error {
+	b.cut()
 	return b.Commit(names)
 }
 
@@ -98,9 +103,10 @@
 		if err := chain.Next(r); err != nil {
 			return err
 		}
-		c, err := r.ToCounts()
-		stated.Add(&c)
-		return err
+		if r.Figures != nil {
+			stated.Add(r.Figures)
+		}
+		return nil
 	}); err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +143,7 @@
 			}
 			if r.IntN(2) == 0 { // killed again while it is repaired
 				again, _ := opened(t, options(copied))
-				again.Cut(again.l.Statement())
+				again.cut()
 				copied = killed(t, copied)
 				again.Close()
 			}
@@ -168,7 +174,7 @@
 				kills++
 				kill(r.IntN(2) == 0)
 			case r.IntN(200) == 0: // cut, and not yet committed; then committed
-				b.Cut(b.l.Statement())
+				b.cut()
 				if kills < 19 {
 					kills++
 					kill(false)
@@ -404,6 +410,7 @@
 			if i%80000 == 0 { // as a statement does in time
 				b.StopTimer()
 				time.Sleep(5 * time.Millisecond)
+				s.Mark()
 				s.Cut(ledger.Statement{})
 				if err := s.Commit(names); err != nil {
 					b.Fatal(err)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,12 +38,16 @@
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/jsonl")
 		r := s.Report()
-		enc := json.NewEncoder(w)
 		for _, line := range r.Lines {
-			record := statement.Record{Plan: r.Names.Plan(line.Key.Plan), Class: r.Names.Class(line.Key.Class)}
-			record.FromCounts(&line.Counts)
-			if enc.Encode(map[string]any{"plan": record.Plan, "class": record.Class, "counts": record.Counts,
-				"units_millionths": record.Units}) != nil {
+			head, err := json.Marshal(struct {
+				Plan  string `json:"plan"`
+				Class string `json:"class"`
+			}{r.Names.Plan(line.Key.Plan), r.Names.Class(line.Key.Class)})
+			if err != nil {
+				return
+			}
+			text := statement.AppendFigures(head[:len(head)-1], &line.Counts)
+			if _, err := w.Write(append(text, "}\n"...)); err != nil {
 				return
 			}
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -185,8 +185,12 @@
 	if err != nil {
 		return err
 	}
-	limits := fmt.Sprintf("listen = %q\n[registry]\nservers = [%q]\nsession_ms = 1500\n[forward]\nlisten = %q\ngateways = %d\n",
-		n.limits, w.registry.Addr(), n.listen, gateways)
+	servers := ""
+	if w.registry != nil {
+		servers = strconv.Quote(w.registry.Addr())
+	}
+	limits := fmt.Sprintf("listen = %q\n[registry]\nservers = [%s]\nsession_ms = 1500\n[forward]\nlisten = %q\ngateways = %d\n",
+		n.limits, servers, n.listen, gateways)
 	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 250\nstatement_ms = 1000\nsegment_mb = 1\nrows = 2000\ndir = %q\n",
 		filepath.Join(n.dir, "ledger"))
 	for name, text := range map[string]string{"config.json": string(text), "limits.toml": limits, "operations.toml": operations} {
