--- /dev/null
+++ b/internal/ledger/statement/record_test.go
@@ -0,0 +1,138 @@
+package statement
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"dewhitch/internal/ledger"
+)
+
+func record(seq uint64, node string, f func(*Record)) Record {
+	at := time.Date(2026, 3, 1, 6, 0, int(seq), 0, time.UTC)
+	r := Record{Seq: seq, Node: node, Role: Gateway, Life: 1, Kind: Figures, From: at, To: at.Add(time.Second),
+		Haulier: "00000000000000aa", Plan: "fleet", Class: "booking", Figures: &ledger.Counts{}}
+	f(&r)
+	if r.Kind != Figures {
+		r.Figures = nil
+	}
+	return r
+}
+
+func counts(r *Record, of ...any) {
+	for i := 0; i < len(of); i += 2 {
+		r.Figures.Set(of[i].(ledger.Event), uint64(of[i+1].(int)), int64(of[i+1].(int))*1e6)
+	}
+}
+
+// Whatever stands in a record, what is written is read back as it was, and its hash holds.
+func FuzzRecord(f *testing.F) {
+	for _, r := range []Record{record(1, "n0", func(r *Record) { counts(r, ledger.FrontTaken, 2, ledger.FrontServed, 2) }),
+		record(9, "n\"0\n", func(r *Record) { r.Kind, r.Note = Gap, "späť <&> \\ \x00" })} {
+		f.Add(r.Seal(nil, "before"))
+	}
+	f.Add([]byte(`{"seq":1,"node":"n0","kind":"figures","counts":{"taken":18446744073709551615},"units_millionths":{"taken":-5}}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		r, err := Parse(line)
+		if err != nil {
+			return
+		}
+		if r.From.Year() < 0 || r.From.Year() > 9999 || r.To.Year() < 0 || r.To.Year() > 9999 {
+			return
+		}
+		again, err := Parse(r.Seal(nil, "before"))
+		if err != nil {
+			t.Fatalf("%q is written as what can't be read: %v", line, err)
+		}
+		said := again.Chain
+		if again.Seal(nil, "before"); again.Chain != said || said != r.Chain {
+			t.Fatalf("%q has another hash when it is read again", line)
+		}
+	})
+}
+
+func read(t *testing.T, m *Merged, records ...Record) {
+	t.Helper()
+	var b []byte
+	chain := map[string]string{}
+	for i := range records {
+		b = append(records[i].Seal(b, chain[records[i].Node]), '\n')
+		chain[records[i].Node] = records[i].Chain
+	}
+	if err := Read(bytes.NewReader(b), func(r Record) error { m.Add(r); return nil }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Two gateways and a forwarder: what the forwarder took and passed on counts once as a try of a client.
+func TestMerge(t *testing.T) {
+	m := NewMerged()
+	served := func(n int) func(*Record) {
+		return func(r *Record) {
+			counts(r, ledger.FrontTaken, n, ledger.FrontServed, n, ledger.PlanTaken, n, ledger.PlanServed, n, ledger.PlanSent, n,
+				ledger.PlanHeard, n, ledger.FetchBegan, n, ledger.FetchOK, n)
+		}
+	}
+	forwarder := record(1, "forwarder", func(r *Record) {
+		r.Role = Forwarder
+		counts(r, ledger.FrontTaken, 9, ledger.FrontServed, 6, ledger.FrontFailed, 2, ledger.FrontGone, 1, ledger.PlanTaken, 9,
+			ledger.PlanServed, 6, ledger.PlanFailedGaveUp, 3, ledger.PlanSent, 9, ledger.PlanHeard, 9, ledger.FetchBegan, 9,
+			ledger.FetchOK, 6, ledger.FetchRejected, 1, ledger.FetchNotSent, 2)
+	})
+	read(t, m, record(1, "n0", served(4)), record(2, "n0", served(5)), record(1, "n1", served(3)), forwarder)
+	if wrong := m.Verify(); len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	sums := m.Sums(false)
+	if len(sums) != 1 || sums[0].Tries != 12+9-6 || sums[0].PassedOn != 6 || sums[0].N[ledger.FrontTaken] != 21 {
+		t.Errorf("%+v", sums)
+	}
+	var out bytes.Buffer
+	if err := WriteTable(&out, sums); err != nil || !bytes.Contains(out.Bytes(), []byte("client tries")) {
+		t.Error(out.String(), err)
+	}
+}
+
+// What does not add up is found in exports too, by node and row.
+func TestVerify(t *testing.T) {
+	for i, c := range [][]any{
+		{ledger.FrontTaken, 1, ledger.FrontServed, 2, ledger.PlanTaken, 1},
+		{ledger.FrontTaken, 1, ledger.FrontServed, 1, ledger.PlanTaken, 2, ledger.PlanServed, 1},
+		{ledger.FrontTaken, 3, ledger.FrontServed, 3, ledger.PlanTaken, 3, ledger.PlanServed, 2},
+		{ledger.FrontTaken, 1, ledger.FrontRefused, 1, ledger.PlanTaken, 1, ledger.PlanRefusedQuota, 1, ledger.FetchOK, 1},
+		{ledger.PlanSent, 1, ledger.FetchBegan, 2, ledger.FetchOK, 2},
+	} {
+		m := NewMerged()
+		read(t, m, record(1, "n0", func(r *Record) { counts(r, c...) }))
+		if wrong := m.Verify(); len(wrong) == 0 {
+			t.Errorf("case %d is not found", i)
+		}
+	}
+	m := NewMerged()
+	read(t, m, record(1, "n0", func(r *Record) {
+		r.Class = "account"
+		counts(r, ledger.UnitsTold, 1, ledger.CallBegan, 1, ledger.CallAdded, 1)
+		r.Figures.Set(ledger.CallAdded, 1, 3e6)
+	}))
+	if wrong := m.Verify(); len(wrong) != 1 {
+		t.Error("units of a call that differ:", wrong)
+	}
+}
+
+// Tries of one booking: a second through another gateway while the first is open, one after it, and one of another key.
+func TestBookings(t *testing.T) {
+	m := NewMerged()
+	try := func(seq uint64, node, key string, from, to int, end ledger.Event) Record {
+		return record(seq, node, func(r *Record) {
+			r.Kind, r.Key, r.End = Try, key, end.String()
+			r.From, r.To = time.Unix(int64(from), 0), time.Unix(int64(to), 0)
+		})
+	}
+	read(t, m, try(1, "n0", "k1", 10, 14, ledger.FrontServed), try(1, "n1", "k1", 12, 15, ledger.FrontServed),
+		try(2, "n0", "k2", 10, 11, ledger.FrontRefused), try(2, "n1", "k2", 13, 15, ledger.FrontServed),
+		try(3, "n0", "k3", 10, 11, ledger.FrontServed))
+	if got := fmt.Sprint(m.Bookings()); got != "3 2 1 1" {
+		t.Errorf("bookings, across, overlapping, served twice: %s", got)
+	}
+}
