End a session whose write failed while it waited for room

Cause: a test of the books for a client that reads nothing hung. When a write fails, the writer closes the connection and ends, trusting that the reader sees the end; but a reader that waits for room in the session is not reading, and only the writer makes room. The session, its place and its answers stayed for good. Ruled out: the books, and the bound on unread answers, which closes the connection and relied on the same.

Change: the writer marks the session as over and wakes the reader. The desk's clock is monotonic, so that a system's clock that steps raises no alarm; the soak reads behind its last record, as a reader should, and so holds up no statement.

--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -371,6 +371,12 @@
 		n, err := s.conn.Write(buf)
 		settle(marks, n)
 		if err != nil {
+			// Danger: read may be waiting for room, which only this goroutine makes. It would wait for good, and with it
+			// the session's place and all that it holds.
+			s.mu.Lock()
+			s.over = true
+			s.room.Broadcast()
+			s.mu.Unlock()
 			s.conn.Close() // read sees the end
 			return
 		}
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -71,7 +71,11 @@
 
 // Desk keeps one gateway's books.
 type Desk struct {
-	o    Options
+	o Options
+	// The time of the start, and what has passed since by the monotonic clock: a system's clock that steps must not make
+	// a req look overdue, or one that is overdue look young.
+	start time.Time
+
 	refs atomic.Uint64
 
 	// What is posted is kept at once, and waits here to be booked: many at a time cost a fraction of one by one. It is
@@ -109,7 +113,7 @@
 // New makes a desk for books that may hold something already, with the names that the numbers in them stand for. The
 // keeper may be nil.
 func New(l *ledger.Ledger, known ledger.Names, k Keeper, o Options) *Desk {
-	d := &Desk{o: o, l: l, keeper: k, full: make(chan struct{}, 1), names: known, alarms: map[alarmKey]bool{}, read: map[ledger.Key]bool{}}
+	d := &Desk{o: o, start: time.Now(), l: l, keeper: k, full: make(chan struct{}, 1), names: known, alarms: map[alarmKey]bool{}, read: map[ledger.Key]bool{}}
 	for i, names := range [2][]string{known.Plans, known.Classes} {
 		d.byName[i] = map[string]int16{}
 		for n, s := range names {
@@ -166,7 +170,7 @@
 func (d *Desk) Post(p ledger.Posting) {
 	now := int64(0)
 	if timed[p.Event] {
-		now = time.Now().UnixNano()
+		now = d.time()
 	}
 	d.posting.Lock()
 	if now != 0 {
@@ -191,6 +195,8 @@
 	}
 }
 
+func (d *Desk) time() int64 { return d.start.UnixNano() + int64(time.Since(d.start)) }
+
 // timed are the events whose time is of use: they open something, or end a req.
 var timed = [ledger.Events]bool{ledger.FrontTaken: true, ledger.FrontServed: true, ledger.FrontRefused: true,
 	ledger.FrontFailed: true, ledger.FrontGone: true, ledger.FrontCut: true, ledger.FrontKept: true, ledger.UnitsTold: true}
@@ -298,7 +304,7 @@
 		}
 	}
 	found := append(d.l.Audit(all, watched...), d.fresh...)
-	found = append(found, d.l.Overdue(time.Now().Add(-d.o.Patience).UnixNano())...)
+	found = append(found, d.l.Overdue(d.time()-int64(d.o.Patience))...)
 	read := d.read
 	d.fresh, d.read = nil, map[ledger.Key]bool{}
 	now := map[alarmKey]bool{}
--- a/internal/ledger/desk/planted_test.go
+++ b/internal/ledger/desk/planted_test.go
@@ -67,8 +67,12 @@
 }
 
 func start(t *testing.T, o desk.Options, plant *crooked) *gateway {
+	return startAt(t, o, plant, standin.Always(standin.Step{}))
+}
+
+func startAt(t *testing.T, o desk.Options, plant *crooked, script standin.Script) *gateway {
 	t.Helper()
-	backends, err := standin.NewBackends(2, false, standin.Always(standin.Step{}))
+	backends, err := standin.NewBackends(2, false, script)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,6 +185,70 @@
 	}
 }
 
+// eventually waits for the books to say something.
+func (g *gateway) eventually(t *testing.T, what string, ok func(desk.Report) bool) {
+	t.Helper()
+	for began := time.Now(); !ok(g.desk.Report()); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
+			r := g.desk.Report()
+			t.Fatalf("%s: %d taken, %d gone, %d cut, %d open", what, r.Total.N[ledger.FrontTaken], r.Total.N[ledger.FrontGone],
+				r.Total.N[ledger.FrontCut], r.Open)
+		}
+	}
+	if a := g.alarms(); len(a) > 0 {
+		t.Fatalf("%s: %v", what, a[0].ContextMap())
+	}
+}
+
+// A session ends with all that it may have open, at backends that never answer: each req is gone, each fetch cancelled
+// and heard of, and nothing stays open.
+func TestSessionEndsWithManyOpen(t *testing.T) {
+	g := startAt(t, desk.Options{Audit: 5 * time.Millisecond}, nil, standin.Always(standin.Step{Deed: standin.Stall}))
+	c, err := standin.Dial(g.addr, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const many = 60
+	for i := range many {
+		if err := c.Send([]string{"SVC.SUBMIT", "0000000000000003", fmt.Sprintf("s%d", i),
+			fmt.Sprintf("c=booking,t=fleet,d=9000,spread=1,first=0,k=k%d", i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	answered := func(r desk.Report) uint64 { return r.Total.N[ledger.FrontRefused] }
+	g.eventually(t, "open", func(r desk.Report) bool {
+		return r.Total.N[ledger.FrontTaken] == many && r.Total.N[ledger.PlanTaken] == many
+	})
+	c.Close()
+	g.eventually(t, "ended", func(r desk.Report) bool {
+		return r.Open == 0 && r.Total.N[ledger.FrontGone]+r.Total.N[ledger.FrontCut]+answered(r) == many &&
+			r.Total.N[ledger.FrontGone] > 0 && r.Total.N[ledger.FetchBegan] == r.Total.FetchesEnded()
+	})
+}
+
+// A client asks for more than it reads, until the gateway ends it: what was written whole is served, the rest is cut or
+// gone, and no audit on the way finds anything.
+func TestClientReadsNothing(t *testing.T) {
+	g := start(t, desk.Options{Audit: 20 * time.Millisecond}, nil)
+	c, err := standin.Dial(g.addr, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := strings.Repeat("x", 60<<10)
+	go func() {
+		for i := range 2000 {
+			if c.Send([]string{"SVC.QUERY", "0000000000000003", fmt.Sprintf("r%d", i), "c=space-query,t=fleet,d=9000,spread=1,first=0", body}) != nil {
+				return
+			}
+		}
+	}()
+	g.eventually(t, "ended", func(r desk.Report) bool {
+		n := &r.Total.N
+		return r.Open == 0 && n[ledger.FrontCut] > 0 && n[ledger.FrontServed] > 0 && n[ledger.FrontTaken] == r.Total.Ended()
+	})
+}
+
 // One miscount in each book is reported within five seconds, with audits a second apart as operators have them; it names
 // the haulier, plan and class; it is said once while it stands; and the alarm file has it.
 func TestPlanted(t *testing.T) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -286,6 +286,18 @@
 
 // look reads the books of all nodes while they work, as an export does, and checks them each time.
 func (w *world) look(ctx context.Context) error {
+	// What is behind the last record that was read, as a reader should ask: one that holds a store for long holds up its
+	// statements.
+	read := map[*node]*struct {
+		seq   uint64
+		chain statement.Chain
+	}{}
+	for _, n := range w.nodes {
+		read[n] = &struct {
+			seq   uint64
+			chain statement.Chain
+		}{}
+	}
 	for {
 		wait(ctx, 700*time.Millisecond)
 		if ctx.Err() != nil {
@@ -300,8 +312,11 @@
 			if found := v.Ledger.Audit(true); len(found) > 0 {
 				return fmt.Errorf("%s, read while it works: %+v: %v", n.name, found[0].Key, found[0])
 			}
-			var chain statement.Chain
-			if err := store.Records(dir, 0, func(_ []byte, r statement.Record) error { return chain.Next(r) }); errors.As(err, &statement.Fault{}) {
+			at := read[n]
+			if err := store.Records(dir, at.seq, func(_ []byte, r statement.Record) error {
+				at.seq = r.Seq
+				return at.chain.Next(r)
+			}); errors.As(err, &statement.Fault{}) {
 				return err
 			}
 		}
