--- a/internal/ledger/store/fuzz_test.go
+++ b/internal/ledger/store/fuzz_test.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
 
 	"dewhitch/internal/ledger"
@@ -22,10 +20,8 @@
 	f.Add(append([]byte(nil), s.m...))
 	f.Add(s.m[:headSize+3*recordSize])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		path := filepath.Join(t.TempDir(), "wal")
-		os.WriteFile(path, b, 0o600)
 		n := 0
-		read, behind, _, err := readSegment(path, 7, 0, 1, func(ledger.Posting) { n++ })
+		read, behind, _, err := scan(b, 7, 0, 1, func(ledger.Posting) { n++ })
 		if err == nil && (n > read || (read+behind)*recordSize > len(b)) {
 			t.Fatalf("%d records of %d, %d behind, in %d bytes", n, read, behind, len(b))
 		}
--- a/internal/ledger/store/segment.go
+++ b/internal/ledger/store/segment.go
@@ -148,6 +148,11 @@
 	if err != nil {
 		return 0, 0, false, err
 	}
+	return scan(b, number, from, statements, f)
+}
+
+// scan does so with a file's bytes.
+func scan(b []byte, number uint64, from int, statements uint64, f func(ledger.Posting)) (read, behind int, gap bool, err error) {
 	if len(b) < headSize+2*recordSize || string(b[:8]) != magic || binary.LittleEndian.Uint64(b[8:]) != number ||
 		crc32.Checksum(b[:headSize-4], castagnoli) != binary.LittleEndian.Uint32(b[headSize-4:]) {
 		return 0, 0, false, errHead
