--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -15,9 +15,10 @@
 )
 
 var cli struct {
-	Program string  `default:"bin/dewhitch" help:"The program, built (${default})."`
-	Run     runCmd  `cmd:"" default:"withargs" help:"Run, kill and reckon up."`
-	Cost    costCmd `cmd:"" help:"Measure books off, in memory and on the disk, in turn."`
+	Program string     `default:"bin/dewhitch" help:"The program, built (${default})."`
+	Run     runCmd     `cmd:"" default:"withargs" help:"Run, kill and reckon up."`
+	Cost    costCmd    `cmd:"" help:"Measure books off, in memory and on the disk, in turn."`
+	Counter counterCmd `cmd:"" help:"Measure what goes beyond the quota while the counter is silent, split and swapped."`
 }
 
 type runCmd struct {
@@ -44,6 +45,15 @@
 		Clients: c.Clients, Pace: c.Pace, Out: os.Stdout})
 }
 
+type counterCmd struct {
+	Phase time.Duration `default:"10s" help:"Of each state of the counter (${default})."`
+	Seed  uint64        `default:"1" help:"Of all that is drawn (${default})."`
+}
+
+func (c counterCmd) Run(ctx context.Context, dir folder) error {
+	return soak.Quota(ctx, soak.QuotaPlan{Program: cli.Program, Dir: string(dir), Phase: c.Phase, Seed: c.Seed, Out: os.Stdout})
+}
+
 // folder holds the nodes' files.
 type folder string
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,7 +66,8 @@
 	counter  *standin.Counter
 	director *standin.Director
 	registry *zookeeper.Server
-	nodes    []*node // the gateways, then the forwarder
+	doors    []*standin.Listener // of the counter, by gateway; none: all go by the first
+	nodes    []*node             // the gateways, then the forwarder
 	tallies  tallies
 }
 
@@ -161,7 +162,11 @@
 		return err
 	}
 	type object = map[string]any
-	config := object{"name": n.name, "listen": n.listen, "discovery": w.director.Addr(), "counter": w.counter.Addr(),
+	counter := w.counter.Addr()
+	if i < len(w.doors) {
+		counter = w.doors[i].Addr()
+	}
+	config := object{"name": n.name, "listen": n.listen, "discovery": w.director.Addr(), "counter": counter,
 		"seed":   fmt.Sprintf("%016x", w.Seed+uint64(i)),
 		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 512},
 		"settings": object{"NInstances": gateways, "MyNumber": i % gateways, "Areas": []string{"hall-a"}, "Kinds": []string{"std-3c"},
--- /dev/null
+++ b/internal/standin/counter_test.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// told adds through a door and returns what is answered.
+func told(t *testing.T, door *Listener, name string, by float64) string {
+	t.Helper()
+	c, err := net.Dial("tcp", door.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "POST /counters/%s?by=%v&expire_ms=30000 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", name, by)
+	r := bufio.NewReader(c)
+	head, err := r.ReadString('\n')
+	if err != nil {
+		return "nothing"
+	}
+	length := 0
+	for line := head; line != "\r\n"; {
+		if line, err = r.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			fmt.Sscan(v, &length)
+		}
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(head)[1] + " " + string(body)
+}
+
+// Each trouble of a script does to a counter's doors what its name says.
+func TestCounterTroubles(t *testing.T) {
+	c, err := NewCounter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	near := c.Listener
+	far, err := c.Door()
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect := func(door *Listener, by float64, want string) {
+		t.Helper()
+		if got := told(t, door, "7.a", by); got != want {
+			t.Errorf("answered %q, not %q", got, want)
+		}
+	}
+	expect(near, 5, "200 5")
+	expect(far, 1, "200 6") // one store behind both
+	c.Keep()
+	c.Split(1)
+	expect(near, 10, "200 16")
+	expect(far, 100, "200 106") // each knows what was before
+	c.Join(Sum)
+	expect(far, 0, "200 116")
+	c.RollBack()
+	expect(near, 0, "200 6")
+	c.Split(1)
+	expect(far, 3, "200 9")
+	c.Join(First)
+	expect(far, 0, "200 6")
+	c.Split(1)
+	expect(far, 3, "200 9")
+	c.Join(Second)
+	expect(near, 0, "200 9")
+	c.Mode("full", 1)
+	expect(far, 1, "503 ")
+	expect(near, 1, "200 10")
+	c.Mode("reset", 1)
+	expect(far, 1, "nothing")
+	c.Mode("add")
+	began := time.Now()
+	c.Slow(60*time.Millisecond, 0)
+	expect(near, 0, "200 10")
+	if took := time.Since(began); took < 60*time.Millisecond {
+		t.Errorf("a slow answer took %v", took)
+	}
+	c.Slow(0)
+	c.Play(context.Background(), Trouble{time.Millisecond, (*Counter).Forget}, Trouble{2 * time.Millisecond,
+		func(c *Counter) { c.Mode("spoilt") }})
+	expect(near, 2, "200 NaN")
+	if calls, by := c.Added(); calls != 13 || by["7"] != 5+1+10+100+3+3+1+2 {
+		t.Errorf("%d calls added %v", calls, by)
+	}
+}
