Bound the names that clients give a forwarder's books, and let go of the keeper before it is closed

Cause, found on reading the change again: at a forwarder plans and classes are what clients write; one of 60 KB, or one that is no UTF-8, would have become a label, and a label that is none ends the program at a scrape. And a fetch that outlasts its gateway's sessions could post into a log whose map was given back a moment before.

Change: names are of 64 bytes at most, valid and printable, else they share one; the desk lets go of the keeper under the lock of postings before the store closes.

Result: a test each; both fail without the change.

--- a/cmd/dewhitch/books.go
+++ b/cmd/dewhitch/books.go
@@ -100,6 +100,7 @@
 	k.stop()
 	k.done.Wait()
 	if k.store != nil {
+		k.desk.Release()
 		k.store.Close()
 	}
 }
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -11,9 +11,12 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -66,7 +69,8 @@
 	maxAlarms = 256   // that are told apart; more are counted
 	batch     = 1024  // postings that wait to be booked, before Run is told
 	maxBatch  = 65536 // and before whoever posts books them itself
-	Overflow  = "…"   // the name of plans and classes beyond maxNames
+	Overflow  = "…"   // the name of plans and classes beyond maxNames, and of those that are none
+	maxName   = 64    // bytes of one
 )
 
 // Desk keeps one gateway's books.
@@ -129,7 +133,11 @@
 	return d
 }
 
+// intern numbers a name. Danger: at a forwarder names are what clients write, and they become labels and columns.
 func (d *Desk) intern(which int, names *[]string, s string) int16 {
+	if s == "" || len(s) > maxName || !utf8.ValidString(s) || strings.ContainsFunc(s, unicode.IsControl) {
+		s = Overflow
+	}
 	if n, ok := d.byName[which][s]; ok {
 		return n
 	}
@@ -218,6 +226,14 @@
 	}
 }
 
+// Release lets go of the keeper, after Run has ended: what is posted later, as by a fetch that nobody waits for, is kept
+// nowhere. The keeper may then be closed.
+func (d *Desk) Release() {
+	d.posting.Lock()
+	defer d.posting.Unlock()
+	d.keeper = nil
+}
+
 // Tallies tells how the decision module's tallies are read: f is to be called where nothing is drawn meanwhile.
 func (d *Desk) Tallies(visit func(f func(tally func(uint64) (float64, bool))) error) {
 	d.tallies.Store(&visit)
--- /dev/null
+++ b/internal/ledger/desk/names_test.go
@@ -0,0 +1,60 @@
+package desk_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/desk"
+)
+
+// What clients call their plans and classes is bounded in number and length, and can stand in a label.
+func TestNamesOfClients(t *testing.T) {
+	limits := ledger.Limits{Rows: 1000, Open: 100, Flight: 100}
+	d := desk.New(ledger.New(limits, false), ledger.Names{}, nil, desk.Options{Limits: limits, Log: zap.NewNop()})
+	name := func(plan, class string) string {
+		k := d.RowByName(7, plan, class)
+		n := d.Report().Names
+		return n.Plan(k.Plan) + "/" + n.Class(k.Class)
+	}
+	if got := name("fleet", "booking"); got != "fleet/booking" {
+		t.Error(got)
+	}
+	for _, bad := range []string{"", "\xff\xfe", "a\nb", strings.Repeat("x", 65)} {
+		if got := name(bad, bad); got != desk.Overflow+"/"+desk.Overflow {
+			t.Errorf("%q is called %q", bad, got)
+		}
+	}
+	for i := range 1000 {
+		name(fmt.Sprint("p", i), "booking")
+	}
+	if n := len(d.Report().Names.Plans); n > 202 {
+		t.Errorf("%d plans", n)
+	}
+	if got := name("p999", "booking"); got != desk.Overflow+"/booking" {
+		t.Error(got)
+	}
+}
+
+// What is posted once the keeper was let go of reaches it no more: it may be closed.
+func TestRelease(t *testing.T) {
+	limits := ledger.Limits{Rows: 16, Open: 16, Flight: 16}
+	k := &counting{}
+	d := desk.New(ledger.New(limits, true), ledger.Names{}, k, desk.Options{Limits: limits, Log: zap.NewNop()})
+	d.Post(ledger.Posting{Event: ledger.FrontTaken, Ref: 1})
+	d.Release()
+	d.Post(ledger.Posting{Event: ledger.FrontServed, Ref: 1})
+	if k.n != 1 {
+		t.Errorf("%d postings were kept", k.n)
+	}
+}
+
+type counting struct{ n int }
+
+func (k *counting) Append(ledger.Posting)     { k.n++ }
+func (k *counting) Mark()                     {}
+func (k *counting) Cut(ledger.Statement)      {}
+func (k *counting) Commit(ledger.Names) error { return nil }
