Read on in a next segment of the log only when the one before is full

Ruled out: the gateways' own audits, which found nothing all the while, and the postings: the reader had read a segment before it was full, and the next one after that, so postings between were missing. The same reading serves the repair: after a crash of the machine that loses the last pages of a segment and keeps the next, it would have counted on.

Change: the log goes on in a next segment only when the one before is full; what stands behind a break is counted and said. A reader looks again where a log at work seems torn.

Result: TestHoleBetweenSegments, which takes 1, 7 and 100 records from the end of a full segment, fails without the change.

--- a/internal/ledger/store/fuzz_test.go
+++ b/internal/ledger/store/fuzz_test.go
@@ -21,9 +21,9 @@
 	f.Add(s.m[:headSize+3*recordSize])
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n := 0
-		read, behind, _, err := scan(b, 7, 0, 1, func(ledger.Posting) { n++ })
-		if err == nil && (n > read || (read+behind)*recordSize > len(b)) {
-			t.Fatalf("%d records of %d, %d behind, in %d bytes", n, read, behind, len(b))
+		s, err := scan(b, 7, 0, 1, func(ledger.Posting) { n++ })
+		if err == nil && (n > s.read || (s.read+s.behind)*recordSize > len(b)) {
+			t.Fatalf("%d records of %d, %d behind, in %d bytes", n, s.read, s.behind, len(b))
 		}
 	})
 }
--- a/internal/ledger/store/read.go
+++ b/internal/ledger/store/read.go
@@ -153,8 +153,21 @@
 	Last       uint64
 }
 
-// Read reads a folder's books as they stand, the log included. It changes nothing.
-func Read(dir string) (*View, error) {
+// readings is how often Read looks again, where a gateway that writes on meanwhile makes its log look torn.
+const readings = 5
+
+// Read reads a folder's books as they stand, the log included. It changes nothing. What a gateway at work posts while it
+// is read is in it up to some moment.
+func Read(dir string) (v *View, err error) {
+	for range readings {
+		if v, err = readOnce(dir); err != nil || len(v.Notes) == 0 {
+			break
+		}
+	}
+	return v, err
+}
+
+func readOnce(dir string) (*View, error) {
 	path := filepath.Join(dir, dbName)
 	db, err := open(path, &bbolt.Options{Timeout: openTime, ReadOnly: true})
 	if err != nil {
--- a/internal/ledger/store/segment.go
+++ b/internal/ledger/store/segment.go
@@ -143,46 +143,55 @@
 // readSegment hands the records of a file from a place on to f, up to the first that is not whole. It tells how many it
 // read, how many whole ones stand behind one that is not, and whether the log breaks off here: with the file, or before
 // it, as it stands behind a statement that came later than those on the disk.
-func readSegment(path string, number uint64, from int, statements uint64, f func(ledger.Posting)) (read, behind int, gap bool, err error) {
+func readSegment(path string, number uint64, from int, statements uint64, f func(ledger.Posting)) (scanned, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return 0, 0, false, err
+		return scanned{}, err
 	}
 	return scan(b, number, from, statements, f)
 }
 
+// scanned is what reading a segment found.
+type scanned struct {
+	read   int  // place behind the last whole record
+	behind int  // whole records behind one that is not
+	gap    bool // the log breaks off
+	full   bool // all places are taken: the log may go on in the next segment
+}
+
 // scan does so with a file's bytes.
-func scan(b []byte, number uint64, from int, statements uint64, f func(ledger.Posting)) (read, behind int, gap bool, err error) {
+func scan(b []byte, number uint64, from int, statements uint64, f func(ledger.Posting)) (s scanned, err error) {
 	if len(b) < headSize+2*recordSize || string(b[:8]) != magic || binary.LittleEndian.Uint64(b[8:]) != number ||
 		crc32.Checksum(b[:headSize-4], castagnoli) != binary.LittleEndian.Uint32(b[headSize-4:]) {
-		return 0, 0, false, errHead
+		return s, errHead
 	}
 	most := (len(b)-headSize)/recordSize - 1
 	place := func(i int) (ledger.Posting, bool) {
 		return decode(b[headSize+i*recordSize:], number, uint32(i))
 	}
 	last, marked := place(most)
-	gap = marked && last.Event == gapEvent
-	for read = from; read < most; read++ {
-		p, ok := place(read)
+	s.gap = marked && last.Event == gapEvent
+	for s.read = from; s.read < most; s.read++ {
+		p, ok := place(s.read)
 		if !ok {
 			break
 		}
 		if p.Event == takenUp {
 			if p.Ref > statements {
-				_, more := place(read + 1)
-				return read, 0, more, nil
+				_, s.gap = place(s.read + 1)
+				return s, nil
 			}
 			continue
 		}
 		f(p)
 	}
-	for i := read + 1; i < most; i++ {
+	for i := s.read + 1; i < most; i++ {
 		if _, ok := place(i); ok {
-			behind++
+			s.behind++
 		}
 	}
-	return read, behind, gap, nil
+	s.full = s.read == most
+	return s, nil
 }
 
 // segments lists the numbers of the segments in a folder, in their order.
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -249,7 +249,7 @@
 	if err != nil {
 		return nil, 0, nil, err
 	}
-	at, stopped := m.At, ""
+	at, stopped, over := m.At, "", false
 	for i, number := range numbers {
 		if number < m.Segment {
 			continue
@@ -257,28 +257,33 @@
 		if number != m.Segment {
 			at = 0
 		}
-		if stopped != "" { // what stands behind a break is of no use, unless there is nothing
-			read, _, _, err := readSegment(segmentPath(dir, number), number, 0, math.MaxUint64, func(ledger.Posting) {})
-			if err == nil && read > 0 {
-				notes = append(notes, fmt.Sprintf("%s: %d records behind the break were not trusted", segmentPath(dir, number), read))
+		path := segmentPath(dir, number)
+		if over { // what stands behind a break is of no use, unless there is nothing
+			behind := 0
+			if _, err := readSegment(path, number, 0, math.MaxUint64, func(ledger.Posting) { behind++ }); err == nil && behind > 0 {
+				notes = append(notes, fmt.Sprintf("%s: %d records behind the break were not trusted", path, behind))
 			}
 			continue
 		}
-		path := segmentPath(dir, number)
-		read, behind, gap, err := readSegment(path, number, at, m.Statements, l.Post)
-		n += max(0, read-at)
+		s, err := readSegment(path, number, at, m.Statements, l.Post)
+		n += max(0, s.read-at)
+		// Danger: the log goes on in a next segment only when this one is full. After a crash of the machine its last
+		// pages may be missing, and those of the next be there; and a reader beside a gateway at work may have read this
+		// one before it was full, and the next after that. Postings between the two would be lost, and figures not add up.
+		over = !s.full
 		switch {
 		case err != nil && !errors.Is(err, errHead):
 			return nil, 0, nil, err
 		case err != nil:
 			stopped = fmt.Sprintf("%s: %v", path, err)
-		case gap:
+		case s.gap:
 			stopped = path + ": the disk took no more for a while; what came then was not kept"
-		case behind > 0:
-			stopped = fmt.Sprintf("%s: record %d is torn; %d records behind it were not trusted", path, read, behind)
+		case s.behind > 0:
+			stopped = fmt.Sprintf("%s: record %d is torn; %d records behind it were not trusted", path, s.read, s.behind)
 		default:
 			continue
 		}
+		over = true
 		// A head that was being written when the process ended is no loss: nothing was in the file.
 		if !errors.Is(err, errHead) || i < len(numbers)-1 {
 			notes = append(notes, stopped)
--- a/internal/ledger/store/store_test.go
+++ b/internal/ledger/store/store_test.go
@@ -359,6 +359,54 @@
 	b.Close()
 }
 
+// The end of a segment is lost, as a crash of the machine may lose it, or as a reader that came too early does not see
+// it, and the next segment is there: nothing of that is counted, and the figures add up.
+func TestHoleBetweenSegments(t *testing.T) {
+	dir := t.TempDir()
+	b, _ := opened(t, options(dir))
+	defer b.Close()
+	if err := b.state(); err != nil {
+		t.Fatal(err)
+	}
+	first := filepath.Base(b.cur.path)
+	n := 0
+	ledgertest.Storm(6, 300, 20, func(p ledger.Posting) {
+		b.ready()
+		b.post(p)
+		n++
+	})
+	if filepath.Base(b.cur.path) == first {
+		t.Fatalf("%d postings fill no segment", n)
+	}
+	for _, lost := range []int{1, 7, 100} {
+		copied := killed(t, dir)
+		path := filepath.Join(copied, first)
+		f, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		end := headSize + b.cur.most*recordSize // the last place is for the mark of a gap
+		clear(f[end-lost*recordSize : end])
+		os.WriteFile(path, f, 0o600)
+		v, err := Read(copied)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found := v.Ledger.Audit(true); len(found) > 0 {
+			t.Errorf("%d records are lost: %v", lost, found)
+		}
+		after, found := opened(t, options(copied))
+		if notes := strings.Join(found.Notes, "; "); !strings.Contains(notes, "behind the break were not trusted") {
+			t.Errorf("%d records are lost, and it says %q", lost, notes)
+		}
+		if err := after.state(); err != nil {
+			t.Fatal(err)
+		}
+		addUp(t, copied, after.l)
+		after.Close()
+	}
+}
+
 // A reader beside a gateway at work sees what was posted up to then, and records beyond the bound are gone.
 func TestReadBeside(t *testing.T) {
 	o := options(t.TempDir())
