Post what an account forgot without the books' lock, and drop what nothing uses

Cause, found on reading the change again: the audit of accounts posted while it held the books' lock; with a full queue, posting books the queue and takes that lock, so the planner would have waited for itself for good.

Change: it lets go of the lock first. Booking what waits is one function. Removed: a sync of mapped segments that nothing called, two figures in the store's head that nothing wrote, and a leftover in a benchmark. Behaviour is the same else.

Result: tests of desk and store pass; no test fills the queue in that moment, so the deadlock was seen in the code alone.

--- a/internal/ledger/desk/bench_test.go
+++ b/internal/ledger/desk/bench_test.go
@@ -1,7 +1,6 @@
 package desk_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -52,5 +51,4 @@
 			}
 		})
 	}
-	_ = fmt.Sprint()
 }
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -197,12 +197,17 @@
 		default:
 		}
 	} else if n >= maxBatch { // Run does not come to it
-		d.mu.Lock()
-		d.book(nil)
-		d.mu.Unlock()
+		d.bookNow()
 	}
 }
 
+// bookNow books what waits.
+func (d *Desk) bookNow() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book(nil)
+}
+
 func (d *Desk) time() int64 { return d.start.UnixNano() + int64(time.Since(d.start)) }
 
 // timed are the events whose time is of use: they open something, or end a req.
@@ -262,9 +267,7 @@
 		case <-state:
 			d.State()
 		case <-d.full:
-			d.mu.Lock()
-			d.book(nil)
-			d.mu.Unlock()
+			d.bookNow()
 		}
 	}
 }
@@ -290,12 +293,9 @@
 	if visit == nil {
 		return
 	}
-	d.mu.Lock()
-	d.book(nil) // here, so that little is left to do on the planner
-	d.mu.Unlock()
+	d.bookNow()                                             // here, so that little is left to do on the planner
 	_ = (*visit)(func(tally func(uint64) (float64, bool)) { // a planner that has stopped has no tallies
 		d.mu.Lock()
-		defer d.mu.Unlock()
 		d.book(nil)
 		keys := d.l.Accounts()
 		for _, k := range keys {
@@ -303,6 +303,7 @@
 		}
 		found, forgotten := d.l.AuditAccounts(keys, tally)
 		d.fresh = append(d.fresh, found...)
+		d.mu.Unlock() // Danger: whoever posts may have to book the queue, which takes the lock
 		for _, p := range forgotten {
 			d.Post(p)
 		}
--- a/internal/ledger/store/segment.go
+++ b/internal/ledger/store/segment.go
@@ -13,8 +13,6 @@
 	"strings"
 	"syscall"
 
-	"golang.org/x/sys/unix"
-
 	"dewhitch/internal/ledger"
 )
 
@@ -36,8 +34,6 @@
 type Files interface {
 	// Create makes a file of so many bytes, all zero and all there, and maps it.
 	Create(path string, size int) ([]byte, error)
-	// Sync has what was written to a map reach the disk.
-	Sync(mapped []byte) error
 	Unmap(mapped []byte) error
 }
 
@@ -64,7 +60,6 @@
 	return m, nil
 }
 
-func (disk) Sync(m []byte) error  { return unix.Msync(m, unix.MS_SYNC) }
 func (disk) Unmap(m []byte) error { return syscall.Munmap(m) }
 
 // segment is one that is being written.
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -71,8 +71,6 @@
 	At         int          `json:"at"`
 	Names      ledger.Names `json:"names"`
 	Stated     time.Time    `json:"stated"`
-	Evicted    uint64       `json:"evicted"`
-	TriesOut   uint64       `json:"tries_lost"`
 }
 
 var (
@@ -244,7 +242,6 @@
 	for _, o := range held.open {
 		l.RestoreOpen(o)
 	}
-	l.Evictions, l.TriesLost = m.Evicted, m.TriesOut
 	numbers, err := segments(dir)
 	if err != nil {
 		return nil, 0, nil, err
