--- a/internal/ledger/desk/names_test.go
+++ b/internal/ledger/desk/names_test.go
@@ -1,9 +1,12 @@
 package desk_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -58,3 +61,29 @@
 func (k *counting) Mark()                     {}
 func (k *counting) Cut(ledger.Statement)      {}
 func (k *counting) Commit(ledger.Names) error { return nil }
+
+// The module has dropped an account while the queue of postings is one short of full: noting that fills it, and whoever
+// fills it books it. It must not wait for itself.
+func TestForgottenWithAFullQueue(t *testing.T) {
+	limits := ledger.Limits{Rows: 16, Open: 16, Flight: 16}
+	d := desk.New(ledger.New(limits, false), ledger.Names{}, nil, desk.Options{Limits: limits, Audit: time.Millisecond,
+		Patience: time.Hour, Log: zap.NewNop()})
+	d.Post(ledger.Posting{Event: ledger.UnitsDrawn, Key: ledger.Account(7), Units: 5e6})
+	full := sync.OnceFunc(func() {
+		for range 1<<16 - 1 {
+			d.Post(ledger.Posting{Event: ledger.UnitsDrawn, Key: ledger.Account(7)})
+		}
+	})
+	d.Tallies(func(f func(func(uint64) (float64, bool))) error {
+		f(func(uint64) (float64, bool) { full(); return 0, false })
+		return nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() { d.Run(ctx); close(over) }()
+	for d.Report().Total.Units(ledger.UnitsForgotten) != 5e6 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-over
+}
