--- a/internal/ledger/desk/names_test.go
+++ b/internal/ledger/desk/names_test.go
@@ -81,8 +81,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	over := make(chan struct{})
 	go func() { d.Run(ctx); close(over) }()
-	for d.Report().Total.Units(ledger.UnitsForgotten) != 5e6 {
-		time.Sleep(time.Millisecond)
+	for forgotten := int64(0); forgotten != 5e6; time.Sleep(time.Millisecond) {
+		r := d.Report()
+		forgotten = r.Total.Units(ledger.UnitsForgotten)
 	}
 	cancel()
 	<-over
