Have each gateway use few servers, and go by their load reports

A gateway sends 4 to 7 attempts a second, one to each server in 15 s: what it knows of a server is that old, so the lot of pick() is near uniform. Change: a gateway uses the first servers in an order of its own, as many as it can send to every 2 s, at least 6; the less it sees of a server, the more its report counts (Little's law) and the more sharply the lot falls by speed.

--- a/api.go
+++ b/api.go
@@ -38,6 +38,15 @@
 	TimerID string
 )
 
+// rank is the server's place in the order in which gateway self uses servers: another order for each gateway. It is the
+// finalizer of splitmix64 (Steele, Lea, Flood 2014), a bijection, so that no two servers share a place.
+func (id ServerID) rank(self int) uint64 {
+	h := uint64(id) + uint64(self+1)*0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
 // Effect tells what running a request twice would do.
 type Effect int
 
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,233 @@
+package dewhitch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	dw "dewhitch"
+)
+
+// fleet plays many gateways of the real module on one virtual clock, with servers that work requests off one by one on
+// each core and report on themselves, and a counter that serves calls in turn. Ties go by order: same seed, same run.
+type fleet struct {
+	now     dw.Instant
+	rng     *rand.Rand
+	queue   events
+	order   int
+	gates   []*dw.Gateway
+	servers map[dw.ServerID]*model
+	meets   []map[dw.ServerID]bool // by gateway: the servers it has sent to
+	totals  map[string]float64
+	free    dw.Instant // when the counter is done with what it has
+	perCall dw.Span
+	calls   int
+	silent  int // calls with no answer in time
+	reqs    int
+	refused map[dw.Why]int
+	sent    func(gate int, id dw.RequestID, s *model)
+	ended   func(id dw.RequestID)
+}
+
+// model is a server: cores that each do one request after another, the reported figures half a second late.
+type model struct {
+	dw.ServerEntry
+	work               dw.Span // mean
+	cores              []dw.Instant
+	held, begun, tally int
+	report             dw.Load
+}
+
+type event struct {
+	at    dw.Instant
+	order int
+	do    func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// newFleet makes gateways that differ in number and seed alone, and servers of three cores that take 150 ms a request.
+func newFleet(t *testing.T, s dw.Settings, servers int) *fleet {
+	t.Helper()
+	f := &fleet{now: dw.Instant(1000 * sec), rng: rand.New(rand.NewPCG(1, 2)), servers: map[dw.ServerID]*model{},
+		totals: map[string]float64{}, perCall: 2 * ms, refused: map[dw.Why]int{}}
+	var list []dw.ServerEntry
+	for i := range servers {
+		m := &model{ServerEntry: dw.ServerEntry{ID: dw.ServerID(i * 7919), Zone: i % max(1, s.Zones)}, work: 150 * ms,
+			cores: make([]dw.Instant, 3)}
+		f.servers[m.ID] = m
+		list = append(list, m.ServerEntry)
+		f.after(0, func() { f.refresh(m) })
+	}
+	for i := range s.Instances {
+		s.Self = i
+		g, err := dw.New(s, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.gates = append(f.gates, g)
+		f.meets = append(f.meets, map[dw.ServerID]bool{})
+		f.do(i, dw.ServerList{Kind: dw.ListCached, Servers: list})
+	}
+	return f
+}
+
+func (f *fleet) after(d dw.Span, do func()) {
+	f.order++
+	heap.Push(&f.queue, event{max(f.now, f.now+dw.Instant(d)), f.order, do})
+}
+
+// refresh has a server's report tell what it held and answered in the last half second.
+func (f *fleet) refresh(m *model) {
+	m.report = dw.Load{Has: dw.HasInflight | dw.HasQueue | dw.HasRate, Rate: float64(m.tally) * 2}
+	m.report.Inflight = float64(min(m.held, len(m.cores)))
+	m.report.Queue = float64(m.held) - m.report.Inflight
+	m.tally = 0
+	f.after(sec/2, func() { f.refresh(m) })
+}
+
+func (f *fleet) run(d dw.Span) {
+	for end := f.now + dw.Instant(d); len(f.queue) > 0 && f.queue[0].at <= end; {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+}
+
+// ask sends a request to a gateway.
+func (f *fleet) ask(gate int, a dw.Arrival) dw.RequestID {
+	f.reqs++
+	a.ID, a.Units = dw.RequestID(fmt.Sprint(f.reqs)), max(1, a.Units)
+	f.do(gate, a)
+	return a.ID
+}
+
+func (f *fleet) do(gate int, e dw.Event) {
+	for _, a := range f.gates[gate].Handle(f.now, e, nil) {
+		switch a := a.(type) {
+		case dw.SetTimer:
+			f.after(dw.Span(a.At-f.now), func() { f.do(gate, dw.TimerFired{ID: a.ID}) })
+		case dw.Refuse:
+			f.refused[a.Why]++
+		case dw.Send:
+			f.send(gate, a)
+		case dw.Count:
+			f.count(gate, a)
+		}
+	}
+}
+
+func (f *fleet) send(gate int, a dw.Send) {
+	m, began := f.servers[a.Server], f.now
+	f.meets[gate][a.Server] = true
+	m.held++
+	m.begun++
+	if f.sent != nil {
+		f.sent(gate, a.Request, m)
+	}
+	core := 0 // the one that is free first
+	for i, at := range m.cores {
+		if at < m.cores[core] {
+			core = i
+		}
+	}
+	done := max(f.now, m.cores[core]) + dw.Instant(f.rng.ExpFloat64()*float64(m.work))
+	m.cores[core] = done
+	f.after(dw.Span(done-f.now), func() {
+		m.held--
+		m.tally++
+		if f.ended != nil {
+			f.ended(a.Request)
+		}
+		f.do(gate, dw.Ended{Request: a.Request, Server: m.ID, Final: true, Latency: dw.Span(f.now - began), Load: m.report})
+	})
+}
+
+// count serves a call after those before it; who has waited for longer than the time-out is told of no answer.
+func (f *fleet) count(gate int, a dw.Count) {
+	f.calls++
+	began := f.now
+	f.free = max(f.free, f.now) + dw.Instant(f.perCall)
+	f.after(dw.Span(f.free-f.now)+4*ms, func() {
+		f.totals[a.Name] += a.Add
+		e := dw.Counted{Name: a.Name, Total: f.totals[a.Name], Latency: dw.Span(f.now - began)}
+		if e.Latency > 50*ms {
+			f.silent++
+			e.Outcome = dw.OutcomeTimeout
+		}
+		f.do(gate, e)
+	})
+}
+
+// vast are the settings of 80 gateways.
+func vast() dw.Settings {
+	s := many()
+	s.Instances, s.ParallelTries = 80, false
+	s.Classes = []dw.Class{{Aim: 1500 * ms, Deadline: 4 * sec, Points: 1, Effect: dw.Safe}}
+	return s
+}
+
+// With 80 gateways on 60 servers each gateway met every server and knew of each what it had been 15 s before: requests
+// went to servers that crawled as often as to any other, and each gateway held 60 connections. A gateway uses a few
+// servers, and goes by what these say of themselves.
+func TestManyGatewaysLeaveSlowServers(t *testing.T) {
+	s := vast()
+	s.Plans[0] = dw.Plan{Price: 1}
+	f := newFleet(t, s, 60)
+	slow := map[dw.ServerID]bool{}
+	for id, m := range f.servers {
+		if id%(7919*6) == 0 {
+			m.work, slow[id] = 1200*ms, true
+		}
+	}
+	for gate := range f.gates {
+		var next func()
+		next = func() {
+			f.ask(gate, dw.Arrival{Remaining: 4 * sec, Spread: 1})
+			f.after(dw.Span(f.rng.ExpFloat64()*float64(sec/5)), next)
+		}
+		f.after(dw.Span(f.rng.Float64()*float64(sec)), next)
+	}
+	f.run(10 * sec)
+	for _, m := range f.servers {
+		m.begun = 0
+	}
+	f.run(10 * sec)
+	bad, all, most := 0, 0, 0
+	for id, m := range f.servers {
+		if all += m.begun; slow[id] {
+			bad += m.begun
+		} else {
+			most = max(most, m.begun)
+		}
+	}
+	met := 0
+	for _, m := range f.meets {
+		met += len(m)
+	}
+	fair := float64(all) / 60
+	t.Logf("%d attempts; %.2f of a fair share to the %d slow servers, %.2f to the busiest; %.1f servers met by a gateway",
+		all, float64(bad)/fair/float64(len(slow)), len(slow), float64(most)/fair, float64(met)/80)
+	if float64(bad) > 0.27*fair*float64(len(slow)) { // their own share of the capacity is 0.15
+		t.Errorf("slow servers got %d of %d attempts", bad, all)
+	}
+	if float64(most) > 2.2*fair {
+		t.Errorf("one server got %d of %d attempts", most, all)
+	}
+	if met > 30*80 {
+		t.Errorf("a gateway sends to %.1f of 60 servers", float64(met)/80)
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -4,11 +4,14 @@
 // actions. In order: the tuned values; a request's life; the quota of a customer; the counter; the servers.
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+
+	"dewhitch/internal/pace"
 )
 
 // The tuned values. Each is relative to something the settings tell.
@@ -24,13 +27,7 @@
 	askedFade     = 0.7         // of what was asked in earlier windows, in a new one
 	easeUse       = 0.5         // of the rate: a thin customer that asks for less is not checked
 	limitSpare    = 8           // the part of a query's time that its answer needs on its way
-	maxCalls      = 8.0         // counter calls for each time-out, at most, from a gateway
-	backoffCalls  = 20          // time-outs between two calls, at most, while they fail
-	backCalls     = 4.0         // for each time-out, of all gateways together, once one is answered again
 	countGrain    = 0.01        // units: what a total may be off by, given to seven digits
-	slowCall      = 0.25        // of the time-out: an answer slower than the quickest by more shows a line
-	callUp        = 1.1         // what a good answer makes of the pace of calls
-	callDown      = 0.85        // and a slow one, or none
 
 	aimUse        = 0.25       // of the aim: a first attempt must be expected within it, as work varies
 	idleUse       = 2.5        // or within so many times the latency of servers at ease, if that is more
@@ -48,6 +45,10 @@
 	ejectLongest  = 32 * second
 	recoverSpan   = second // over which an idle server's latency goes to the mean, and an old mean is forgotten
 	recoverGaps   = 3.0    // or over so many times the span between two attempts on it, if that is longer
+	reportWeight  = 0.8    // of a server's report in its latency, for a gateway that sees little of it itself
+	reportPrior   = 1.0    // requests: a report of few says little
+	apertureGap   = 2.0    // seconds between two attempts on a server: servers beyond that many are left out
+	leastAperture = 6      // of servers
 	minPoints     = 1e-6   // a class that earns nothing still has a place in line
 	maxSize       = 4.0    // of the mean: more is a trouble of the server, not the class
 	maxStray      = 2.0    // of the mean latency: more counts as this much, as it is one server's trouble
@@ -64,6 +65,7 @@
 	measured          Instant // when an answer last told it
 	verdicts          []verdict
 	budget            bucket // of a cold server
+	rank              uint64 // the place in this gateway's order; no two servers of one list share it
 }
 
 // verdict is what speaks against a server for a class.
@@ -131,32 +133,31 @@
 
 // Gateway is one instance of the module.
 type Gateway struct {
-	set                Settings
-	rng                *rand.Rand
-	now                Instant
-	acts               []Action
-	servers            []*server // in order of id
-	byID               map[ServerID]*server
-	requests           map[RequestID]*request
-	customers          map[CustomerID]*customer
-	timers             map[TimerID]func()
-	lastTimer          int64
-	pushes             []*customer // those with something to push or to ask
-	started            bool
-	startAt            Instant
-	callPace, quickest float64 // calls a second; the quickest answer to one, of late
-	callStock          bucket  // calls that may be made now
-	names              map[string]*customer
-	budget             float64
-	latency            float64 // smoothed, over all servers
-	measured           Instant // when an answer last told a latency
-	idle               float64 // the least latency of late: that of servers at ease
-	sent, tried, good  float64 // of late: attempts, requests that were to go on, attempts in time; they leak
-	leaked             Instant
-	cut                map[int]float64 // by zone: share of attempts there that speak against it, of late
-	sizes              []float64       // by class: its latency against the mean of all
-	worth              float64         // mean points of what arrives, for its work
-	minAim             Span
+	set               Settings
+	rng               *rand.Rand
+	now               Instant
+	acts              []Action
+	servers           []*server // in order of rank
+	byID              map[ServerID]*server
+	requests          map[RequestID]*request
+	customers         map[CustomerID]*customer
+	timers            map[TimerID]func()
+	lastTimer         int64
+	pushes            []*customer // those with something to push or to ask
+	started           bool
+	startAt           Instant
+	calls             *pace.Pacer // of the counter, which all gateways share
+	names             map[string]*customer
+	budget            float64
+	latency           float64 // smoothed, over all servers
+	measured          Instant // when an answer last told a latency
+	idle              float64 // the least latency of late: that of servers at ease
+	sent, tried, good float64 // of late: attempts, requests that were to go on, attempts in time; they leak
+	leaked            Instant
+	cut               map[int]float64 // by zone: share of attempts there that speak against it, of late
+	sizes             []float64       // by class: its latency against the mean of all
+	worth             float64         // mean points of what arrives, for its work
+	minAim            Span
 }
 
 // New makes a gateway that knows nothing yet.
@@ -166,13 +167,12 @@
 	}
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, customers: map[CustomerID]*customer{}, timers: map[TimerID]func(){},
-		names: map[string]*customer{}, cut: map[int]float64{}, callPace: 1 / max(1e-3, seconds(s.CounterTimeout)),
-		minAim: s.Classes[0].Aim, budget: retryBurst}
+		names: map[string]*customer{}, cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
+		calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
 		g.sizes = append(g.sizes, 1)
 		g.minAim = min(g.minAim, c.Aim)
 	}
-	g.quickest = seconds(s.CounterTimeout)
 	g.latency = startLatency * seconds(g.minAim)
 	g.idle = g.latency
 	g.worth = max(s.Classes[0].Points, minPoints)
@@ -248,7 +248,7 @@
 	// Beyond the quota nothing goes on, but where the plan earns more by it than it costs, the ceiling has room
 	// and the servers are at ease.
 	wait, inside := g.quota(c, r.units)
-	ask := inside && c.thin && !g.atEase(c) && (c.calling || g.mayCall())
+	ask := inside && c.thin && !g.atEase(c) && (c.calling || g.calls.Ready(int64(g.now)))
 	sure := !c.thin || ask || g.atEase(c)
 	if inside && !sure && !g.chance(c) {
 		inside = false
@@ -330,7 +330,7 @@
 	spare := min(e.Remaining/limitSpare, second/10)
 	g.after(e.Remaining-spare, func() { g.finish(r, Fail{Request: r.id, Why: WhyUnread}) })
 	c.asks = append(c.asks, r)
-	if g.queue(c, true); !c.calling && g.mayCall() {
+	if g.queue(c, true); !c.calling && g.calls.Ready(int64(g.now)) {
 		g.count(c)
 	}
 }
@@ -747,7 +747,7 @@
 
 // push sends the tally of c to the counter if it is due, early or in its period, and tells whether it did.
 func (g *Gateway) push(c *customer, early bool) bool {
-	if !g.mayCall() {
+	if !g.calls.Ready(int64(g.now)) {
 		return false
 	}
 	near := c.wants || g.turn(c) != c.turn || c.tally >= nearShare*max(0, g.room(c))
@@ -769,12 +769,6 @@
 
 func (c *customer) phase() Instant { return Instant(uint64(c.id) % uint64(c.window)) }
 
-// mayCall paces the calls to the counter, which all gateways share.
-func (g *Gateway) mayCall() bool {
-	g.callStock.fill(g.now, g.callPace, max(1, g.callPace*seconds(g.set.CounterTimeout)))
-	return g.callStock.level >= 1
-}
-
 // count makes a call that adds the tally of c to the counter.
 func (g *Gateway) count(c *customer) {
 	if turn := g.turn(c); turn != c.turn {
@@ -788,7 +782,7 @@
 	c.lastPush = g.now
 	c.period = g.now + Instant(c.window)/pushesAWindow
 	g.names[name] = c
-	g.callStock.level--
+	g.calls.Called()
 	g.acts = append(g.acts, Count{Name: name, Customer: c.id, Add: c.adding, TTL: min(maxWindow, 2*c.window)})
 }
 
@@ -814,15 +808,7 @@
 			g.queue(c, false)
 		}
 	}
-	if e.Outcome == OutcomeOK { // Danger: the way to the counter alone may take long, and is no line at it
-		g.quickest = min(g.quickest+g.quickest/idleSamples, seconds(e.Latency))
-	}
-	if e.Outcome != OutcomeOK || seconds(e.Latency) > g.quickest+slowCall*seconds(g.set.CounterTimeout) {
-		g.callPace = max(callDown*g.callPace, 1/(backoffCalls*seconds(g.set.CounterTimeout)))
-	} else if g.callStock.level < 1 {
-		back := backCalls / seconds(g.set.CounterTimeout) / float64(g.set.Instances)
-		g.callPace = min(maxCalls/seconds(g.set.CounterTimeout), max(g.callPace*callUp, back))
-	}
+	g.calls.Answered(e.Outcome == OutcomeOK, seconds(e.Latency))
 	g.release(c, e.Outcome == OutcomeOK)
 	if len(c.asks) > 0 {
 		g.queue(c, true)
@@ -876,10 +862,10 @@
 	for _, entry := range e.Servers {
 		s := g.byID[entry.ID]
 		if s == nil {
-			s = &server{ServerEntry: ServerEntry{Since: -1}}
+			s = &server{ServerEntry: ServerEntry{Since: -1}, rank: entry.ID.rank(g.set.Self)}
 			g.byID[entry.ID] = s
-			i, _ := slices.BinarySearchFunc(g.servers, entry.ID, func(s *server, id ServerID) int {
-				return int(int64(s.ID) - int64(id))
+			i, _ := slices.BinarySearchFunc(g.servers, s.rank, func(s *server, r uint64) int {
+				return cmp.Compare(s.rank, r)
 			})
 			g.servers = slices.Insert(g.servers, i, s)
 		}
@@ -923,6 +909,10 @@
 	}
 	g.latency += g.weight(g.measured, latencyWeight/4) * (min(sample, maxStray*g.latency) - g.latency)
 	s.latency += g.weight(s.measured, latencyWeight) * (sample/g.sizes[r.kind] - s.latency)
+	if l := e.Load; l.Has&HasInflight != 0 && l.Has&HasRate != 0 {
+		told := (l.Inflight + l.Queue + reportPrior) / (l.Rate + reportPrior/g.latency)
+		s.latency += reportWeight * g.blind() * g.blind() * (told - s.latency)
+	}
 	g.idle = min(g.latency, g.idle*(1+1/idleSamples))
 	g.measured, s.measured = g.now, g.now
 }
@@ -932,8 +922,14 @@
 	return max(least, maxWeight*(1-math.Exp(-seconds(g.now-last)/seconds(recoverSpan))))
 }
 
+// aperture is how many servers this gateway uses: the first ones in its own order. Danger: of many gateways
+// each would see a server too seldom to learn anything in time, and would hold a connection to every one.
+func (g *Gateway) aperture() int {
+	return min(len(g.servers), max(leastAperture, int(g.sendRate()*apertureGap)))
+}
+
 // gap is the mean time between two attempts of this gateway on a server.
-func (g *Gateway) gap() float64 { return float64(len(g.servers)) / max(1e-3, g.sendRate()) }
+func (g *Gateway) gap() float64 { return float64(g.aperture()) / max(1e-3, g.sendRate()) }
 
 // suspect holds an attempt that failed or is unanswered against its server, unless that has answered others
 // of the class since. A server that is seen seldom is avoided for longer: of few attempts each costs much.
@@ -1003,26 +999,30 @@
 	}
 	trust := float64(out) <= maxEjected*float64(ready)
 	// Danger: of many gateways, each sees a server too seldom to know how crowded it is, and all would rush to
-	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, in proportion
-	// to speed (the least of exponential draws); with much traffic of its own it takes the best. A server too
+	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, by the square
+	// of speed (the least of exponential draws); with much traffic of its own it takes the best. A server too
 	// slow for limit, on which the lot may fall, says nothing against the others: they come first.
 	blind := g.blind()
 	var best *server
 	least, soonest := math.Inf(1), 0.0
+	most := g.aperture()
 	for _, s := range g.servers {
 		if s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) {
 			continue
 		}
 		if g.warmth(s) < 1 { // rule 4; budgets start at a random level, so that gateways do not come in step
-			s.budget.fill(g.now, coldUse*g.warmth(s)*g.sendRate()/float64(ready), 1)
+			s.budget.fill(g.now, coldUse*g.warmth(s)*g.sendRate()/float64(min(ready, g.aperture())), 1)
 			if s.budget.level < 1 {
 				continue
 			}
 		}
+		if most--; most < 0 {
+			break
+		}
 		// Danger: the estimate of a server that is seen seldom is of an older load, and among many there is always
 		// one that looks idle. The less is seen of it, the more the latency of all speaks against it.
 		expect := g.expect(s)
-		cost := expect * math.Pow(g.rng.ExpFloat64(), blind)
+		cost := expect * math.Pow(expect*g.warmth(s)*g.rng.ExpFloat64(), blind)
 		expect = (expect + blind*max(0, g.latency-expect)) * g.sizes[r.kind]
 		if n := len(r.attempts); n > 0 && r.attempts[n-1].server == s {
 			cost += seconds(r.class.Aim)
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,51 @@
+// Package pace says when a caller of a shared service may call it, where the callers can't talk to each other and
+// none knows what the service bears: each goes by how its own calls were answered. It owns the pace of one caller.
+// It never calls anything, waits or reads a clock, and it is not safe for concurrent use.
+package pace
+
+// Shares of the time-out, and factors of the pace; a good answer makes up for a third of a bad one.
+const (
+	most    = 8.0    // calls for each time-out, at most, from one caller
+	backoff = 20     // time-outs between two calls, at most, while they fail
+	back    = 4.0    // calls for each time-out, of all callers together, once one is answered again
+	slow    = 0.25   // of the time-out: an answer slower than the quickest by more shows a line at the service
+	up      = 1.1    // what a good answer makes of the pace
+	down    = 0.85   // and a slow one, or none
+	forget  = 1000.0 // answers, after which the quickest of them is forgotten
+)
+
+// Pacer is the pace of one caller. Times are in seconds, instants in nanoseconds on a clock of the caller's.
+type Pacer struct {
+	timeout, callers float64
+	rate, quickest   float64 // calls a second; the quickest answer of late
+	stock            float64 // calls that may be made now
+	at               int64
+}
+
+// New starts slowly: one call for each time-out, in seconds. A service that sets none still has a thousandth of one.
+func New(timeout float64, callers int) *Pacer {
+	return &Pacer{timeout: timeout, callers: float64(callers), rate: 1 / max(1e-3, timeout), quickest: timeout}
+}
+
+// Ready tells that a call may be made now. Up to a time-out's worth of calls is saved up.
+func (p *Pacer) Ready(now int64) bool {
+	p.stock = min(max(1, p.rate*p.timeout), p.stock+p.rate*float64(now-p.at)/1e9)
+	p.at = now
+	return p.stock >= 1
+}
+
+// Called takes a call off what may be made; one that could not wait may be made before its turn.
+func (p *Pacer) Called() { p.stock-- }
+
+// Answered learns from the end of a call. Danger: the way to the service alone may take long, and is no line at it;
+// so what counts is how much slower than the quickest an answer was.
+func (p *Pacer) Answered(ok bool, latency float64) {
+	if ok {
+		p.quickest = min(p.quickest+p.quickest/forget, latency)
+	}
+	if !ok || latency > p.quickest+slow*p.timeout {
+		p.rate = max(down*p.rate, 1/(backoff*p.timeout))
+	} else if p.stock < 1 { // a pace that is not used up says nothing of what the service bears
+		p.rate = min(most/p.timeout, max(p.rate*up, back/p.timeout/p.callers))
+	}
+}
