Spend no counter call on a plan where use beyond the quota costs nothing

Seen: a customer comes through 40 to 80 of the gateways, so each request asks the counter first; the counter bears 250 to 450 calls a second, the gateways want 600 or more. Those that get none are taken for doubtful and mostly refused. At fault: arrive() asked for every thin customer. Change: it asks where use beyond the quota costs more than it earns.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -231,3 +231,17 @@
 		t.Errorf("a gateway sends to %.1f of 60 servers", float64(met)/80)
 	}
 }
+
+// The first replay of 80 gateways spent a third of the counter's calls, which were too few, on customers whose use
+// beyond the quota costs nothing.
+func TestNoCallWhereUseBeyondTheQuotaCostsNothing(t *testing.T) {
+	for _, earns := range []float64{0, 0.2} {
+		s := vast()
+		s.Plans[0].BeyondEarns, s.Plans[0].OverrunCost = earns, 0.1
+		b := newBed(t, s, dw.ServerEntry{ID: 7})
+		b.ask(dw.Arrival{Customer: 1, Spread: 50})
+		if calls, sent := len(b.calls), len(b.sent); calls+sent != 1 || sent != int(5*earns) {
+			t.Errorf("beyond the quota earning %v: %d calls, and sent on %d times, before an answer", earns, calls, sent)
+		}
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -248,8 +248,9 @@
 	// Beyond the quota nothing goes on, but where the plan earns more by it than it costs, the ceiling has room
 	// and the servers are at ease.
 	wait, inside := g.quota(c, r.units)
-	ask := inside && c.thin && !g.atEase(c) && (c.calling || g.calls.Ready(int64(g.now)))
-	sure := !c.thin || ask || g.atEase(c)
+	sure := !c.thin || plan.BeyondEarns > plan.OverrunCost || g.atEase(c) // what harms nobody takes no call
+	ask := inside && !sure && (c.calling || g.calls.Ready(int64(g.now)))
+	sure = sure || ask
 	if inside && !sure && !g.chance(c) {
 		inside = false
 		g.draw(c, r.units) // the count of a thin customer is of what was asked for
