Scatter the questions of many gateways to a shared discovery, and ask for changes only

Checked in the logs: every gateway asked in the same millisecond, at 0.107, 0.162, 0.268, 0.473 s and then every 0.505 s, without jitter; a question that waited was given up after 1 s, and asked anew behind itself. At fault: director.Run, a fixed doubling up to 0.5 s, the same at every gateway, and no word of who shares the director. Change: where the settings say that the list has to be asked for, the first question is scattered over 50 ms a gateway, it is for what changed since the known list, a 503 is backed off from by the number of gateways, and a gateway serves from the known list meanwhile instead of waiting a second. Jitter everywhere else. internal/backoff is the pure part.

--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -131,7 +131,12 @@
 	group.Go(func() error { return planner.Run(work) })
 	group.Go(func() error { return pools.Run(work) })
 	group.Go(func() error { return count.Run(work) })
-	list := director.New(n.Discovery, decoder, planner.Listed, log)
+	list := director.New(n.Discovery, decoder, planner.Listed, n.Seed, log)
+	wait := listWait
+	if n.Settings.ListOnRequest && len(known.List.Servers) > 0 {
+		list.Shared(known.List.Version, n.Settings.Instances)
+		wait = 0
+	}
 	group.Go(func() error { return list.Run(work) })
 	group.Go(func() error {
 		reload(work, again, n, list, count, log)
@@ -155,7 +160,7 @@
 		select {
 		case <-list.First:
 		case <-taking.Done():
-		case <-time.After(listWait):
+		case <-time.After(wait):
 		}
 		return serveAll(taking, servers, places)
 	})
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -12,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"dewhitch/internal/backoff"
 	"dewhitch/internal/core"
 	"dewhitch/internal/http1"
 )
@@ -20,9 +23,11 @@
 	path        = "/api/targets"
 	silence     = 3 * time.Second // a watch writes at least an empty line every 2 s
 	answerTime  = time.Second     // the agent answers at once, unless it is cut off or has nothing to say
+	lineTime    = 6 * time.Second // but a service that many ask has a line, and serves those too who have left it
 	dialTime    = time.Second
-	backoffFrom = 50 * time.Millisecond
+	backoffFrom = 100 * time.Millisecond
 	backoffTo   = 500 * time.Millisecond // news must not wait: drains count as told, heard or not
+	askEvery    = 50 * time.Millisecond  // for each gateway: a director that all ask bears so much at a start
 	lineSize    = 256 << 10              // of one line of a watch
 )
 
@@ -38,16 +43,34 @@
 	first    sync.Once
 	have     bool // a whole list has been read
 	revision int64
+	scatter  time.Duration // before the first question
+	patience time.Duration // for an answer
+	lost     bool          // since the list was last told
+	again    backoff.Backoff
 
 	mu    sync.Mutex
 	addr  string
 	moved chan struct{} // closed by Move
 }
 
-// New makes a director; listed is called for each message, in order.
-func New(addr string, d *Decoder, listed func(core.Listing) error, log *zap.Logger) *Director {
-	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log,
-		moved: make(chan struct{})}
+// New makes a director; listed is called for each message, in order. The seed scatters when it asks again.
+func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Director {
+	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log, patience: answerTime,
+		moved: make(chan struct{}), again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo,
+			Rand: rand.New(rand.NewPCG(seed, 2))}}
+}
+
+// Shared says that one director serves all of so many gateways, each of which asks it on its own, and that the planner
+// holds a list of that revision. It is to be called before Run.
+//
+// Danger: gateways that start together all ask at once, and a director that bears each of them serves none. So the first
+// question is scattered over a span, it is for what changed since and not for all of the list, and a director that says
+// it is busy is left alone for the longer the more gateways there are.
+func (d *Director) Shared(revision int64, gateways int) {
+	span := time.Duration(gateways) * askEvery
+	d.have, d.revision, d.patience = true, revision, lineTime
+	d.scatter = time.Duration(d.again.Rand.Int64N(int64(span)))
+	d.again.BusyFirst, d.again.Busy = span/2, max(backoffTo, 2*span)
 }
 
 // Move has the list read at another address from now on, all of it: what the old one had is a past of its own.
@@ -68,22 +91,29 @@
 
 // Run follows the list until the context ends.
 func (d *Director) Run(ctx context.Context) error {
-	pause := backoffFrom
 	at := ""
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.scatter):
+	}
 	for ctx.Err() == nil {
 		addr, moved := d.place()
-		if addr != at {
-			at, pause = addr, backoffFrom
+		if at != "" && addr != at {
+			d.again.Reset()
 			// Danger: revisions of two agents need not match, and a watch since the old one's would miss changes.
 			d.have = false
 		}
+		at = addr
 		told, err := d.followUntil(ctx, addr, moved)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if told {
-			pause = backoffFrom
+			d.again.Reset()
 		}
+		d.lost = true
+		var refused statusError
+		pause := d.again.Next(errors.As(err, &refused))
 		d.log.Warn("the director's list broke off", zap.String("director", addr), zap.Error(err),
 			zap.Duration("again_in", pause))
 		select {
@@ -91,7 +121,6 @@
 		case <-moved:
 		case <-time.After(pause):
 		}
-		pause = min(2*pause, backoffTo)
 	}
 	return nil
 }
@@ -142,6 +171,10 @@
 	if err != nil {
 		return told, err
 	}
+	if d.lost {
+		d.lost = false
+		d.log.Info("the director's list is followed", zap.Int64("revision", d.revision))
+	}
 	lines := bufio.NewScanner(http1.Body(r, head))
 	lines.Buffer(nil, lineSize)
 	for {
@@ -162,14 +195,19 @@
 	}
 }
 
+// statusError is an answer other than 200: there is a director, and it turned the call away.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
 func (d *Director) ask(conn net.Conn, r *bufio.Reader, addr, target string) (http1.Answer, error) {
-	conn.SetDeadline(time.Now().Add(answerTime))
+	conn.SetDeadline(time.Now().Add(d.patience))
 	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, addr)); err != nil {
 		return http1.Answer{}, err
 	}
 	head, err := http1.ReadAnswer(r)
 	if err == nil && head.Status != 200 {
-		err = fmt.Errorf("status %d", head.Status)
+		err = statusError(head.Status)
 	}
 	return head, err
 }
