--- a/fleet_test.go
+++ b/fleet_test.go
@@ -272,3 +272,30 @@
 		}
 	}
 }
+
+// What a query says is left can be taken, whatever classes of requests earn: it was refused like a cheap request.
+func TestWhatIsLeftCanBeTaken(t *testing.T) {
+	for _, spread := range []int{1, 50} {
+		s := vast()
+		s.Classes = append(s.Classes, s.Classes[0])
+		s.Classes[1].Points = 5
+		b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
+		for i := range 400 {
+			b.serve(1, 20*ms, dw.Arrival{Customer: dw.CustomerID(100 + i), Class: i % 2, Remaining: sec})
+		}
+		q := dw.LimitQuery{Customer: 1, Remaining: sec, Spread: spread}
+		for i := range 20 { // until nothing is left
+			q.ID = dw.RequestID(fmt.Sprint("ask", i))
+			b.do(q)
+			b.pass(10 * ms)
+			left := b.over[q.ID].(dw.Limit).Left
+			take := dw.LimitAdjust{LimitQuery: q, Units: 1}
+			take.ID = dw.RequestID(fmt.Sprint("take", i))
+			b.do(take)
+			b.pass(10 * ms)
+			if _, taken := b.over[take.ID].(dw.Adjusted); taken != (left >= 1) {
+				t.Errorf("spread %d: %.2f are left, and one can be taken: %v", spread, left, taken)
+			}
+		}
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -626,7 +626,13 @@
 
 // kept is the share of a customer's store that r leaves to others. Danger: who asks for more than its quota
 // spends it on whatever comes first, and what earns most is then beyond it.
-func (g *Gateway) kept(r *request) float64 { return keptShare * max(0, 1-g.worthOf(r)/g.worth) }
+// Units that are taken alone are for work unknown, and have all that a query says is left.
+func (g *Gateway) kept(r *request) float64 {
+	if r.take {
+		return 0
+	}
+	return keptShare * max(0, 1-g.worthOf(r)/g.worth)
+}
 
 // quota decides whether a request is within the quota, and else when to ask again.
 func (g *Gateway) quota(c *customer, units, kept float64) (wait Span, ok bool) {
