--- a/fleet_test.go
+++ b/fleet_test.go
@@ -99,6 +99,18 @@
 	f.after(sec/2, func() { f.refresh(m) })
 }
 
+// load has each gateway asked five times a second.
+func (f *fleet) load() {
+	for gate := range f.gates {
+		var next func()
+		next = func() {
+			f.ask(gate, dw.Arrival{Remaining: 4 * sec, Spread: 1})
+			f.after(dw.Span(f.rng.ExpFloat64()*float64(sec/5)), next)
+		}
+		f.after(dw.Span(f.rng.Float64()*float64(sec)), next)
+	}
+}
+
 func (f *fleet) run(d dw.Span) {
 	for end := f.now + dw.Instant(d); len(f.queue) > 0 && f.queue[0].at <= end; {
 		e := heap.Pop(&f.queue).(event)
@@ -193,14 +205,7 @@
 			m.work, slow[id] = 1200*ms, true
 		}
 	}
-	for gate := range f.gates {
-		var next func()
-		next = func() {
-			f.ask(gate, dw.Arrival{Remaining: 4 * sec, Spread: 1})
-			f.after(dw.Span(f.rng.ExpFloat64()*float64(sec/5)), next)
-		}
-		f.after(dw.Span(f.rng.Float64()*float64(sec)), next)
-	}
+	f.load()
 	f.run(10 * sec)
 	for _, m := range f.servers {
 		m.begun = 0
@@ -299,3 +304,39 @@
 		}
 	}
 }
+
+// Six in ten servers are replaced by cold ones, of which all 80 gateways are told at once. No cold server may be sent
+// more than a multiple of what it can do then, in any window in which that would push it over (rule 4).
+func TestManyGatewaysSpareColdServers(t *testing.T) {
+	s := vast()
+	s.Plans[0] = dw.Plan{Price: 1}
+	f := newFleet(t, s, 60)
+	f.load()
+	f.run(10 * sec)
+	var news []dw.ServerEntry
+	var cold []*model
+	for i := range 36 {
+		news = append(news, dw.ServerEntry{ID: dw.ServerID(i * 7919), State: dw.Gone})
+		m := &model{ServerEntry: dw.ServerEntry{ID: dw.ServerID(1e6 + i), Since: f.now}, work: 600 * ms,
+			cores: make([]dw.Instant, 3)}
+		f.servers[m.ID] = m
+		f.after(0, func() { f.refresh(m) })
+		cold, news = append(cold, m), append(news, m.ServerEntry)
+	}
+	for gate := range f.gates {
+		f.do(gate, dw.ServerList{Kind: dw.ListDelta, Servers: news})
+	}
+	begins := s.StartCapacity * 3 / 0.15 // requests a second
+	limit := s.FallMultiple * begins * float64(s.FallSpan) / float64(sec)
+	all, most := 0, 0
+	for range 3 { // windows from the start, each taken to bear no more than the first
+		f.run(s.FallSpan)
+		for _, m := range cold {
+			all, most, m.begun = all+m.begun, max(most, m.begun), 0
+		}
+	}
+	t.Logf("%d attempts to cold servers in 6 s; %d to one in 2 s, where %.0f push it over", all, most, limit)
+	if float64(most) > limit || all < 36 {
+		t.Errorf("%d attempts to cold servers in 6 s, %d to one in 2 s, where %.0f push it over", all, most, limit)
+	}
+}
