--- a/fleet_test.go
+++ b/fleet_test.go
@@ -10,7 +10,7 @@
 )
 
 // fleet plays many gateways of the real module on one virtual clock, with servers that work requests off one by one on
-// each core and report on themselves, and a counter that serves calls in turn. Ties go by order: same seed, same run.
+// each core and report on themselves. Ties go by order: same seed, same run.
 type fleet struct {
 	now     dw.Instant
 	rng     *rand.Rand
@@ -19,15 +19,7 @@
 	gates   []*dw.Gateway
 	servers map[dw.ServerID]*model
 	meets   []map[dw.ServerID]bool // by gateway: the servers it has sent to
-	totals  map[string]float64
-	free    dw.Instant // when the counter is done with what it has
-	perCall dw.Span
-	calls   int
-	silent  int // calls with no answer in time
 	reqs    int
-	refused map[dw.Why]int
-	sent    func(gate int, id dw.RequestID, s *model)
-	ended   func(id dw.RequestID)
 }
 
 // model is a server: cores that each do one request after another, the reported figures half a second late.
@@ -62,15 +54,11 @@
 // newFleet makes gateways that differ in number and seed alone, and servers of three cores that take 150 ms a request.
 func newFleet(t *testing.T, s dw.Settings, servers int) *fleet {
 	t.Helper()
-	f := &fleet{now: dw.Instant(1000 * sec), rng: rand.New(rand.NewPCG(1, 2)), servers: map[dw.ServerID]*model{},
-		totals: map[string]float64{}, perCall: 2 * ms, refused: map[dw.Why]int{}}
+	f := &fleet{now: dw.Instant(1000 * sec), rng: rand.New(rand.NewPCG(1, 2)), servers: map[dw.ServerID]*model{}}
 	var list []dw.ServerEntry
 	for i := range servers {
-		m := &model{ServerEntry: dw.ServerEntry{ID: dw.ServerID(i * 7919), Zone: i % max(1, s.Zones)}, work: 150 * ms,
-			cores: make([]dw.Instant, 3)}
-		f.servers[m.ID] = m
+		m := f.add(dw.ServerEntry{ID: dw.ServerID(i * 7919), Zone: i % max(1, s.Zones)}, 150*ms)
 		list = append(list, m.ServerEntry)
-		f.after(0, func() { f.refresh(m) })
 	}
 	for i := range s.Instances {
 		s.Self = i
@@ -90,6 +78,14 @@
 	heap.Push(&f.queue, event{max(f.now, f.now+dw.Instant(d)), f.order, do})
 }
 
+// add starts a server of three cores.
+func (f *fleet) add(e dw.ServerEntry, work dw.Span) *model {
+	m := &model{ServerEntry: e, work: work, cores: make([]dw.Instant, 3)}
+	f.servers[m.ID] = m
+	f.after(0, func() { f.refresh(m) })
+	return m
+}
+
 // refresh has a server's report tell what it held and answered in the last half second.
 func (f *fleet) refresh(m *model) {
 	m.report = dw.Load{Has: dw.HasInflight | dw.HasQueue | dw.HasRate, Rate: float64(m.tally) * 2}
@@ -120,11 +116,10 @@
 }
 
 // ask sends a request to a gateway.
-func (f *fleet) ask(gate int, a dw.Arrival) dw.RequestID {
+func (f *fleet) ask(gate int, a dw.Arrival) {
 	f.reqs++
 	a.ID, a.Units = dw.RequestID(fmt.Sprint(f.reqs)), max(1, a.Units)
 	f.do(gate, a)
-	return a.ID
 }
 
 func (f *fleet) do(gate int, e dw.Event) {
@@ -132,12 +127,8 @@
 		switch a := a.(type) {
 		case dw.SetTimer:
 			f.after(dw.Span(a.At-f.now), func() { f.do(gate, dw.TimerFired{ID: a.ID}) })
-		case dw.Refuse:
-			f.refused[a.Why]++
 		case dw.Send:
 			f.send(gate, a)
-		case dw.Count:
-			f.count(gate, a)
 		}
 	}
 }
@@ -147,9 +138,6 @@
 	f.meets[gate][a.Server] = true
 	m.held++
 	m.begun++
-	if f.sent != nil {
-		f.sent(gate, a.Request, m)
-	}
 	core := 0 // the one that is free first
 	for i, at := range m.cores {
 		if at < m.cores[core] {
@@ -161,29 +149,10 @@
 	f.after(dw.Span(done-f.now), func() {
 		m.held--
 		m.tally++
-		if f.ended != nil {
-			f.ended(a.Request)
-		}
 		f.do(gate, dw.Ended{Request: a.Request, Server: m.ID, Final: true, Latency: dw.Span(f.now - began), Load: m.report})
 	})
 }
 
-// count serves a call after those before it; who has waited for longer than the time-out is told of no answer.
-func (f *fleet) count(gate int, a dw.Count) {
-	f.calls++
-	began := f.now
-	f.free = max(f.free, f.now) + dw.Instant(f.perCall)
-	f.after(dw.Span(f.free-f.now)+4*ms, func() {
-		f.totals[a.Name] += a.Add
-		e := dw.Counted{Name: a.Name, Total: f.totals[a.Name], Latency: dw.Span(f.now - began)}
-		if e.Latency > 50*ms {
-			f.silent++
-			e.Outcome = dw.OutcomeTimeout
-		}
-		f.do(gate, e)
-	})
-}
-
 // vast are the settings of 80 gateways.
 func vast() dw.Settings {
 	s := many()
@@ -251,17 +220,24 @@
 	}
 }
 
+// mixed is one gateway of many that has learned what requests of two classes earn, from customers that ask little.
+func mixed(t *testing.T) *bed {
+	t.Helper()
+	s := vast()
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[1].Points = 5
+	b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
+	for i := range 400 {
+		b.serve(1, 20*ms, dw.Arrival{Customer: dw.CustomerID(100 + i), Class: i % 2, Remaining: sec})
+	}
+	return b
+}
+
 // Queries, which earn least, spent the quotas of customers that ask for more than they have, and bookings came beyond
 // them: with looser limits on queries a day's score fell from 0.68 to 0.56. What earns little leaves part of the store.
 func TestQuotaIsKeptForWhatEarnsMore(t *testing.T) {
 	for _, spread := range []int{1, 50} { // by this gateway's account, and by the count
-		s := vast()
-		s.Classes = append(s.Classes, s.Classes[0])
-		s.Classes[1].Points = 5
-		b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
-		for i := range 400 { // it learns what requests earn, one half of each, from customers that ask little
-			b.serve(1, 20*ms, dw.Arrival{Customer: dw.CustomerID(100 + i), Class: i % 2, Remaining: sec})
-		}
+		b := mixed(t)
 		in := [2]int{}
 		for i := range 200 { // five a second, where the quota is two
 			id, ok := b.ask(dw.Arrival{Customer: 1, Class: i % 2, Spread: spread, Remaining: sec})
@@ -281,13 +257,7 @@
 // What a query says is left can be taken, whatever classes of requests earn: it was refused like a cheap request.
 func TestWhatIsLeftCanBeTaken(t *testing.T) {
 	for _, spread := range []int{1, 50} {
-		s := vast()
-		s.Classes = append(s.Classes, s.Classes[0])
-		s.Classes[1].Points = 5
-		b := newBed(t, s, dw.ServerEntry{ID: 7}, dw.ServerEntry{ID: 8})
-		for i := range 400 {
-			b.serve(1, 20*ms, dw.Arrival{Customer: dw.CustomerID(100 + i), Class: i % 2, Remaining: sec})
-		}
+		b := mixed(t)
 		q := dw.LimitQuery{Customer: 1, Remaining: sec, Spread: spread}
 		for i := range 20 { // until nothing is left
 			q.ID = dw.RequestID(fmt.Sprint("ask", i))
@@ -317,10 +287,7 @@
 	var cold []*model
 	for i := range 36 {
 		news = append(news, dw.ServerEntry{ID: dw.ServerID(i * 7919), State: dw.Gone})
-		m := &model{ServerEntry: dw.ServerEntry{ID: dw.ServerID(1e6 + i), Since: f.now}, work: 600 * ms,
-			cores: make([]dw.Instant, 3)}
-		f.servers[m.ID] = m
-		f.after(0, func() { f.refresh(m) })
+		m := f.add(dw.ServerEntry{ID: dw.ServerID(1e6 + i), Since: f.now}, 600*ms)
 		cold, news = append(cold, m), append(news, m.ServerEntry)
 	}
 	for gate := range f.gates {
--- a/gateway.go
+++ b/gateway.go
@@ -250,7 +250,7 @@
 	// and the servers are at ease.
 	wait, inside := g.quota(c, r.units, g.kept(r))
 	sure := !c.thin || plan.BeyondEarns > plan.OverrunCost || g.atEase(c) // what harms nobody takes no call
-	ask := inside && !sure && (c.calling || g.calls.Ready(int64(g.now)))
+	ask := inside && !sure && (c.calling || g.mayCall())
 	sure = sure || ask
 	if inside && !sure && !g.chance(c) {
 		inside = false
@@ -337,7 +337,7 @@
 	spare := min(e.Remaining/limitSpare, second/10)
 	g.after(e.Remaining-spare, func() { g.finish(r, Fail{Request: r.id, Why: WhyUnread}) })
 	c.asks = append(c.asks, r)
-	if g.queue(c, true); !c.calling && g.calls.Ready(int64(g.now)) {
+	if g.queue(c, true); !c.calling && g.mayCall() {
 		g.count(c)
 	}
 }
@@ -743,7 +743,7 @@
 
 // push sends the tally of c to the counter if it is due, early or in its period, and tells whether it did.
 func (g *Gateway) push(c *customer, early bool) bool {
-	if !g.calls.Ready(int64(g.now)) {
+	if !g.mayCall() {
 		return false
 	}
 	near := c.wants || g.turn(c) != c.turn || c.tally >= nearShare*max(0, g.room(c))
@@ -765,6 +765,9 @@
 
 func (c *customer) phase() Instant { return Instant(uint64(c.id) % uint64(c.window)) }
 
+// mayCall paces the calls to the counter, which all gateways share.
+func (g *Gateway) mayCall() bool { return g.calls.Ready(int64(g.now)) }
+
 // count makes a call that adds the tally of c to the counter.
 func (g *Gateway) count(c *customer) {
 	if turn := g.turn(c); turn != c.turn {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -41,7 +41,7 @@
 	listed   func(core.Listing) error
 	log      *zap.Logger
 	first    sync.Once
-	have     bool // a whole list has been read
+	have     bool // the planner holds a whole list, of revision
 	revision int64
 	scatter  time.Duration // before the first question
 	patience time.Duration // for an answer
--- a/limits.go
+++ b/limits.go
@@ -6,12 +6,12 @@
 func (g *Gateway) left(c *customer, later float64, id RequestID) Limit {
 	g.advance(c)
 	window := c.plan.Rate*seconds(c.window) - c.total - c.tally + later // until c is listed
+	level := c.level + later
 	if c.thin {
 		window += thinBursts * c.plan.Burst
-	}
-	level := window
-	if !c.thin {
-		level, window = c.level+later, window+c.plan.Burst
+		level = window
+	} else {
+		window += c.plan.Burst
 	}
 	if g.now < c.listedTill {
 		window = 0
