Answer operators at an admin address: readiness, figures, exclusions and drains

Change: internal/admin (a bounded line parser and a listener of 32 callers, the oldest let go when full), internal/ops (ready/drained state and atomic figures by class name), exclusions in the planner as an overlay of the list (the module is told the server as draining, with its own start time), a drain of sessions in internal/front (each ends between two commands; idle ones after 50 ms), $NODE_FD taken as the clients' listener, exclusions kept in $TMPDIR for the next process (internal/handover, written by rename). PING says -ERR draining while drained only: after SIGTERM the next process serves at the same address.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/front/sessions"
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/ledger/statement"
+	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
 )
 
@@ -76,7 +77,7 @@
 	})
 	group.Go(func() error {
 		defer stopTaking()
-		linger(work, signals(), log)
+		linger(work, signals(), &ops.State{}, log)
 		return nil
 	})
 	hangUp := make(chan os.Signal, 1) // operators send it to all; unhandled, it would end the program
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -105,13 +105,21 @@
 		c = p.meet(who)
 	}
 	c.SetDeadline(time.Now().Add(patience))
+	var sent []byte
+	switch {
+	case rest == "":
+	case who[0] == 'a' && !strings.HasPrefix(rest, `"`): // the operators' address speaks lines
+		sent = []byte(rest + "\n")
+	default:
+		sent = encode(rest)
+	}
 	switch verb {
 	case ">":
-		if _, err := c.Write(encode(rest)); err != nil {
+		if _, err := c.Write(sent); err != nil {
 			p.fail("%v", err)
 		}
 	case "<":
-		if err := expect(c.r, encode(rest)); err != nil {
+		if err := expect(c.r, sent); err != nil {
 			p.fail("%v", err)
 		}
 	case "close":
@@ -148,8 +156,11 @@
 		}
 	} else {
 		addr := p.world.listen
-		if who[0] == 'l' {
+		switch who[0] {
+		case 'l':
 			addr = p.world.limits
+		case 'a':
+			addr = p.world.admin
 		}
 		if conn, err = net.DialTimeout("tcp", addr, patience); err != nil {
 			p.fail("%v", err)
@@ -314,6 +325,7 @@
 type world struct {
 	t              *testing.T
 	listen, limits string
+	admin          string // the operators' address
 	override       []string
 	self           int
 	backends       *byHand
@@ -348,8 +360,8 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		w.t.Fatal(err)
 	}
-	for _, o := range append([]string{fmt.Sprintf(`{"listen":%q,"discovery":%q,"counter":%q,"settings":{"MyNumber":%d}}`,
-		w.listen, w.discovery.Addr(), w.counter.Addr(), w.self)}, w.override...) {
+	for _, o := range append([]string{fmt.Sprintf(`{"listen":%q,"admin":%q,"discovery":%q,"counter":%q,"settings":{"MyNumber":%d}}`,
+		w.listen, w.admin, w.discovery.Addr(), w.counter.Addr(), w.self)}, w.override...) {
 		var over map[string]any
 		if err := json.Unmarshal([]byte(o), &over); err != nil {
 			w.t.Fatal(o, err)
@@ -380,13 +392,15 @@
 	limits := fmt.Sprintf("listen = %q\n[registry]\nservers = [%s]\nsession_ms = 1000\n[forward]\nlisten = %q\ngateways = 3\n",
 		w.limits, servers, w.listen)
 	os.WriteFile(filepath.Join(dir, "limits.toml"), []byte(limits), 0o600)
+	w.admin = standin.OwnAddr() // each program of a world has one of its own
 	os.WriteFile(filepath.Join(dir, "config.json"), w.config(), 0o600)
 	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 50\nstatement_ms = 300\nsegment_mb = 1\ndir = %q\n"+
 		"[operator]\nlisten = %q\n", filepath.Join(dir, "ledger"), w.operator)
 	os.WriteFile(filepath.Join(dir, "operations.toml"), []byte(operations), 0o600)
 	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml"),
 		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
-	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "config.json"),
+	// As on the platform, each gateway has a folder of its own for what one process hands to the next.
+	cmd.Env = append(os.Environ(), "TMPDIR="+dir, "NODE_CONFIG="+filepath.Join(dir, "config.json"),
 		"NODE_DISCOVERY="+w.discovery.Addr())
 	return cmd
 }
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -27,6 +27,7 @@
 	"dewhitch/internal/front/sessions"
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/ledger/statement"
+	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
 )
 
@@ -106,11 +107,21 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	commands := &platform.Commands{Planner: planner, Books: books, Words: n.Words, Settings: n.Settings}
+	state, figures := &ops.State{}, &ops.Figures{}
+	figures.Classes(n.Words.Classes)
+	planner.Count(figures)
+	pools.Dispatched = figures.Dispatched
+	operated := &operated{state: state, figures: figures, planner: planner, decoder: decoder, log: log}
+	desk, err := operators(n, operated)
+	if err != nil {
+		return err
+	}
+	commands := &platform.Commands{Planner: planner, Books: books, Words: n.Words, Settings: n.Settings,
+		Figures: figures, State: state}
 	bounds := front.NewBounds(n.MemoryMB << 20)
 	servers := []*front.Server{{Open: func() front.Commands { return commands }, Bounds: bounds, Log: log}}
-	if servers[0].Listener, err = net.Listen("tcp", n.Listen); err != nil {
-		return fmt.Errorf("configuration: listen (NODE_LISTEN): %w", err)
+	if servers[0].Listener, err = listen(n); err != nil {
+		return err
 	}
 	if l.Listen != "" {
 		asks := &limits.Commands{Commands: commands}
@@ -120,6 +131,8 @@
 		}
 		servers = append(servers, second)
 	}
+	operated.drains(servers)
+	excluded := operated.exclusions()
 
 	// What clients come by ends first; what they are served by, after the last session.
 	work, stopWork := context.WithCancel(context.Background())
@@ -129,6 +142,13 @@
 		return err
 	}
 	group.Go(func() error { return planner.Run(work) })
+	group.Go(func() error {
+		operated.handOver(work, n, excluded)
+		return nil
+	})
+	if desk != nil {
+		group.Go(func() error { return desk.Serve(work) })
+	}
 	group.Go(func() error { return pools.Run(work) })
 	group.Go(func() error { return count.Run(work) })
 	list := director.New(n.Discovery, decoder, planner.Listed, n.Seed, log)
@@ -139,7 +159,7 @@
 	}
 	group.Go(func() error { return list.Run(work) })
 	group.Go(func() error {
-		reload(work, again, n, list, count, log)
+		reload(work, again, n, list, count, figures, log)
 		return nil
 	})
 	taking, stopTaking := context.WithCancel(work)
@@ -162,15 +182,17 @@
 		case <-taking.Done():
 		case <-time.After(wait):
 		}
+		state.Start()
 		return serveAll(taking, servers, places)
 	})
 	group.Go(func() error {
 		defer stopTaking()
-		linger(work, term, log)
+		linger(work, term, state, log)
 		return nil
 	})
 	log.Info("serving", zap.String("name", n.Name), zap.String("listen", n.Listen), zap.Int("fetches", fetches),
-		zap.Int("sessions", places), zap.String("limits", l.Listen))
+		zap.Int("sessions", places), zap.String("limits", l.Listen), zap.String("admin", n.Admin),
+		zap.Int("inherited", n.Inherited))
 	err = group.Wait()
 	log.Info("ended", zap.Error(err))
 	return err
@@ -179,7 +201,7 @@
 // reload reads the configuration anew at each signal. All of it is checked before any of it is applied: with a fault
 // in it, the old one stays. The director's and the counter's addresses are what can change while the program runs.
 func reload(ctx context.Context, again <-chan os.Signal, n *config.Node, list *director.Director,
-	count *counter.Client, log *zap.Logger) {
+	count *counter.Client, figures *ops.Figures, log *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -193,6 +215,7 @@
 		if err == nil {
 			_, err = config.LoadOperations(cli.Operations)
 		}
+		figures.Reloaded(err == nil)
 		if err != nil {
 			log.Error("the new configuration is faulty; the old one stays", zap.Error(err))
 			continue
@@ -220,11 +243,12 @@
 }
 
 // linger waits for a signal, and then for as long as new sessions may still come.
-func linger(ctx context.Context, term <-chan os.Signal, log *zap.Logger) {
+func linger(ctx context.Context, term <-chan os.Signal, state *ops.State, log *zap.Logger) {
 	select {
 	case <-ctx.Done():
 		return
 	case s := <-term:
+		state.End()
 		log.Info("ending", zap.Stringer("signal", s))
 	}
 	select {
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,184 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		want Call
+		err  string
+	}{
+		{"readyz", Call{Verb: Readyz}, ""},
+		{"readyz\r", Call{Verb: Readyz}, ""},
+		{"  TELEMETRY ", Call{Verb: Telemetry}, ""},
+		{"exclude s-5be2a07c", Call{Verb: Exclude, ID: "s-5be2a07c"}, ""},
+		{"include\ts-1", Call{Verb: Include, ID: "s-1"}, ""},
+		{"evacuate", Call{Verb: Evacuate}, ""},
+		{"activate", Call{Verb: Activate}, ""},
+		{"", Call{}, "empty call"},
+		{"exclude", Call{}, "exclude takes one server id"},
+		{"exclude a b", Call{}, "exclude takes one server id"},
+		{"readyz now", Call{}, "readyz takes no argument"},
+		{"reboot", Call{}, `unknown call "reboot"`},
+		{"exclude " + strings.Repeat("x", MaxID+1), Call{}, "server id of over 64 bytes"},
+		{"readyz\x00", Call{}, "control characters in the call"},
+		{strings.Repeat("a", MaxLine), Call{}, "line too long"},
+	} {
+		got, err := Parse([]byte(c.line))
+		if c.err != "" {
+			if err == nil || err.Error() != c.err {
+				t.Errorf("%q: error %v, want %q", c.line, err, c.err)
+			}
+			continue
+		}
+		if err != nil || got != c.want {
+			t.Errorf("%q: %+v, %v; want %+v", c.line, got, err, c.want)
+		}
+	}
+}
+
+// FuzzParse: whatever comes, a call that is taken is one of the verbs, with an id where it needs one, and words that
+// were in the line.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"readyz", "exclude s-1", "include  s-2\r", "telemetry", "\xff\xfe", "evacuate x"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		c, err := Parse(line)
+		if err != nil {
+			return
+		}
+		if c.Verb < Readyz || c.Verb > Activate {
+			t.Fatalf("verb %d", c.Verb)
+		}
+		needs := c.Verb == Exclude || c.Verb == Include
+		if needs != (c.ID != "") || len(c.ID) > MaxID || !strings.Contains(string(line), c.ID) {
+			t.Fatalf("%q: %+v", line, c)
+		}
+	})
+}
+
+type fake struct {
+	mu       sync.Mutex
+	drained  bool
+	excluded map[string]bool
+}
+
+func (f *fake) Ready() bool                     { f.mu.Lock(); defer f.mu.Unlock(); return !f.drained }
+func (f *fake) AppendTelemetry(b []byte) []byte { return append(b, `{"concurrent":0}`...) }
+func (f *fake) Drain(on bool)                   { f.mu.Lock(); defer f.mu.Unlock(); f.drained = on }
+func (f *fake) Exclude(id string) error         { return f.set(id, true) }
+func (f *fake) Include(id string) error         { return f.set(id, false) }
+func (f *fake) set(id string, out bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id != "s-1" {
+		return errors.New("no server of this id was ever listed")
+	}
+	f.excluded[id] = out
+	return nil
+}
+
+func serve(t *testing.T) string {
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) }) // after the server has ended
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{Listener: l, Gateway: &fake{excluded: map[string]bool{}}, Log: zap.NewNop()}
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func call(t *testing.T, addr, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, line)
+	c.(*net.TCPConn).CloseWrite()
+	out, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(out)
+}
+
+func TestCalls(t *testing.T) {
+	addr := serve(t)
+	for _, c := range []struct{ line, want string }{
+		{"readyz\n", "YES\n"},
+		{"telemetry\n", "{\"concurrent\":0}\nEND\n"},
+		{"exclude s-1\n", "YES\n"},
+		{"exclude s-1\n", "YES\n"},
+		{"exclude s-9\n", "NO no server of this id was ever listed\n"},
+		{"include s-1\n", "YES\n"},
+		{"evacuate\n", "YES\n"},
+		{"readyz\n", "NO not ready\n"},
+		{"activate\n", "YES\n"},
+		{"readyz\r\n", "YES\n"},
+		{"jump\n", "NO unknown call \"jump\"\n"},
+		{strings.Repeat("x", 1000) + "\n", "NO line too long\n"},
+		{"readyz\nreadyz\n", "YES\n"}, // one call a connection
+		{"readyz", ""},                // no whole line: nobody is answered when the caller ends its side
+	} {
+		if got := call(t, addr, c.line); got != c.want {
+			t.Errorf("%.20q: %q, want %q", c.line, got, c.want)
+		}
+	}
+}
+
+// TestHeldConnections: callers that hold connections with half a line, more of them than there are places, keep
+// nobody out; each call is still answered at once.
+func TestHeldConnections(t *testing.T) {
+	addr := serve(t)
+	var held []net.Conn
+	for range 3 * Callers {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "read")
+		held = append(held, c)
+	}
+	for range 5 {
+		began := time.Now()
+		if got := call(t, addr, "readyz\n"); got != "YES\n" {
+			t.Fatalf("%q", got)
+		}
+		if waited := time.Since(began); waited > callTime/2 { // the bound is loose: this is no test of speed
+			t.Fatalf("answered after %v", waited)
+		}
+	}
+	// The oldest were let go to make room.
+	held[0].SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := bufio.NewReader(held[0]).ReadByte(); err == nil {
+		t.Fatal("the oldest caller was kept")
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -47,6 +47,9 @@
 	limits Limits
 	books  Books
 
+	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
+	Dispatched func(class int)
+
 	mu      sync.Mutex
 	pools   map[core.Backend]*pool
 	open    int
@@ -226,6 +229,9 @@
 		}
 		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}, false
 	}
+	if p.Dispatched != nil {
+		p.Dispatched(f.Source.Class)
+	}
 	// An answer that begins and is not whole soon is spoilt, though the connection may stay open for good.
 	_, err := c.r.Peek()
 	if err == nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,9 @@
 // Node is what one gateway is told at its start.
 type Node struct {
 	Name, Listen, Discovery, Counter string
+	Admin                            string // the operators' address; empty: none
+	Inherited                        int    // the descriptor of the clients' listening socket, handed down; 0: none
+	Scratch                          string // $TMPDIR: shared with the process that replaces this one
 	Seed                             uint64
 	Cores                            float64
 	MemoryMB, Sockets                int
@@ -43,6 +46,7 @@
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Counter   string `json:"counter"`
+	Admin     string `json:"admin"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
@@ -89,18 +93,27 @@
 		}
 		return nil, fault("NODE_CONFIG", "not JSON: %v", err)
 	}
-	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Cores: f.Limits.Cores,
+	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Admin: f.Admin, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
 	for _, v := range []struct {
 		to  *string
 		env string
-	}{{&n.Name, "NODE_NAME"}, {&n.Listen, "NODE_LISTEN"}, {&n.Discovery, "NODE_DISCOVERY"}} {
+	}{{&n.Name, "NODE_NAME"}, {&n.Listen, "NODE_LISTEN"}, {&n.Discovery, "NODE_DISCOVERY"}, {&n.Admin, "NODE_ADMIN"}} {
 		// The environment is nearer than the file, but for what the file has changed since the start.
 		if s := getenv(v.env); s != "" && !(again && v.to == &n.Discovery && *v.to != "") {
 			*v.to = s
 		}
 	}
 	var err error
+	if fd := getenv("NODE_FD"); fd != "" {
+		// Danger: descriptors 0 to 2 are the standard streams; taking one for a listener would end the log.
+		if n.Inherited, err = strconv.Atoi(fd); err != nil || n.Inherited < 3 {
+			return nil, fault("NODE_FD", "%q is not a descriptor above 2", fd)
+		}
+	}
+	if n.Scratch = getenv("TMPDIR"); n.Scratch == "" {
+		n.Scratch = os.TempDir()
+	}
 	if n.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fault("seed", "%q is not a number of up to 16 hex digits", f.Seed)
 	}
@@ -123,6 +136,11 @@
 			return err
 		}
 	}
+	if n.Admin != "" {
+		if err := address("admin (NODE_ADMIN)", n.Admin); err != nil {
+			return err
+		}
+	}
 	if n.Counter != "" || n.Settings.Counter {
 		if err := address("counter", n.Counter); err != nil {
 			return err
--- /dev/null
+++ b/internal/core/exclude.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"errors"
+	"slices"
+
+	dw "dewhitch"
+)
+
+// mostKnown bounds the ids of servers that the planner remembers having been listed, which an exclusion needs.
+const mostKnown = 1 << 14
+
+// Figures are what the planner counts for operators.
+type Figures interface {
+	Targets(listed, disabled int)
+}
+
+// exclusion is an operator's call to take a server out, or to put it back.
+type exclusion struct {
+	id    dw.ServerID
+	out   bool
+	known bool // the id need not have been listed: it was excluded by the process before this one
+	done  chan error
+}
+
+// ErrUnknownServer says that an id was never listed.
+var ErrUnknownServer = errors.New("no server of this id was ever listed")
+
+// Exclude has nothing more sent to a server, until Include; repeating it changes nothing.
+func (p *Planner) Exclude(id dw.ServerID) error { return p.exclude(exclusion{id: id, out: true}) }
+
+// Include ends an exclusion.
+func (p *Planner) Include(id dw.ServerID) error { return p.exclude(exclusion{id: id}) }
+
+// Excluded takes over the exclusions of the process before this one, whether or not their servers are listed yet.
+func (p *Planner) Excluded(ids []dw.ServerID) error {
+	for _, id := range ids {
+		if err := p.exclude(exclusion{id: id, out: true, known: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// OnExcluded has f told the excluded ids after each change, on the planner's goroutine: f may not block.
+func (p *Planner) OnExcluded(f func([]dw.ServerID)) { p.excludedTo = f }
+
+// exclude hands the call to the planner by a way of its own, as a full inbox would hold it past an operator's second.
+func (p *Planner) exclude(e exclusion) error {
+	e.done = make(chan error, 1)
+	select {
+	case p.control <- e:
+	case <-p.stop:
+		return ErrStopped
+	}
+	select {
+	case err := <-e.done:
+		return err
+	case <-p.stop:
+		return ErrStopped
+	}
+}
+
+func (e exclusion) handle(p *Planner) {
+	switch {
+	case !e.known && !p.known[e.id]:
+		e.done <- ErrUnknownServer
+		return
+	case p.excluded[e.id] == e.out:
+		e.done <- nil
+		return
+	case e.out:
+		p.excluded[e.id] = true
+	default:
+		delete(p.excluded, e.id)
+	}
+	e.done <- nil
+	if entry, listed := p.listed[e.id]; listed {
+		p.tell(dw.ServerList{Kind: dw.ListDelta, Version: p.version, Servers: []dw.ServerEntry{p.overlay(entry)}})
+	}
+	p.counted()
+	if p.excludedTo != nil {
+		ids := make([]dw.ServerID, 0, len(p.excluded))
+		for id := range p.excluded {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		p.excludedTo(ids)
+	}
+}
+
+// overlay is an entry as the module is told it: an excluded server drains, with its own start time, so that its cold
+// return is judged by the module's rules once it is put back.
+func (p *Planner) overlay(e dw.ServerEntry) dw.ServerEntry {
+	if p.excluded[e.ID] && e.State == dw.Ready {
+		e.State = dw.Draining
+	}
+	return e
+}
+
+// counted tells the figures the listed servers, and those of them that are not sent new work.
+func (p *Planner) counted() {
+	if p.figures == nil {
+		return
+	}
+	disabled := 0
+	for _, e := range p.listed {
+		if p.overlay(e).State != dw.Ready {
+			disabled++
+		}
+	}
+	p.figures.Targets(len(p.listed), disabled)
+}
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -58,6 +58,14 @@
 	routes map[dw.ServerID]Backend
 	lastID uint64
 	acts   []dw.Action
+
+	control    chan message // operators' calls, beside the inbox
+	listed     map[dw.ServerID]dw.ServerEntry
+	known      map[dw.ServerID]bool // ever listed, up to mostKnown
+	excluded   map[dw.ServerID]bool
+	version    int64 // of the list
+	figures    Figures
+	excludedTo func([]dw.ServerID)
 }
 
 // message is something that happened, told to the planner.
@@ -73,9 +81,14 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, log: log, inbox: make(chan message, inboxSize),
-		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{}}, nil
+		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
+		control: make(chan message, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
+		excluded: map[dw.ServerID]bool{}}, nil
 }
 
+// Count has the planner tell f what operators read of it.
+func (p *Planner) Count(f Figures) { p.figures = f }
+
 // post hands the planner a message, and waits while its inbox is full.
 func (p *Planner) post(m message) error {
 	select {
@@ -102,6 +115,8 @@
 		case <-wake.C:
 		case m := <-p.inbox:
 			m.handle(p)
+		case m := <-p.control:
+			m.handle(p)
 		}
 	}
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -34,7 +34,32 @@
 			}
 		}
 	}
-	p.tell(l.List)
+	p.tell(p.remember(l.List))
+}
+
+// remember keeps the entries of the list as discovery gave them, and gives the list back as the module is told it.
+func (p *Planner) remember(l dw.ServerList) dw.ServerList {
+	if l.Kind == dw.ListFailed {
+		return l
+	}
+	if l.Kind != dw.ListDelta {
+		clear(p.listed)
+	}
+	p.version = l.Version
+	told := dw.ServerList{Kind: l.Kind, Version: l.Version, Servers: make([]dw.ServerEntry, len(l.Servers))}
+	for i, e := range l.Servers {
+		if e.State == dw.Gone {
+			delete(p.listed, e.ID)
+		} else {
+			p.listed[e.ID] = e
+		}
+		if len(p.known) < mostKnown {
+			p.known[e.ID] = true
+		}
+		told.Servers[i] = p.overlay(e)
+	}
+	p.counted()
+	return told
 }
 
 // route finds the backend that the module named.
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	dw "dewhitch"
 	"dewhitch/internal/core"
@@ -39,6 +40,7 @@
 // Decoder turns discovery's messages into the module's terms.
 type Decoder struct {
 	names Names
+	mu    sync.Mutex // operators look ids up while the director decodes
 	ids   map[string]dw.ServerID
 }
 
@@ -50,11 +52,12 @@
 // id is the number in an id such as s-5be2a07c, which is the same at all gateways; an id of another form gets
 // the next number that is free.
 func (d *Decoder) id(s string) dw.ServerID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if n, ok := d.ids[s]; ok {
 		return n
 	}
-	_, digits, _ := strings.Cut(s, "-")
-	v, err := strconv.ParseUint(digits, 16, 32)
+	v, err := number(s)
 	n := dw.ServerID(v)
 	for taken := err != nil; ; taken = true {
 		if taken {
@@ -68,6 +71,23 @@
 	return n
 }
 
+func number(s string) (uint64, error) {
+	_, digits, _ := strings.Cut(s, "-")
+	return strconv.ParseUint(digits, 16, 32)
+}
+
+// Lookup finds the number of an id as discovery gives it: one of the form s-5be2a07c whether or not it is listed now,
+// another only while it is.
+func (d *Decoder) Lookup(s string) (dw.ServerID, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n, ok := d.ids[s]; ok {
+		return n, true
+	}
+	v, err := number(s)
+	return dw.ServerID(v), err == nil && !d.holds(dw.ServerID(v))
+}
+
 func (d *Decoder) holds(n dw.ServerID) bool {
 	for _, old := range d.ids {
 		if old == n {
@@ -109,6 +129,8 @@
 
 // forget drops the ids that have gone from the list: new backends come under new ids all day.
 func (d *Decoder) forget(l list) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	named := make(map[string]bool, len(l.Members))
 	for _, m := range l.Members {
 		if named[m.ID] = true; phases[m.Phase] == dw.Gone {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/front"
 	"dewhitch/internal/ledger"
+	"dewhitch/internal/ops"
 	"dewhitch/internal/resp"
 )
 
@@ -32,6 +34,8 @@
 	Books    Books
 	Words    settings.Words
 	Settings dw.Settings
+	Figures  *ops.Figures // counts for operators; nil: none
+	State    *ops.State   // whether PING says yes, as it does but when drained; nil: always
 }
 
 // Books are what the fronts post to.
@@ -46,6 +50,12 @@
 func (c *Commands) Do(came time.Time, cmd resp.Command, s *front.Slot) {
 	switch string(bytes.ToUpper(cmd[0])) {
 	case "PING":
+		if c.State != nil && c.State.Drained() {
+			// The platform's front sends no more clients here. Not so after SIGTERM: the process that replaces this
+			// one serves at the same address, and the front would take the gateway for drained.
+			s.Fill(resp.AppendFailure(nil, "ERR draining"))
+			return
+		}
 		s.Fill(resp.AppendStatus(nil, "PONG"))
 	case "SVC.QUERY":
 		c.take(came, cmd, true, s)
@@ -78,8 +88,10 @@
 	}
 	r.Ref, r.Row = c.Books.Ref(), c.Books.Row(uint64(r.Customer), r.Plan, class)
 	verdict := core.Failed
+	ended := c.count(r)
 	r.Answer = func(a core.Answer) {
 		verdict = a.Verdict
+		ended(a.Verdict, true)
 		s.Fill(words(nil, a))
 	}
 	taken := ledger.Posting{Event: ledger.FrontTaken, Key: r.Row, Ref: r.Ref, Units: ledger.MicroUnits(r.Units),
@@ -111,7 +123,32 @@
 		r.Answer(core.Answer{Verdict: core.Failed})
 		return
 	}
-	s.OnGone(func() { c.Planner.Leave(ticket) })
+	s.OnGone(func() {
+		ended(core.Failed, false)
+		c.Planner.Leave(ticket)
+	})
+}
+
+var verdicts = [...]ops.Verdict{core.Served: ops.Success, core.Refused: ops.Overload, core.Failed: ops.Error}
+
+// count has a req counted as open, and gives back what counts its end, once: answered, or left by its client, which
+// may happen at once.
+func (c *Commands) count(r *core.Req) func(v core.Verdict, answered bool) {
+	f := c.Figures
+	if f == nil {
+		return func(core.Verdict, bool) {}
+	}
+	f.Open(1)
+	var once atomic.Bool
+	return func(v core.Verdict, answered bool) {
+		if !once.CompareAndSwap(false, true) {
+			return
+		}
+		f.Open(-1)
+		if answered && r.Kind == core.Book {
+			f.Ended(r.Class, verdicts[v])
+		}
+	}
 }
 
 var ends = [...]ledger.Event{core.Served: ledger.FrontServed, core.Refused: ledger.FrontRefused,
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -21,12 +21,18 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
+	draining bool
+	sweeping bool
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
 // as nothing is owed to its client, and returns when the last has.
 func (f *Server) Serve(ctx context.Context) error {
-	f.sessions = map[*session]struct{}{}
+	f.mu.Lock()
+	if f.sessions == nil {
+		f.sessions = map[*session]struct{}{}
+	}
+	f.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
 	defer stop()
 	places := make(chan struct{}, f.Sessions)
@@ -60,6 +66,9 @@
 		s := newSession(conn, f.Open(), f.Bounds)
 		f.mu.Lock()
 		f.sessions[s] = struct{}{}
+		if f.draining {
+			s.drained()
+		}
 		f.mu.Unlock()
 		f.all.Go(func() {
 			s.run()
@@ -70,6 +79,7 @@
 		})
 	}
 	f.mu.Lock()
+	f.draining = false // the sweep ends
 	for s := range f.sessions {
 		s.finish()
 	}
@@ -79,10 +89,53 @@
 }
 
 const (
-	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
-	grace     = 200 * time.Millisecond // in which a new session's first command comes
+	roomEvery  = 50 * time.Millisecond  // while all places are taken and nobody is idle
+	grace      = 200 * time.Millisecond // in which a new session's first command comes
+	drainEvery = 50 * time.Millisecond  // while the gateway is drained: idle sessions are ended
+	drainIdle  = 50 * time.Millisecond  // a session that owes nothing for so long has nothing on its way either
 )
 
+// Drain has every session end between two commands, and those that come meanwhile as well, until it is called with
+// false. None is refused: a client that connected is served what it sends before the end.
+func (f *Server) Drain(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sessions == nil {
+		f.sessions = map[*session]struct{}{}
+	}
+	f.draining = on
+	if !on {
+		return
+	}
+	for s := range f.sessions {
+		s.drained()
+	}
+	if !f.sweeping {
+		f.sweeping = true
+		go f.sweep()
+	}
+}
+
+// sweep ends the drained sessions that are idle, as long as the drain lasts. A session waiting for its client's next
+// command would otherwise wait for as long as the client likes.
+func (f *Server) sweep() {
+	for {
+		time.Sleep(drainEvery)
+		f.mu.Lock()
+		if !f.draining {
+			f.sweeping = false
+			f.mu.Unlock()
+			return
+		}
+		for s := range f.sessions {
+			if s.isDrained() {
+				s.end(drainIdle)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
 // makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer use,
 // and a new one would wait for them for ever. Those that have asked for nothing that could be used go first: whoever
 // connects by hundreds and says nothing takes the place of no client that is served. A client that has connected a
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -106,6 +106,7 @@
 	wake  chan struct{} // something is in out, or the session is over
 	busy  time.Time     // when it last owed something
 	quit  bool          // its client asked for its end: nothing that follows is read as a command
+	drain bool          // operators drain the gateway: it ends between two commands
 	last  bool          // it ends as soon as nothing is owed
 	over  bool          // nothing more is taken or answered
 	taken int           // commands
@@ -210,11 +211,17 @@
 		}
 		s.commands.Do(came, c, slot)
 		s.mu.Lock()
-		bad, quit := s.bad, s.quit
+		bad, quit, drain := s.bad, s.quit, s.drain
 		s.mu.Unlock()
 		if quit {
 			return
 		}
+		if drain && r.Buffered() == 0 {
+			// Between two commands: what the client wrote is all taken, and what it writes after the close it sends
+			// again, on a connection of another gateway.
+			s.finish()
+			return
+		}
 		if bad > before && !s.strike(bad) {
 			return
 		}
@@ -410,6 +417,19 @@
 	s.mu.Unlock()
 }
 
+// drained has the session end after the command that it is reading, or, if it reads none, once idle: see end.
+func (s *session) drained() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drain = true
+}
+
+func (s *session) isDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain
+}
+
 // idle tells whether nothing is owed to the client, since when, and whether it has asked for anything that could be
 // used.
 func (s *session) idle() (since time.Time, useful, idle bool) {
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,87 @@
+// Package handover owns what a gateway's process leaves for the process that replaces it: the servers that operators
+// excluded. It is kept in one file in a folder that both share, written whole or not at all.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// State is what goes over.
+type State struct {
+	Excluded []string `json:"excluded"`
+}
+
+// The bounds of the file, which another process wrote: it is read as input that may be broken.
+const (
+	maxSize = 1 << 20
+	maxIDs  = 1 << 14
+	maxID   = 64
+)
+
+// Path is the file of the gateway of that name in the folder.
+func Path(dir, name string) string {
+	return filepath.Join(dir, "dewhitch-"+filepath.Base(name)+".handover.json")
+}
+
+// Save writes the state whole: into a file of its own first, then renamed over the last one, so that a process that
+// reads it meanwhile, or a kill, never leaves half of it.
+func Save(path string, s State) error {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name()) // where the rename did not happen
+	if _, err = tmp.Write(text); err == nil {
+		err = tmp.Close()
+	} else {
+		tmp.Close()
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), path)
+}
+
+// ErrNone says that no process left a state.
+var ErrNone = errors.New("handover: no state was left")
+
+// Load reads what the process before left. A missing file is ErrNone; a broken one is an error, and nothing of it is
+// taken.
+func Load(path string) (State, error) {
+	var s State
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return s, ErrNone
+	} else if err != nil {
+		return s, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxSize+1))
+	if err != nil {
+		return s, err
+	}
+	if len(text) > maxSize {
+		return s, fmt.Errorf("handover: %s is over %d bytes", path, maxSize)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return State{}, fmt.Errorf("handover: %s: %w", path, err)
+	}
+	if len(s.Excluded) > maxIDs {
+		return State{}, fmt.Errorf("handover: %s: over %d exclusions", path, maxIDs)
+	}
+	for _, id := range s.Excluded {
+		if id == "" || len(id) > maxID {
+			return State{}, fmt.Errorf("handover: %s: an exclusion of %d bytes", path, len(id))
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,176 @@
+// Package ops owns the operating state of one gateway: whether it is ready, whether operators have drained it, and
+// the figures that they read. It does no I/O and reads no clock; everything in it is safe for any goroutine, and
+// nothing on a req's path takes a lock.
+package ops
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+// State is whether the gateway serves.
+type State struct {
+	started  atomic.Bool // it listens and has a list
+	ending   atomic.Bool // SIGTERM came
+	drained  atomic.Bool // operators evacuated it
+	mu       sync.Mutex
+	watchers []func(drained bool)
+}
+
+// Start marks the gateway as able to serve.
+func (s *State) Start() { s.started.Store(true) }
+
+// End marks it as ending for good.
+func (s *State) End() { s.ending.Store(true) }
+
+// Ready is whether clients should be sent here.
+func (s *State) Ready() bool { return s.started.Load() && !s.ending.Load() && !s.drained.Load() }
+
+// Drained is whether operators have evacuated the gateway.
+func (s *State) Drained() bool { return s.drained.Load() }
+
+// Drain evacuates the gateway, or ends its drain; repeating either changes nothing. Those that watch are told of each
+// change, in order.
+func (s *State) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.drained.Swap(on) == on {
+		return
+	}
+	for _, f := range s.watchers {
+		f(on)
+	}
+}
+
+// Watch has f told of each change of the drain; f may not block.
+func (s *State) Watch(f func(drained bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers = append(s.watchers, f)
+}
+
+// Verdict is how a req ended, as the figures count it.
+type Verdict int
+
+// The verdicts.
+const (
+	Success Verdict = iota
+	Overload
+	Error
+)
+
+// class holds the counts of one class.
+type class struct {
+	name       string
+	verdicts   [3]atomic.Int64
+	dispatches atomic.Int64
+}
+
+// Figures are the counts since the start of the process. Classes are known by name: settings that are read anew may
+// add, drop and reorder them, and a count goes on under its name.
+type Figures struct {
+	mu      sync.Mutex
+	all     []*class                 // in the order they were first named; never shrinks, bounded by the names given
+	byIndex atomic.Pointer[[]*class] // of the settings in force
+
+	concurrent             atomic.Int64
+	targets, disabled      atomic.Int64
+	reloadsOK, reloadsFail atomic.Int64
+}
+
+// MostClasses bounds the names that the figures keep, whatever settings come.
+const MostClasses = 256
+
+// Classes sets the classes of the settings in force, by name.
+func (f *Figures) Classes(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	index := make([]*class, len(names))
+	for i, n := range names {
+		for _, c := range f.all {
+			if c.name == n {
+				index[i] = c
+			}
+		}
+		if index[i] == nil && len(f.all) < MostClasses {
+			index[i] = &class{name: n}
+			f.all = append(f.all, index[i])
+		}
+	}
+	f.byIndex.Store(&index)
+}
+
+func (f *Figures) class(i int) *class {
+	index := f.byIndex.Load()
+	if index == nil || i < 0 || i >= len(*index) {
+		return nil
+	}
+	return (*index)[i]
+}
+
+// Ended counts a req of class i; a class not in force is passed over.
+func (f *Figures) Ended(i int, v Verdict) {
+	if c := f.class(i); c != nil {
+		c.verdicts[v].Add(1)
+	}
+}
+
+// Dispatched counts an attempt of class i that was written whole to a backend.
+func (f *Figures) Dispatched(i int) {
+	if c := f.class(i); c != nil {
+		c.dispatches.Add(1)
+	}
+}
+
+// Open counts reqs that were taken and have not ended: +1 and -1.
+func (f *Figures) Open(d int64) { f.concurrent.Add(d) }
+
+// Targets sets the servers of the list, and of those the ones that the gateway avoids.
+func (f *Figures) Targets(listed, disabled int) {
+	f.targets.Store(int64(listed))
+	f.disabled.Store(int64(disabled))
+}
+
+// Reloaded counts a configuration read at SIGHUP, accepted or not.
+func (f *Figures) Reloaded(ok bool) {
+	if ok {
+		f.reloadsOK.Add(1)
+	} else {
+		f.reloadsFail.Add(1)
+	}
+}
+
+// AppendJSON writes the figures as one JSON object.
+func (f *Figures) AppendJSON(b []byte) []byte {
+	f.mu.Lock()
+	all := f.all
+	f.mu.Unlock()
+	b = append(b, `{"replies":{`...)
+	for i, c := range all {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendQuote(b, c.name)
+		b = append(b, `:{"success":`...)
+		b = strconv.AppendInt(b, c.verdicts[Success].Load(), 10)
+		b = append(b, `,"overload":`...)
+		b = strconv.AppendInt(b, c.verdicts[Overload].Load(), 10)
+		b = append(b, `,"error":`...)
+		b = strconv.AppendInt(b, c.verdicts[Error].Load(), 10)
+		b = append(b, `,"dispatches":`...)
+		b = strconv.AppendInt(b, c.dispatches.Load(), 10)
+		b = append(b, '}')
+	}
+	b = append(b, `},"concurrent":`...)
+	b = strconv.AppendInt(b, max(0, f.concurrent.Load()), 10)
+	b = append(b, `,"targets":`...)
+	b = strconv.AppendInt(b, f.targets.Load(), 10)
+	b = append(b, `,"targets_disabled":`...)
+	b = strconv.AppendInt(b, f.disabled.Load(), 10)
+	b = append(b, `,"reload_success":`...)
+	b = strconv.AppendInt(b, f.reloadsOK.Load(), 10)
+	b = append(b, `,"reload_failure":`...)
+	b = strconv.AppendInt(b, f.reloadsFail.Load(), 10)
+	return append(b, '}')
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,98 @@
+package ops
+
+import (
+	"encoding/json"
+	"sync"
+	"testing"
+)
+
+func TestFigures(t *testing.T) {
+	var f Figures
+	f.Classes([]string{"lookup", "order"})
+	f.Ended(0, Success)
+	f.Ended(1, Overload)
+	f.Ended(1, Error)
+	f.Ended(7, Success) // no such class: passed over
+	f.Dispatched(1)
+	f.Open(1)
+	f.Targets(5, 2)
+	f.Reloaded(true)
+	f.Reloaded(false)
+	f.Reloaded(false)
+	// Settings read anew drop a class, add one and reorder: counts go on under their names.
+	f.Classes([]string{"bulk", "lookup"})
+	f.Ended(1, Success)
+	f.Ended(0, Error)
+	var got struct {
+		Replies                              map[string]struct{ Success, Overload, Error, Dispatches int }
+		Concurrent, Targets, TargetsDisabled int
+		ReloadSuccess                        int `json:"reload_success"`
+		ReloadFailure                        int `json:"reload_failure"`
+		Disabled                             int `json:"targets_disabled"`
+	}
+	text := f.AppendJSON(nil)
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	r := got.Replies
+	if r["lookup"].Success != 2 || r["order"].Overload != 1 || r["order"].Error != 1 || r["order"].Dispatches != 1 ||
+		r["bulk"].Error != 1 || len(r) != 3 {
+		t.Fatalf("%s", text)
+	}
+	if got.Concurrent != 1 || got.Targets != 5 || got.Disabled != 2 || got.ReloadSuccess != 1 || got.ReloadFailure != 2 {
+		t.Fatalf("%s", text)
+	}
+}
+
+// TestFiguresAtOnce: counts from many goroutines, while the classes change and the figures are read, all add up.
+func TestFiguresAtOnce(t *testing.T) {
+	var f Figures
+	f.Classes([]string{"a"})
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 1000 {
+				f.Ended(0, Success)
+				f.Open(1)
+				f.Open(-1)
+			}
+		})
+	}
+	all.Go(func() {
+		for range 100 {
+			f.Classes([]string{"a", "b"})
+			f.AppendJSON(nil)
+		}
+	})
+	all.Wait()
+	var got struct {
+		Replies map[string]struct{ Success int }
+	}
+	json.Unmarshal(f.AppendJSON(nil), &got)
+	if got.Replies["a"].Success != 8000 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestState(t *testing.T) {
+	var s State
+	var told []bool
+	s.Watch(func(on bool) { told = append(told, on) })
+	if s.Ready() {
+		t.Fatal("ready before the start")
+	}
+	s.Start()
+	s.Drain(true)
+	s.Drain(true)
+	if s.Ready() || !s.Drained() {
+		t.Fatal("ready while drained")
+	}
+	s.Drain(false)
+	if !s.Ready() {
+		t.Fatal("not ready after the drain")
+	}
+	s.End()
+	if s.Ready() || len(told) != 2 || !told[0] || told[1] {
+		t.Fatalf("%v %v", s.Ready(), told)
+	}
+}
