--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,6 +123,9 @@
 	if n.Settings, n.Words, err = settings.Decode(f.Settings); err != nil {
 		return nil, fault("settings", "%v", err)
 	}
+	if err = n.Settings.Check(); err != nil {
+		return nil, fault("settings", "%v", err)
+	}
 	return n, n.check()
 }
 
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -74,6 +74,7 @@
 	all     []*class                 // in the order they were first named; never shrinks, bounded by the names given
 	byIndex atomic.Pointer[[]*class] // of the settings in force
 
+	dispatches             atomic.Int64 // of all classes
 	concurrent             atomic.Int64
 	targets, disabled      atomic.Int64
 	reloadsOK, reloadsFail atomic.Int64
@@ -118,6 +119,7 @@
 
 // Dispatched counts an attempt of class i that was written whole to a backend.
 func (f *Figures) Dispatched(i int) {
+	f.dispatches.Add(1)
 	if c := f.class(i); c != nil {
 		c.dispatches.Add(1)
 	}
@@ -162,7 +164,9 @@
 		b = strconv.AppendInt(b, c.dispatches.Load(), 10)
 		b = append(b, '}')
 	}
-	b = append(b, `},"concurrent":`...)
+	b = append(b, `},"dispatches":`...)
+	b = strconv.AppendInt(b, f.dispatches.Load(), 10)
+	b = append(b, `,"concurrent":`...)
 	b = strconv.AppendInt(b, max(0, f.concurrent.Load()), 10)
 	b = append(b, `,"targets":`...)
 	b = strconv.AppendInt(b, f.targets.Load(), 10)
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -24,11 +24,11 @@
 	f.Ended(1, Success)
 	f.Ended(0, Error)
 	var got struct {
-		Replies                              map[string]struct{ Success, Overload, Error, Dispatches int }
-		Concurrent, Targets, TargetsDisabled int
-		ReloadSuccess                        int `json:"reload_success"`
-		ReloadFailure                        int `json:"reload_failure"`
-		Disabled                             int `json:"targets_disabled"`
+		Replies                         map[string]struct{ Success, Overload, Error, Dispatches int }
+		Concurrent, Targets, Dispatches int
+		ReloadSuccess                   int `json:"reload_success"`
+		ReloadFailure                   int `json:"reload_failure"`
+		Disabled                        int `json:"targets_disabled"`
 	}
 	text := f.AppendJSON(nil)
 	if err := json.Unmarshal(text, &got); err != nil {
@@ -39,7 +39,7 @@
 		r["bulk"].Error != 1 || len(r) != 3 {
 		t.Fatalf("%s", text)
 	}
-	if got.Concurrent != 1 || got.Targets != 5 || got.Disabled != 2 || got.ReloadSuccess != 1 || got.ReloadFailure != 2 {
+	if got.Dispatches != 1 || got.Concurrent != 1 || got.Targets != 5 || got.Disabled != 2 || got.ReloadSuccess != 1 || got.ReloadFailure != 2 {
 		t.Fatalf("%s", text)
 	}
 }
