End a drained session only when nothing it sent is unread

Change: the reader decides. A drained session waits for its next command 50 ms at a time; when nothing is owed and nothing unread it looks once more (1 ms) and ends, so what came is served. A new session has 200 ms for its first command. After 1.5 s of drain a session takes no command beyond those it has read, or a client with one always out would keep it. The reader is woken at the drain only while it waits for a command, never in the middle of one.

--- a/cmd/dewhitch/operate.go
+++ b/cmd/dewhitch/operate.go
@@ -32,7 +32,12 @@
 func (o *operated) AppendTelemetry(b []byte) []byte { return o.figures.AppendJSON(b) }
 func (o *operated) Exclude(id string) error         { return o.exclude(id, true) }
 func (o *operated) Include(id string) error         { return o.exclude(id, false) }
-func (o *operated) Drain(on bool)                   { o.state.Drain(on) }
+func (o *operated) Drain(on bool) {
+	if o.state.Drained() != on {
+		o.log.Info("operators' call", zap.Bool("drained", on))
+	}
+	o.state.Drain(on)
+}
 func (o *operated) drains(servers []*front.Server) {
 	o.state.Watch(func(on bool) { drainAll(servers, on) })
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -22,7 +22,6 @@
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
 	draining bool
-	sweeping bool
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
@@ -79,7 +78,6 @@
 		})
 	}
 	f.mu.Lock()
-	f.draining = false // the sweep ends
 	for s := range f.sessions {
 		s.finish()
 	}
@@ -89,10 +87,8 @@
 }
 
 const (
-	roomEvery  = 50 * time.Millisecond  // while all places are taken and nobody is idle
-	grace      = 200 * time.Millisecond // in which a new session's first command comes
-	drainEvery = 50 * time.Millisecond  // while the gateway is drained: idle sessions are ended
-	drainIdle  = 50 * time.Millisecond  // a session that owes nothing for so long has nothing on its way either
+	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
+	grace     = 200 * time.Millisecond // in which a new session's first command comes
 )
 
 // Drain has every session end between two commands, and those that come meanwhile as well, until it is called with
@@ -110,30 +106,6 @@
 	for s := range f.sessions {
 		s.drained()
 	}
-	if !f.sweeping {
-		f.sweeping = true
-		go f.sweep()
-	}
-}
-
-// sweep ends the drained sessions that are idle, as long as the drain lasts. A session waiting for its client's next
-// command would otherwise wait for as long as the client likes.
-func (f *Server) sweep() {
-	for {
-		time.Sleep(drainEvery)
-		f.mu.Lock()
-		if !f.draining {
-			f.sweeping = false
-			f.mu.Unlock()
-			return
-		}
-		for s := range f.sessions {
-			if s.isDrained() {
-				s.end(drainIdle)
-			}
-		}
-		f.mu.Unlock()
-	}
 }
 
 // makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer use,
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -97,24 +97,27 @@
 	ctx      context.Context // ends when the session is over
 	cancel   context.CancelFunc
 
-	mu    sync.Mutex
-	slots []*Slot // in the order of the commands, those whose answers are not in out yet
-	room  *sync.Cond
-	out   []byte
-	marks []mark        // of the answers in out whose fate someone wants to know
-	owed  int           // bytes of answers that wait to be written, in out and in slots
-	wake  chan struct{} // something is in out, or the session is over
-	busy  time.Time     // when it last owed something
-	quit  bool          // its client asked for its end: nothing that follows is read as a command
-	drain bool          // operators drain the gateway: it ends between two commands
-	last  bool          // it ends as soon as nothing is owed
-	over  bool          // nothing more is taken or answered
-	taken int           // commands
-	bad   int           // of those, that could not be used
+	mu        sync.Mutex
+	slots     []*Slot // in the order of the commands, those whose answers are not in out yet
+	room      *sync.Cond
+	out       []byte
+	marks     []mark        // of the answers in out whose fate someone wants to know
+	owed      int           // bytes of answers that wait to be written, in out and in slots
+	wake      chan struct{} // something is in out, or the session is over
+	busy      time.Time     // when it last owed something
+	quit      bool          // its client asked for its end: nothing that follows is read as a command
+	drain     bool          // operators drain the gateway: it ends between two commands
+	drainedAt time.Time
+	born      time.Time
+	awaiting  bool // the reader waits for the first byte of a command
+	last      bool // it ends as soon as nothing is owed
+	over      bool // nothing more is taken or answered
+	taken     int  // commands
+	bad       int  // of those, that could not be used
 }
 
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
-	s := &session{conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), busy: time.Now()}
+	s := &session{conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), busy: time.Now(), born: time.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.room = sync.NewCond(&s.mu)
 	return s
@@ -169,18 +172,67 @@
 		if s.taken > 0 {
 			limit = idleTime
 		}
-		if !s.deadline(limit) {
+		if !s.watch(limit) {
 			return false
 		}
-		if _, err := r.Peek(); err == nil {
+		_, err := r.Peek()
+		s.mu.Lock()
+		s.awaiting = false
+		s.mu.Unlock()
+		if err == nil {
 			break
-		} else if !errors.Is(err, os.ErrDeadlineExceeded) || s.end(limit) {
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		} else if s.isDrained() {
+			if s.leave(r) {
+				return false
+			}
+		} else if s.end(limit) {
 			return false
 		}
 	}
 	return s.deadline(commandTime)
 }
 
+// watch bounds a wait for the next command; false: the session is over. A drained session looks often.
+func (s *session) watch(limit time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return false
+	}
+	if s.drain {
+		limit = drainLook
+	}
+	s.awaiting = true
+	s.conn.SetReadDeadline(time.Now().Add(limit))
+	return true
+}
+
+// The pace of a drained session.
+const (
+	drainLook = 50 * time.Millisecond   // between two looks at whether it is idle
+	lastLook  = time.Millisecond        // for what is on its way, before it ends
+	drainLast = 1500 * time.Millisecond // after which it takes no command but those it has read
+	newcomer  = 200 * time.Millisecond  // in which a new session's first command comes
+)
+
+// leave tells whether a drained session ends now, between two commands: nothing is owed to its client, nothing that
+// it sent is unread, and it is not a new one whose first command is on its way. Danger: whatever came before the close
+// was taken, and would be lost; so it looks once more, and serves what came.
+func (s *session) leave(r *resp.Reader) bool {
+	s.mu.Lock()
+	idle := len(s.slots) == 0 && s.owed == 0 && len(s.out) == 0 && !s.over
+	late := time.Since(s.drainedAt) >= drainLast
+	young := s.taken == 0 && time.Since(s.born) < newcomer
+	s.mu.Unlock()
+	if !idle || young && !late || !s.deadline(lastLook) {
+		return false
+	}
+	_, err := r.Peek()
+	return err != nil
+}
+
 var errSlow = errors.New("the command is not whole in time")
 
 // read takes commands until the session is over or the client has broken the protocol.
@@ -216,9 +268,9 @@
 		if quit {
 			return
 		}
-		if drain && r.Buffered() == 0 {
-			// Between two commands: what the client wrote is all taken, and what it writes after the close it sends
-			// again, on a connection of another gateway.
+		if drain && r.Buffered() == 0 && s.tooLong() {
+			// A client that always has a command out would keep its session for good: after this one, what it writes
+			// is not read, and it sends that again on a connection of another gateway.
 			s.finish()
 			return
 		}
@@ -421,7 +473,19 @@
 func (s *session) drained() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drain = true
+	if s.drain || s.over {
+		return
+	}
+	s.drain, s.drainedAt = true, time.Now()
+	if s.awaiting { // a reader that waits for a command looks at once; one in the middle of a command finishes it
+		s.conn.SetReadDeadline(s.drainedAt)
+	}
+}
+
+func (s *session) tooLong() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.drainedAt) >= drainLast
 }
 
 func (s *session) isDrained() bool {
