Retune classes at SIGHUP through a table of names over the module's classes

Change: internal/retune (pure) maps each class of settings read anew to the module's class that is equal, or else at least as strict (same effect, same or smaller group, no longer window; else unsafe), or to none; dropped names stay for clients that have not moved. Only classes and attempts are retuned; the log names other keys that need a restart.

--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	dw "dewhitch"
 	"dewhitch/internal/backend"
 	"dewhitch/internal/config"
 	"dewhitch/internal/core"
@@ -81,10 +80,7 @@
 	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
 	fetches := int(fetchShare * float64(sockets))
 	places := sockets - fetches
-	names := backend.Names{Classes: n.Words.Classes, Plans: n.Words.Plans}
-	for _, c := range n.Settings.Classes {
-		names.Safe = append(names.Safe, c.Effect == dw.Safe)
-	}
+	names := backend.Names{Plans: n.Words.Plans}
 	connect := time.Duration(n.Settings.ConnectTimeout)
 	keep, err := keepBooks(o, n.Name, statement.Gateway, ledger.Names{Plans: n.Words.Plans, Classes: n.Words.Classes}, log)
 	if err != nil {
@@ -159,7 +155,13 @@
 	}
 	group.Go(func() error { return list.Run(work) })
 	group.Go(func() error {
-		reload(work, again, n, list, count, figures, log)
+		reload(work, again, n, list, count, figures, func(m *config.Node) {
+			// Reqs come by the classes of the new settings, and have no more attempts than they allow.
+			t := commands.Retune(m.Words.Classes, m.Settings.Classes)
+			figures.Classes(t.Names())
+			planner.Attempts(m.Settings.MaxAttempts)
+			log.Info("retuned", zap.Any("classes", t), zap.Int("attempts", m.Settings.MaxAttempts))
+		}, log)
 		return nil
 	})
 	taking, stopTaking := context.WithCancel(work)
@@ -201,7 +203,7 @@
 // reload reads the configuration anew at each signal. All of it is checked before any of it is applied: with a fault
 // in it, the old one stays. The director's and the counter's addresses are what can change while the program runs.
 func reload(ctx context.Context, again <-chan os.Signal, n *config.Node, list *director.Director,
-	count *counter.Client, figures *ops.Figures, log *zap.Logger) {
+	count *counter.Client, figures *ops.Figures, retune func(*config.Node), log *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -226,6 +228,7 @@
 		if m.Counter != n.Counter {
 			count.Move(m.Counter)
 		}
+		retune(m)
 		log.Info("new configuration", zap.String("discovery", m.Discovery), zap.String("counter", m.Counter),
 			zap.Strings("needs_a_restart", n.Fixed(m)))
 		n.Discovery, n.Counter = m.Discovery, m.Counter
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -29,9 +29,7 @@
 
 // Names are the settings' words that stand in a command.
 type Names struct {
-	Classes []string
-	Safe    []bool // by class: safe to repeat
-	Plans   []string
+	Plans []string // classes are named by each req, as its client named them
 }
 
 // Limits bound the pools.
@@ -48,7 +46,7 @@
 	books  Books
 
 	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
-	Dispatched func(class int)
+	Dispatched func(class string)
 
 	mu      sync.Mutex
 	pools   map[core.Backend]*pool
@@ -230,7 +228,7 @@
 		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}, false
 	}
 	if p.Dispatched != nil {
-		p.Dispatched(f.Source.Class)
+		p.Dispatched(f.Source.Named)
 	}
 	// An answer that begins and is not whole soon is spoilt, though the connection may stay open for good.
 	_, err := c.r.Peek()
@@ -264,13 +262,13 @@
 func (p *Pools) command(f *fetch) []byte {
 	r := f.Source
 	name, words := "SVC.SUBMIT", 4
-	if p.names.Safe[r.Class] {
+	if r.Query {
 		name = "SVC.QUERY"
 	}
 	if r.Message.Body != nil {
 		words++
 	}
-	args := append(append([]byte("c="), p.names.Classes[r.Class]...), ",t="...)
+	args := append(append([]byte("c="), r.Named...), ",t="...)
 	args = append(append(args, p.names.Plans[r.Plan]...), ",d="...)
 	args = strconv.AppendInt(args, max(1, time.Until(f.Until).Milliseconds()), 10)
 	if r.Message.Key != "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -182,14 +182,17 @@
 	return nil
 }
 
-// Fixed names the keys in which m differs from n and which are read at the start only.
+// Fixed names the keys in which m differs from n and which are read at the start only. Of the settings, classes and
+// attempts are retuned while the program runs.
 func (n *Node) Fixed(m *Node) (keys []string) {
+	a, b, aw, bw := n.Settings, m.Settings, n.Words, m.Words
+	a.Classes, a.MaxAttempts, aw.Classes = b.Classes, b.MaxAttempts, bw.Classes
 	for _, v := range []struct {
 		key  string
 		same bool
 	}{{"name", n.Name == m.Name}, {"listen", n.Listen == m.Listen}, {"limits.cores", n.Cores == m.Cores},
 		{"limits.memory_mb", n.MemoryMB == m.MemoryMB}, {"limits.sockets", n.Sockets == m.Sockets},
-		{"settings", reflect.DeepEqual(n.Settings, m.Settings) && reflect.DeepEqual(n.Words, m.Words)}} {
+		{"settings", reflect.DeepEqual(a, b) && reflect.DeepEqual(aw, bw)}} {
 		if !v.same {
 			keys = append(keys, v.key)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,7 +26,9 @@
 type Req struct {
 	Kind     Kind
 	Came     time.Time // when its last byte had been read
-	Class    int       // index in the settings, as is Plan; of a booking alone
+	Class    int       // index in the module's settings, as is Plan; of a booking alone
+	Named    string    // of a booking: its class as the client named it, which settings read anew may have added
+	Query    bool      // of a booking: it came as a query, safe to repeat
 	Plan     int
 	Customer dw.CustomerID
 	Wait     time.Duration // from Came, how long the client will wait
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -66,6 +67,7 @@
 	version    int64 // of the list
 	figures    Figures
 	excludedTo func([]dw.ServerID)
+	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
 }
 
 // message is something that happened, told to the planner.
@@ -86,6 +88,9 @@
 		excluded: map[dw.ServerID]bool{}}, nil
 }
 
+// Attempts bounds the fetches of reqs taken from now on, below what the module's settings allow.
+func (p *Planner) Attempts(n int) { p.most.Store(int64(n)) }
+
 // Count has the planner tell f what operators read of it.
 func (p *Planner) Count(f Figures) { p.figures = f }
 
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -12,6 +12,7 @@
 	id       dw.RequestID
 	req      *Req
 	attempts int // fetches asked for
+	most     int // fetches that may be sent, as the settings said at take in; 0: as the module says
 	out      int // fetches that have not ended
 	answered bool
 }
@@ -40,7 +41,7 @@
 
 func (m takeIn) handle(p *Planner) {
 	m.ticket.id = p.nextID()
-	t := &taken{id: m.ticket.id, req: m.req}
+	t := &taken{id: m.ticket.id, req: m.req, most: int(p.most.Load())}
 	p.books.Post(ledger.Posting{Event: ledger.PlanTaken, Key: m.req.Row, Ref: m.req.Ref,
 		Units: ledger.MicroUnits(m.req.Units)})
 	// Danger: a client may send the id of a req that another's is open under. A backend would be sent two of one id,
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -21,6 +21,7 @@
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/ops"
 	"dewhitch/internal/resp"
+	"dewhitch/internal/retune"
 )
 
 const (
@@ -36,6 +37,26 @@
 	Settings dw.Settings
 	Figures  *ops.Figures // counts for operators; nil: none
 	State    *ops.State   // whether PING says yes, as it does but when drained; nil: always
+
+	table atomic.Pointer[retune.Table] // the class names that reqs come by; those of Settings until Retune
+}
+
+// Classes is the table of class names in force.
+func (c *Commands) Classes() retune.Table {
+	if t := c.table.Load(); t != nil {
+		return *t
+	}
+	t := retune.Start(c.Words.Classes, c.Settings.Classes)
+	c.table.CompareAndSwap(nil, &t)
+	return *c.table.Load()
+}
+
+// Retune has reqs from now on come by the classes of settings read anew; reqs that were taken keep their class. One
+// goroutine at a time may call it.
+func (c *Commands) Retune(names []string, classes []dw.Class) retune.Table {
+	t := c.Classes().Retune(c.Settings.Classes, names, classes)
+	c.table.Store(&t)
+	return t
 }
 
 // Books are what the fronts post to.
@@ -146,7 +167,7 @@
 		}
 		f.Open(-1)
 		if answered && r.Kind == core.Book {
-			f.Ended(r.Class, verdicts[v])
+			f.Ended(r.Named, verdicts[v])
 		}
 	}
 }
@@ -176,12 +197,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Class = slices.Index(c.Words.Classes, class); r.Class < 0 {
+	e, known := c.Classes().Find(class)
+	if !known || e.Class < 0 {
 		return nil, fmt.Errorf("c: no class %.32q", class)
 	}
-	if k := c.Settings.Classes[r.Class]; query != (k.Effect == dw.Safe) {
+	r.Class, r.Named, r.Query = e.Class, e.Name, e.Effect == dw.Safe
+	if query != r.Query {
 		return nil, fmt.Errorf("c: class %q is for the other command", class)
-	} else if k.Effect == dw.Keyed && r.Message.Key == "" {
+	} else if e.Effect == dw.Keyed && r.Message.Key == "" {
 		return nil, errors.New("k: missing")
 	}
 	return r, nil
--- a/internal/ledger/desk/planted_test.go
+++ b/internal/ledger/desk/planted_test.go
@@ -95,7 +95,7 @@
 		MayCancel: true, MaxRetryAfter: 5e8, ConnectTimeout: 1e9, DrainGrace: 5e8, StartCapacity: 0.2,
 		Classes: []dw.Class{{Aim: 5e9, Deadline: 1e10, Points: 1}, {Aim: 5e9, Deadline: 1e10, Points: 5, Effect: dw.Keyed, DedupWindow: 3e9}},
 		Plans:   []dw.Plan{{Rate: 5, Burst: 10, Price: 1, OverrunCost: 1}, {Rate: 500, Burst: 1000, Price: 1, OverrunCost: 1}}}
-	names := backend.Names{Classes: o.Names.Classes, Plans: o.Names.Plans, Safe: []bool{true, false}}
+	names := backend.Names{Plans: o.Names.Plans}
 	pools := backend.New(names, backend.Limits{Conns: 64, Idle: 15 * time.Second, Connect: time.Second}, plant)
 	count := counter.New(shared.Addr(), 3*time.Second, time.Second, plant, o.Log)
 	planner, err := core.NewPlanner(set, 1, core.NewClock(), pools, count, plant, o.Log)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -70,9 +70,9 @@
 // Figures are the counts since the start of the process. Classes are known by name: settings that are read anew may
 // add, drop and reorder them, and a count goes on under its name.
 type Figures struct {
-	mu      sync.Mutex
-	all     []*class                 // in the order they were first named; never shrinks, bounded by the names given
-	byIndex atomic.Pointer[[]*class] // of the settings in force
+	mu     sync.Mutex
+	all    []*class                          // in the order they were first named; never shrinks, bounded
+	byName atomic.Pointer[map[string]*class] // read on every req, without a lock
 
 	dispatches             atomic.Int64 // of all classes
 	concurrent             atomic.Int64
@@ -83,44 +83,41 @@
 // MostClasses bounds the names that the figures keep, whatever settings come.
 const MostClasses = 256
 
-// Classes sets the classes of the settings in force, by name.
+// Classes adds the names of classes that reqs may come under; those named before are kept, and go on counting.
 func (f *Figures) Classes(names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	index := make([]*class, len(names))
-	for i, n := range names {
-		for _, c := range f.all {
-			if c.name == n {
-				index[i] = c
-			}
-		}
-		if index[i] == nil && len(f.all) < MostClasses {
-			index[i] = &class{name: n}
-			f.all = append(f.all, index[i])
+	byName := map[string]*class{}
+	for _, c := range f.all {
+		byName[c.name] = c
+	}
+	for _, n := range names {
+		if byName[n] == nil && len(f.all) < MostClasses {
+			byName[n] = &class{name: n}
+			f.all = append(f.all, byName[n])
 		}
 	}
-	f.byIndex.Store(&index)
+	f.byName.Store(&byName)
 }
 
-func (f *Figures) class(i int) *class {
-	index := f.byIndex.Load()
-	if index == nil || i < 0 || i >= len(*index) {
-		return nil
+func (f *Figures) class(name string) *class {
+	if byName := f.byName.Load(); byName != nil {
+		return (*byName)[name]
 	}
-	return (*index)[i]
+	return nil
 }
 
-// Ended counts a req of class i; a class not in force is passed over.
-func (f *Figures) Ended(i int, v Verdict) {
-	if c := f.class(i); c != nil {
+// Ended counts a req of a class; a class never named is passed over.
+func (f *Figures) Ended(class string, v Verdict) {
+	if c := f.class(class); c != nil {
 		c.verdicts[v].Add(1)
 	}
 }
 
-// Dispatched counts an attempt of class i that was written whole to a backend.
-func (f *Figures) Dispatched(i int) {
+// Dispatched counts an attempt of a class that was written whole to a backend.
+func (f *Figures) Dispatched(class string) {
 	f.dispatches.Add(1)
-	if c := f.class(i); c != nil {
+	if c := f.class(class); c != nil {
 		c.dispatches.Add(1)
 	}
 }
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -9,11 +9,11 @@
 func TestFigures(t *testing.T) {
 	var f Figures
 	f.Classes([]string{"lookup", "order"})
-	f.Ended(0, Success)
-	f.Ended(1, Overload)
-	f.Ended(1, Error)
-	f.Ended(7, Success) // no such class: passed over
-	f.Dispatched(1)
+	f.Ended("lookup", Success)
+	f.Ended("order", Overload)
+	f.Ended("order", Error)
+	f.Ended("nothing", Success) // no such class: passed over
+	f.Dispatched("order")
 	f.Open(1)
 	f.Targets(5, 2)
 	f.Reloaded(true)
@@ -21,8 +21,8 @@
 	f.Reloaded(false)
 	// Settings read anew drop a class, add one and reorder: counts go on under their names.
 	f.Classes([]string{"bulk", "lookup"})
-	f.Ended(1, Success)
-	f.Ended(0, Error)
+	f.Ended("lookup", Success)
+	f.Ended("bulk", Error)
 	var got struct {
 		Replies                         map[string]struct{ Success, Overload, Error, Dispatches int }
 		Concurrent, Targets, Dispatches int
@@ -52,7 +52,7 @@
 	for range 8 {
 		all.Go(func() {
 			for range 1000 {
-				f.Ended(0, Success)
+				f.Ended("a", Success)
 				f.Open(1)
 				f.Open(-1)
 			}
--- /dev/null
+++ b/internal/retune/retune_test.go
@@ -0,0 +1,102 @@
+package retune
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	dw "dewhitch"
+)
+
+func class(t *rapid.T, label string) dw.Class {
+	return dw.Class{
+		Aim:         dw.Span(rapid.IntRange(1, 5).Draw(t, label+".aim")) * 1e8,
+		Deadline:    dw.Span(rapid.IntRange(1, 5).Draw(t, label+".deadline")) * 1e9,
+		Points:      float64(rapid.IntRange(0, 3).Draw(t, label+".points")),
+		Effect:      dw.Effect(rapid.IntRange(0, 2).Draw(t, label+".effect")),
+		Group:       dw.Group(rapid.IntRange(0, 2).Draw(t, label+".group")),
+		DedupWindow: dw.Span(rapid.IntRange(0, 3).Draw(t, label+".window")) * 1e9,
+		Streaming:   rapid.IntRange(0, 4).Draw(t, label+".streaming") == 0,
+	}
+}
+
+func classes(t *rapid.T, label string) ([]string, []dw.Class) {
+	n := rapid.IntRange(1, 6).Draw(t, label)
+	names := make([]string, n)
+	cs := make([]dw.Class, n)
+	for i := range n {
+		names[i] = fmt.Sprintf("c%d", rapid.IntRange(0, 8).Draw(t, label+".name"))
+		cs[i] = class(t, fmt.Sprintf("%s%d", label, i))
+	}
+	return names, cs
+}
+
+// TestRetunedTable: after any number of retunings, every name of the settings in force goes under a class of the
+// module whose rules are at least as strict, or none; an equal class goes under itself; the names of earlier settings
+// stay, with what they meant; the table is bounded.
+func TestRetunedTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names, module := classes(t, "module")
+		table := Start(names, module)
+		for round := range rapid.IntRange(1, 5).Draw(t, "rounds") {
+			newNames, cs := classes(t, fmt.Sprintf("round%d", round))
+			before := table
+			table = table.Retune(module, newNames, cs)
+			seen := map[string]bool{}
+			for i, n := range newNames {
+				if seen[n] {
+					continue
+				}
+				seen[n] = true
+				e, ok := table.Find(n)
+				if !ok || e.Effect != cs[i].Effect {
+					t.Fatalf("%s: %+v, %v", n, e, ok)
+				}
+				if e.Class >= 0 && !Stricter(module[e.Class], cs[i]) {
+					t.Fatalf("%s: %+v goes under %+v", n, cs[i], module[e.Class])
+				}
+				if e.Class < 0 {
+					for _, m := range module {
+						if Stricter(m, cs[i]) {
+							t.Fatalf("%s: refused, though %+v would do", n, m)
+						}
+					}
+				}
+				for j, m := range module {
+					if m == cs[i] && module[e.Class] != m {
+						t.Fatalf("%s: equal to class %d, goes under %d", n, j, e.Class)
+					}
+				}
+			}
+			for _, e := range before {
+				if got, ok := table.Find(e.Name); !ok || !seen[e.Name] && got != e {
+					t.Fatalf("%s: was %+v, is %+v", e.Name, e, got)
+				}
+			}
+			if len(table) > MostNames {
+				t.Fatalf("%d names", len(table))
+			}
+		}
+	})
+}
+
+func TestStricter(t *testing.T) {
+	safe := dw.Class{Effect: dw.Safe}
+	keyedAll := dw.Class{Effect: dw.Keyed, Group: dw.GroupAll, DedupWindow: 3e9}
+	keyedZone := dw.Class{Effect: dw.Keyed, Group: dw.GroupZone, DedupWindow: 3e9}
+	unsafe := dw.Class{Effect: dw.Unsafe}
+	for _, c := range []struct {
+		m, c dw.Class
+		want bool
+	}{
+		{safe, safe, true}, {unsafe, safe, true}, {safe, unsafe, false}, {safe, keyedAll, false},
+		{keyedZone, keyedAll, true}, {keyedAll, keyedZone, false}, {unsafe, keyedZone, true},
+		{keyedAll, unsafe, false}, {dw.Class{Effect: dw.Keyed, DedupWindow: 4e9}, keyedAll, false},
+		{dw.Class{Effect: dw.Safe, Streaming: true}, safe, false},
+	} {
+		if got := Stricter(c.m, c.c); got != c.want {
+			t.Errorf("%+v for %+v: %v", c.m, c.c, got)
+		}
+	}
+}
