Test a process replaced on a handed-down socket, and the handover file; record the standing test

A test starts a gateway on a listening socket handed down as a descriptor, excludes a server there, starts a second process on the same socket and $TMPDIR, and checks that the second takes the exclusion over, that the first ends at SIGTERM, and that include brings the server back. It fails with the handover file left unread. Found on the way: the File of a listener, and exec with it, put the shared socket into blocking mode, so the first process waited in accept in the kernel and could not close its listener; the test hands down a descriptor of its own, as a platform does. The program itself never makes the socket blocking (NewFile on a descriptor that Go did not make non-blocking leaves Fd alone). handover: round trip, no temporary file left, broken files of six kinds taken as nothing.

--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -325,7 +325,8 @@
 type world struct {
 	t              *testing.T
 	listen, limits string
-	admin          string // the operators' address
+	admin          string // the operators' address of the program started last
+	scratch        string // $TMPDIR that its programs share; empty: one each
 	override       []string
 	self           int
 	backends       *byHand
@@ -385,6 +386,10 @@
 
 func (w *world) command(args ...string) *exec.Cmd {
 	dir := w.t.TempDir()
+	scratch := dir
+	if w.scratch != "" {
+		scratch = w.scratch
+	}
 	servers := ""
 	if w.registry != "" {
 		servers = strconv.Quote(w.registry)
@@ -400,14 +405,16 @@
 	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml"),
 		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
 	// As on the platform, each gateway has a folder of its own for what one process hands to the next.
-	cmd.Env = append(os.Environ(), "TMPDIR="+dir, "NODE_CONFIG="+filepath.Join(dir, "config.json"),
+	cmd.Env = append(os.Environ(), "TMPDIR="+scratch, "NODE_CONFIG="+filepath.Join(dir, "config.json"),
 		"NODE_DISCOVERY="+w.discovery.Addr())
 	return cmd
 }
 
 // start starts the program and waits until it listens.
-func (w *world) start(args ...string) *process {
-	p := &process{cmd: w.command(args...), over: make(chan error, 1)}
+func (w *world) start(args ...string) *process { return w.startCommand(w.command(args...)) }
+
+func (w *world) startCommand(cmd *exec.Cmd) *process {
+	p := &process{cmd: cmd, over: make(chan error, 1)}
 	p.config = strings.TrimPrefix(p.cmd.Env[len(p.cmd.Env)-2], "NODE_CONFIG=")
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
