--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -126,7 +126,10 @@
 	if err = n.Settings.Check(); err != nil {
 		return nil, fault("settings", "%v", err)
 	}
-	return n, n.check()
+	if err := n.check(); err != nil {
+		return nil, err // nothing of a file with a fault is taken
+	}
+	return n, nil
 }
 
 func (n *Node) check() error {
