--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"dewhitch/internal/front"
 )
 
 // Gateway carries out the calls; none of its methods may block for long, as every answer is due within a second.
@@ -51,14 +53,9 @@
 	defer stop()
 	defer s.all.Wait()
 	for {
-		conn, err := s.Listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			s.Log.Warn("an operator's call could not be taken in", zap.Error(err))
-			time.Sleep(10 * time.Millisecond)
-			continue
+		conn, ok := front.Accept(ctx, s.Listener, s.Log, "an operator's call")
+		if !ok {
+			return nil
 		}
 		s.hold(conn)
 		s.all.Go(func() {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,15 +37,9 @@
 	places := make(chan struct{}, f.Sessions)
 taking:
 	for {
-		conn, err := f.Listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				break taking
-			}
-			// Out of descriptors, or the client left at once: neither ends the gateway.
-			f.Log.Warn("a client session could not be taken in", zap.Error(err))
-			time.Sleep(10 * time.Millisecond)
-			continue
+		conn, ok := Accept(ctx, f.Listener, f.Log, "a client session")
+		if !ok {
+			break taking
 		}
 		select {
 		case places <- struct{}{}:
@@ -86,6 +80,22 @@
 	return nil
 }
 
+// Accept takes the next connection; false once the listener is closed or the context has ended. Out of descriptors, or
+// a caller that left at once: neither ends the gateway, and the error is logged and waited out.
+func Accept(ctx context.Context, l net.Listener, log *zap.Logger, what string) (net.Conn, bool) {
+	for {
+		conn, err := l.Accept()
+		if err == nil {
+			return conn, true
+		}
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil, false
+		}
+		log.Warn(what+" could not be taken in", zap.Error(err))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 const (
 	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
 	grace     = 200 * time.Millisecond // in which a new session's first command comes
