Read a drained session's state under the lock that is already held, and sort ids by slices

The planner's list of excluded ids is slices.Sorted(maps.Keys(..)) instead of a loop of its own. A comment pointed at end where leave decides.

--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 
 	dw "dewhitch"
@@ -80,12 +81,7 @@
 	}
 	p.counted()
 	if p.excludedTo != nil {
-		ids := make([]dw.ServerID, 0, len(p.excluded))
-		for id := range p.excluded {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		p.excludedTo(ids)
+		p.excludedTo(slices.Sorted(maps.Keys(p.excluded)))
 	}
 }
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -178,12 +178,13 @@
 		_, err := r.Peek()
 		s.mu.Lock()
 		s.awaiting = false
+		drain := s.drain
 		s.mu.Unlock()
 		if err == nil {
 			break
 		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
-		} else if s.isDrained() {
+		} else if drain {
 			if s.leave(r) {
 				return false
 			}
@@ -263,12 +264,12 @@
 		}
 		s.commands.Do(came, c, slot)
 		s.mu.Lock()
-		bad, quit, drain := s.bad, s.quit, s.drain
+		bad, quit, late := s.bad, s.quit, s.drain && time.Since(s.drainedAt) >= drainLast
 		s.mu.Unlock()
 		if quit {
 			return
 		}
-		if drain && r.Buffered() == 0 && s.tooLong() {
+		if late && r.Buffered() == 0 {
 			// A client that always has a command out would keep its session for good: after this one, what it writes
 			// is not read, and it sends that again on a connection of another gateway.
 			s.finish()
@@ -469,7 +470,7 @@
 	s.mu.Unlock()
 }
 
-// drained has the session end after the command that it is reading, or, if it reads none, once idle: see end.
+// drained has the session end between two commands, once idle: see leave.
 func (s *session) drained() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -482,18 +483,6 @@
 	}
 }
 
-func (s *session) tooLong() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.drainedAt) >= drainLast
-}
-
-func (s *session) isDrained() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.drain
-}
-
 // idle tells whether nothing is owed to the client, since when, and whether it has asked for anything that could be
 // used.
 func (s *session) idle() (since time.Time, useful, idle bool) {
