--- a/gateway.go
+++ b/gateway.go
@@ -42,7 +42,7 @@
 	maxWeight     = 0.4        // of one after a while in which there was none
 	startLatency  = 0.15       // of the shortest aim: a server's latency before it has answered
 	sendSpan      = 5 * second // over which a gateway's own rate is measured
-	coldUse       = 0.5        // of what is sent and what asks for a server: a cold one's part, times its least capacity
+	coldUse       = 0.5        // of what is sent and what asks for a server: a cold one's part, by its capacity
 	failures      = 3          // unanswered attempts show that a server hangs; it is avoided for so many turns
 	ejectLongest  = 32 * second
 	recoverSpan   = second // over which an idle server's latency goes to the mean, and an old mean is forgotten
@@ -1009,8 +1009,8 @@
 		if s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) {
 			continue
 		}
-		// Rule 4; budgets start at a random level, so that gateways do not come in step. Danger: fed by what was sent
-		// alone, cold servers get the less the more is refused for want of them, and stay so.
+		// Rule 4; budgets start at a random level, so that gateways do not come in step. Danger: fed by what was
+		// sent alone, cold servers get the less the more is refused for want of them, and stay so.
 		if g.warmth(s) < 1 {
 			fed := coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(ready, g.aperture()))
 			if s.budget.fill(g.now, g.warmth(s)*fed, 1); s.budget.level < 1 {
