--- a/cmd/dewhitch/handover_test.go
+++ b/cmd/dewhitch/handover_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -27,6 +30,11 @@
 
 // ask sends one query on a new connection and returns the answer's first line.
 func ask(t *testing.T, addr, id string) string {
+	t.Helper()
+	return askFor(t, addr, "00000000b4d65521", id, "c=lookup,t=wide,d=60000,units=1,spread=2,first=0")
+}
+
+func askFor(t *testing.T, addr, haulier, id, words string) string {
 	t.Helper()
 	c, err := net.DialTimeout("tcp", addr, patience)
 	if err != nil {
@@ -34,7 +42,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(patience))
-	c.Write(encode("SVC.QUERY 00000000b4d65521 " + id + " c=lookup,t=wide,d=60000,units=1,spread=2,first=0"))
+	c.Write(encode("SVC.QUERY " + haulier + " " + id + " " + words))
 	r := bufio.NewReader(c)
 	line, err := r.ReadString('\n')
 	if err != nil {
@@ -64,34 +72,38 @@
 	return os.NewFile(uintptr(fd), "clients")
 }
 
-// TestReplacedProcess: a process that replaces another serves on the listening socket that both were handed, takes
-// over the servers that operators excluded there, and the old one ends on SIGTERM with nothing lost.
-func TestReplacedProcess(t *testing.T) {
-	w := newWorld(t)
+// handing has the world's programs share a folder and the clients' listening socket, as on the platform, and returns what
+// starts one and waits until it is ready.
+func (w *world) handing() func() *process {
 	go w.backends.serveAll()
-	w.scratch = t.TempDir()
+	w.scratch = w.t.TempDir()
 	w.limits = "" // its address would be taken twice
 	l, err := net.Listen("tcp", w.listen)
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	socket := handDown(t, l.(*net.TCPListener))
+	socket := handDown(w.t, l.(*net.TCPListener))
 	l.Close() // the programs hold copies
-	defer socket.Close()
-	handed := func() *process {
+	w.t.Cleanup(func() { socket.Close() })
+	return func() *process {
 		cmd := w.command("serve")
 		cmd.Env = append(cmd.Env, "NODE_FD=3")
 		cmd.ExtraFiles = []*os.File{socket}
-		return w.startCommand(cmd)
-	}
-	ready := func(admin string) {
-		if !eventually(func() bool { return adminCall(t, admin, "readyz") == "YES" }) {
-			t.Fatalf("%s is not ready", admin)
+		p := w.startCommand(cmd)
+		if !eventually(func() bool { return adminCall(w.t, w.admin, "readyz") == "YES" }) {
+			w.t.Fatalf("%s is not ready\n%s", w.admin, p.log())
 		}
+		return p
 	}
+}
+
+// TestReplacedProcess: a process that replaces another serves on the listening socket that both were handed, takes
+// over the servers that operators excluded there, and the old one ends on SIGTERM with nothing lost.
+func TestReplacedProcess(t *testing.T) {
+	w := newWorld(t)
+	handed := w.handing()
 	old := handed()
 	oldAdmin := w.admin
-	ready(oldAdmin)
 	if got := ask(t, w.listen, "a1"); got != "a1" {
 		t.Fatalf("served %q", got)
 	}
@@ -100,7 +112,6 @@
 	}
 	next := handed()
 	nextAdmin := w.admin
-	ready(nextAdmin)
 	if !eventually(func() bool {
 		return strings.Contains(adminCall(t, nextAdmin, "telemetry"), `"targets":1,"targets_disabled":1`)
 	}) {
@@ -120,3 +131,71 @@
 		t.Fatalf("served %q\n%s", got, next.log())
 	}
 }
+
+// TestWarmProcess: a customer that uses most of its quota is served on by the process that replaces its gateway's, which
+// a cold one refuses, as it takes all that the counter holds for the use of others. A snapshot that is torn is not taken.
+func TestWarmProcess(t *testing.T) {
+	served := map[string]int{}
+	for _, mode := range []string{"auto", "off"} {
+		w := newWorld(t)
+		w.operations = "[warm_start]\nmode = \"" + mode + "\"\nevery_ms = 50\n"
+		handed := w.handing()
+		w.override = []string{`{"settings": {"Contracts": [{"Name": "steady", "QuotaRate": 3, "Depth": 12, "OverrunCost": 1, "Pays": 1}]}}`}
+		// The window of the customer, 8 s by its plan and its number, has just begun.
+		const window = 8e9
+		haulier := fmt.Sprintf("%016x", window-uint64(time.Now().UnixNano())%window)
+		asked, last := 0, ""
+		reqs := func(n int) (in int) {
+			for range n {
+				asked++
+				id := fmt.Sprint("w", asked)
+				if last = askFor(t, w.listen, haulier, id, "c=lookup,t=steady,d=60000,units=1,spread=2,first=0"); last == id {
+					in++
+				}
+				time.Sleep(150 * time.Millisecond)
+			}
+			return in
+		}
+		old := handed()
+		if before := reqs(14); before < 11 { // by then little is left, and a few snapshots are written
+			t.Fatalf("served %d of 14, the last %q\n%s", before, last, old.log())
+		}
+		next := handed()
+		old.cmd.Process.Signal(syscall.SIGTERM)
+		if err := old.wait(); err != nil {
+			t.Fatalf("the old process: %v\n%s", err, old.log())
+		}
+		served[mode] = reqs(8)
+		if text := adminCall(t, w.admin, "telemetry"); strings.Contains(text, `"snapshot_loaded":1`) != (mode == "auto") {
+			t.Errorf("%s: %s\n%s", mode, text, next.log())
+		}
+		if mode == "off" {
+			continue
+		}
+		// Its own last snapshot, cut short: the process after it goes by the one before.
+		files, _ := filepath.Glob(filepath.Join(w.scratch, "*.snapshot"))
+		next.cmd.Process.Kill()
+		next.wait()
+		if len(files) != 2 || os.Truncate(files[1], 100) != nil {
+			t.Fatal(files)
+		}
+		if out, err := exec.Command(program, "snapshot", "verify", files[0]).CombinedOutput(); err != nil {
+			t.Errorf("%v: %s", err, out)
+		}
+		if out, err := exec.Command(program, "snapshot", "verify", files[1]).CombinedOutput(); err == nil || !strings.Contains(string(out), "torn") {
+			t.Errorf("%v: %s", err, out)
+		}
+		if out, err := exec.Command(program, "snapshot", "show", files[0]).CombinedOutput(); err != nil ||
+			!strings.Contains(string(out), haulier+"  steady") || !strings.Contains(string(out), "s-00000001") {
+			t.Errorf("%v: %s", err, out)
+		}
+		third := handed()
+		if text := adminCall(t, w.admin, "telemetry"); !strings.Contains(text, `"snapshot_loaded":1,"snapshot_rejected":1`) {
+			t.Errorf("%s\n%s", text, third.log())
+		}
+	}
+	t.Logf("of 8 reqs a warm process served %d, a cold one %d", served["auto"], served["off"])
+	if served["auto"] < served["off"]+3 {
+		t.Errorf("of 8 reqs a warm process served %d, a cold one %d", served["auto"], served["off"])
+	}
+}
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -20,11 +20,12 @@
 
 	Operations string `default:"deploy/operations.toml" help:"The operators' file (${default})."`
 
-	Serve   serveCmd   `cmd:"" help:"Serve as one gateway."`
-	Forward forwardCmd `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
-	Ledger  ledgerCmd  `cmd:"" help:"Read, check, export and merge the books."`
-	Check   checkCmd   `cmd:"" help:"Read and check the configuration, and end."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Serve as one gateway."`
+	Forward  forwardCmd  `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
+	Ledger   ledgerCmd   `cmd:"" help:"Read, check, export and merge the books."`
+	Snapshot snapshotCmd `cmd:"" help:"Read what a gateway has learnt, as it is kept for the next process."`
+	Check    checkCmd    `cmd:"" help:"Read and check the configuration, and end."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type versionCmd struct{}
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -334,6 +334,7 @@
 	discovery      *standin.Director
 	registry       string // address of a ZooKeeper stand-in, or empty
 	operator       string // address of the operators' listener, or empty
+	operations     string // more of the operators' file
 }
 
 func newWorld(t *testing.T) *world {
@@ -400,7 +401,7 @@
 	w.admin = standin.OwnAddr() // each program of a world has one of its own
 	os.WriteFile(filepath.Join(dir, "config.json"), w.config(), 0o600)
 	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 50\nstatement_ms = 300\nsegment_mb = 1\ndir = %q\n"+
-		"[operator]\nlisten = %q\n", filepath.Join(dir, "ledger"), w.operator)
+		"[operator]\nlisten = %q\n%s", filepath.Join(dir, "ledger"), w.operator, w.operations)
 	os.WriteFile(filepath.Join(dir, "operations.toml"), []byte(operations), 0o600)
 	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml"),
 		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -129,6 +129,7 @@
 	}
 	operated.drains(servers)
 	excluded := operated.exclusions()
+	keeper := warmStart(n, o.Warm, planner, figures, log)
 
 	// What clients come by ends first; what they are served by, after the last session.
 	work, stopWork := context.WithCancel(context.Background())
@@ -138,6 +139,16 @@
 		return err
 	}
 	group.Go(func() error { return planner.Run(work) })
+	keeping, keptLast := context.WithCancel(work)
+	defer keptLast()
+	kept := make(chan struct{})
+	group.Go(func() error {
+		defer close(kept)
+		if keeper != nil {
+			keeper.run(keeping)
+		}
+		return nil
+	})
 	group.Go(func() error {
 		operated.handOver(work, n, excluded)
 		return nil
@@ -185,7 +196,12 @@
 		case <-time.After(wait):
 		}
 		state.Start()
-		return serveAll(taking, servers, places)
+		err := serveAll(taking, servers, places)
+		if keptLast(); keeper != nil {
+			<-kept // its files have one writer
+			keeper.keep()
+		}
+		return err
 	})
 	group.Go(func() error {
 		defer stopTaking()
--- a/internal/config/operations.go
+++ b/internal/config/operations.go
@@ -21,6 +21,19 @@
 type Operations struct {
 	Operator Operator
 	Ledger   Ledger
+	Warm     WarmStart
+}
+
+// WarmStart is how what a process learnt outlives it.
+type WarmStart struct {
+	Mode  string // on, off, or auto: where a listening socket is handed down
+	Every time.Duration
+	Dir   string // empty: $TMPDIR
+}
+
+// Enabled tells whether snapshots are kept by a process that was handed a listening socket, or not.
+func (w WarmStart) Enabled(inherited bool) bool {
+	return w.Mode == "on" || w.Mode == "auto" && inherited
 }
 
 // Operator is the operators' listener.
@@ -55,6 +68,11 @@
 		Segments, Records  int
 		Sync               bool
 	}
+	Warm struct {
+		Mode    string
+		EveryMS int `toml:"every_ms"`
+		Dir     string
+	} `toml:"warm_start"`
 }
 
 // LoadOperations reads the operators' file and checks it against the published schema. Unlike other files it may hold no
@@ -83,6 +101,7 @@
 	l := &f.Ledger
 	l.Rows, l.Open, l.Flight, l.AuditMS, l.StatementMS = 20000, 65536, 4096, 1000, 10000
 	l.SegmentMB, l.Segments, l.Records, l.Sync = 4, 8, 1000000, true
+	f.Warm.Mode, f.Warm.EveryMS = "auto", 500
 	if err := toml.Unmarshal(text, &f); err != nil { // the schema has seen to that
 		return nil, fault(path, "%v", err)
 	}
@@ -94,7 +113,8 @@
 	return &Operations{Operator: Operator{f.Operator.Listen}, Ledger: Ledger{Enabled: l.Enabled, Rows: l.Rows, Open: l.Open,
 		Flight: l.Flight, Audit: time.Duration(l.AuditMS) * time.Millisecond,
 		Statement: time.Duration(l.StatementMS) * time.Millisecond, AlarmFile: l.AlarmFile, Dir: l.Dir,
-		SegmentBytes: l.SegmentMB << 20, Segments: l.Segments, Records: l.Records, Sync: l.Sync}}, nil
+		SegmentBytes: l.SegmentMB << 20, Segments: l.Segments, Records: l.Records, Sync: l.Sync},
+		Warm: WarmStart{Mode: f.Warm.Mode, Every: time.Duration(f.Warm.EveryMS) * time.Millisecond, Dir: f.Warm.Dir}}, nil
 }
 
 // checkTree checks a file's keys against the schema; its error names the first key at fault, and the line.
--- a/internal/config/operations_test.go
+++ b/internal/config/operations_test.go
@@ -18,7 +18,8 @@
 	if *o != *bare {
 		t.Errorf("the file that ships says %+v, the defaults are %+v", o, bare)
 	}
-	if o.Ledger.Enabled || o.Operator.Listen != "" || o.Ledger.Audit != time.Second {
+	if o.Ledger.Enabled || o.Operator.Listen != "" || o.Ledger.Audit != time.Second ||
+		o.Warm.Enabled(false) || !o.Warm.Enabled(true) {
 		t.Errorf("%+v", o)
 	}
 	for text, want := range map[string]string{
@@ -28,6 +29,8 @@
 		"[ledger]\nenabled = 1":                   "f.toml:2: ledger.enabled: ",
 		"ledger.audit_ms = 1":                     "f.toml:1: ledger.audit_ms: ",
 		"[ledger]\nrows = ":                       "f.toml:2: ",
+		"[warm_start]\nmode = \"maybe\"":          "f.toml:2: warm_start.mode: ",
+		"[warm_start]\nevery_ms = 5":              "f.toml:2: warm_start.every_ms: ",
 		"[operator]\nlisten = \"here\"":           "operator.listen: \"here\" is not host:port",
 	} {
 		if _, err := parseOperations("f.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // State is whether the gateway serves.
@@ -78,6 +79,7 @@
 	concurrent             atomic.Int64
 	targets, disabled      atomic.Int64
 	reloadsOK, reloadsFail atomic.Int64
+	loaded, rejected, age  atomic.Int64 // of snapshots at the start
 }
 
 // MostClasses bounds the names that the figures keep, whatever settings come.
@@ -140,6 +142,13 @@
 	}
 }
 
+// Warm tells of the snapshots that were found at the start: how many were taken and rejected, and the age of the one taken.
+func (f *Figures) Warm(loaded, rejected int, age time.Duration) {
+	f.loaded.Store(int64(loaded))
+	f.rejected.Store(int64(rejected))
+	f.age.Store(age.Milliseconds())
+}
+
 // AppendJSON writes the figures as one JSON object.
 func (f *Figures) AppendJSON(b []byte) []byte {
 	f.mu.Lock()
@@ -173,5 +182,11 @@
 	b = strconv.AppendInt(b, f.reloadsOK.Load(), 10)
 	b = append(b, `,"reload_failure":`...)
 	b = strconv.AppendInt(b, f.reloadsFail.Load(), 10)
+	b = append(b, `,"snapshot_loaded":`...)
+	b = strconv.AppendInt(b, f.loaded.Load(), 10)
+	b = append(b, `,"snapshot_rejected":`...)
+	b = strconv.AppendInt(b, f.rejected.Load(), 10)
+	b = append(b, `,"snapshot_age_ms":`...)
+	b = strconv.AppendInt(b, f.age.Load(), 10)
 	return append(b, '}')
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -49,3 +49,15 @@
 		p.rate = min(most/p.timeout, max(p.rate*up, back/p.timeout/p.callers))
 	}
 }
+
+// Learnt is what the pacer has found out, for the process that replaces its own.
+func (p *Pacer) Learnt() (rate, quickest float64) { return p.rate, p.quickest }
+
+// Resume starts from what another one had learnt, inside the bounds that hold here. Danger: what it saved up is not taken
+// over, as that one may be at work still and make those calls itself.
+func (p *Pacer) Resume(rate, quickest float64) {
+	if rate > 0 && quickest > 0 { // not so for what is no number
+		p.rate = min(most/p.timeout, max(rate, 1/(backoff*p.timeout)))
+		p.quickest = min(p.timeout, quickest)
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,311 @@
+package snapshot_test
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	dw "dewhitch"
+	"dewhitch/internal/snapshot"
+)
+
+// image holds n customers and a few servers, each number of which is v or says its place.
+func image(n int, v float64) *snapshot.Image {
+	m := &snapshot.Image{Node: "n1", Instances: 4, Self: 1, Zones: 2, Classes: []string{"query", "booking"},
+		Plans: []snapshot.Plan{{Name: "fleet", Rate: 8, Burst: 16}, {Name: "basic", Rate: 4, Burst: 8}}}
+	m.Learnt = dw.Learnt{At: 1e18, Latency: 0.05, Idle: 0.04, Worth: 2, Sizes: []float64{1, v + 1}, Cut: []float64{0, 0.5}}
+	for i := range 10 {
+		m.Learnt.Servers = append(m.Learnt.Servers, dw.LearntServer{ServerEntry: dw.ServerEntry{ID: dw.ServerID(i)},
+			Latency: 0.1, Verdicts: []dw.LearntVerdict{{Failed: 1}, {Failed: 2}}})
+	}
+	for i := range n {
+		m.Learnt.Customers = append(m.Learnt.Customers, dw.LearntCustomer{ID: dw.CustomerID(rand.Uint64()), Plan: i % 2,
+			Spread: 4, InSet: true, Window: 4e9, Level: v, Own: v, Others: 1.7 * v, At: 1e18, LastTotal: 1e18 - 3e8,
+			Seen: 1e18 - 7, Turn: 12345678, Total: v, Mine: v / 3, Past: 1.234})
+	}
+	return m
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := image(rapid.IntRange(0, 40).Draw(t, "customers"), rapid.Float64Range(0, 1e9).Draw(t, "v"))
+		g := snapshot.Generation{Life: rapid.Uint64().Draw(t, "life"), Number: rapid.Uint64().Draw(t, "number")}
+		b, err := snapshot.Encode([]byte("front"), g, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b = b[len("front"):]
+		g2, m2, err := snapshot.Decode(b)
+		if err != nil || g2 != g || !reflect.DeepEqual(m2.Learnt.Servers, m.Learnt.Servers) ||
+			fmt.Sprint(m2) != fmt.Sprint(m) {
+			t.Fatalf("%v: %v\n%v\n%v", err, g2, m2, m)
+		}
+		// Cut anywhere, or with any byte changed, nothing of it is taken.
+		if cut := rapid.IntRange(1, len(b)-1).Draw(t, "cut"); errors.Is(decode(b[:cut]), nil) {
+			t.Fatal("taken when cut short")
+		}
+		b[rapid.IntRange(0, len(b)-1).Draw(t, "byte")] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		if decode(b) == nil {
+			t.Fatal("taken with a byte changed")
+		}
+	})
+}
+
+func decode(b []byte) error {
+	_, m, err := snapshot.Decode(b)
+	if err == nil && m == nil {
+		panic("nothing, and no fault")
+	}
+	return err
+}
+
+func TestFaultsAreTold(t *testing.T) {
+	b, err := snapshot.Encode(nil, snapshot.Generation{Life: 1}, image(3, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(f func([]byte)) []byte {
+		c := append([]byte(nil), b...)
+		f(c)
+		return c
+	}
+	for _, v := range []struct {
+		text []byte
+		want error
+	}{{nil, snapshot.ErrEmpty}, {b[:20], snapshot.ErrTorn}, {b[:len(b)-1], snapshot.ErrTorn},
+		{change(func(c []byte) { c[7] = 9 }), snapshot.ErrVersion}, {change(func(c []byte) { c[0] = 'D' }), snapshot.ErrBroken},
+		{change(func(c []byte) { binary.BigEndian.PutUint32(c[8:], math.MaxUint32) }), snapshot.ErrTorn},
+		{change(func(c []byte) { c[len(c)-1]++ }), snapshot.ErrTorn}} {
+		if err := decode(v.text); !errors.Is(err, v.want) {
+			t.Errorf("%v, not %v", err, v.want)
+		}
+	}
+}
+
+// A length that its bytes do not bear out allocates nothing.
+func TestLengthIsNotBelieved(t *testing.T) {
+	m := image(0, 1)
+	b, _ := snapshot.Encode(nil, snapshot.Generation{Life: 1}, m)
+	grown := testing.AllocsPerRun(10, func() {
+		c := append([]byte(nil), b...)
+		binary.BigEndian.PutUint32(c[8:], math.MaxUint32)
+		decode(c)
+	})
+	if grown > 20 {
+		t.Errorf("%v allocations", grown)
+	}
+}
+
+func TestFit(t *testing.T) {
+	now := func() *snapshot.Image { m := image(0, 0); m.Learnt = dw.Learnt{}; return m }
+	then := image(10, 1)
+	other := now()
+	other.Classes = []string{"booking", "inquiry"}                                                         // one dropped, one new, another order
+	other.Plans = []snapshot.Plan{{Name: "basic", Rate: 4, Burst: 8}, {Name: "fleet", Rate: 9, Burst: 16}} // one changed
+	l, dropped, err := snapshot.Fit(then, other)
+	if err != nil || dropped != 6 || len(l.Customers) != 5 || l.Customers[0].Plan != 0 {
+		t.Fatalf("%v: %d dropped, %+v", err, dropped, l)
+	}
+	if want := []float64{2, 1}; !reflect.DeepEqual(l.Sizes, want) || l.Servers[0].Verdicts[0].Failed != 2 || l.Servers[0].Verdicts[1].Failed != 0 {
+		t.Fatalf("%v, %+v", l.Sizes, l.Servers[0])
+	}
+	for i, spoil := range []func(m *snapshot.Image){func(m *snapshot.Image) { m.Node = "n2" }, func(m *snapshot.Image) { m.Instances++ },
+		func(m *snapshot.Image) { m.Learnt.Latency = 0 }, func(m *snapshot.Image) { m.Learnt.Sizes = nil },
+		func(m *snapshot.Image) { m.Learnt.Worth = math.NaN() }, func(m *snapshot.Image) { m.Learnt.Customers[3].Plan = 2 },
+		func(m *snapshot.Image) { m.Learnt.Customers[3].Level = math.Inf(1) }, func(m *snapshot.Image) { m.Learnt.Cut[1] = 1 },
+		func(m *snapshot.Image) { m.Learnt.Servers[3].Latency = -1 }} {
+		m := image(10, 1)
+		spoil(m)
+		if l, _, err := snapshot.Fit(m, now()); err == nil || l != nil {
+			t.Errorf("spoilt by %d, and taken", i)
+		}
+	}
+}
+
+// Two processes that write in the same second write two files; the newer life wins, whatever comes last, and a file that
+// is not whole gives way to the one before it.
+func TestLivesAndGenerations(t *testing.T) {
+	dir := t.TempDir()
+	if f, err := snapshot.Latest(dir, "n1"); err != nil || f.Image != nil || len(f.Rejected) > 0 {
+		t.Fatal(f, err)
+	}
+	claim := func() *snapshot.Writer {
+		f, err := snapshot.Latest(dir, "n1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		w, err := snapshot.Claim(dir, "n1", f.Generation)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return w
+	}
+	write := func(w *snapshot.Writer, v float64) {
+		if _, err := w.Write(image(5, v)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	latest := func(v float64, life, number uint64) {
+		t.Helper()
+		f, err := snapshot.Latest(dir, "n1")
+		if err != nil || f.Image == nil || f.Image.Learnt.Customers[4].Level != v || f.Generation != (snapshot.Generation{Life: life, Number: number}) {
+			t.Fatalf("%+v, %v", f.Generation, err)
+		}
+	}
+	old := claim()
+	write(old, 1)
+	write(old, 2)
+	next, third := claim(), claim()
+	latest(2, 1, 2) // the claims say nothing yet
+	write(next, 3)
+	write(old, 4)
+	latest(3, 2, 1)
+	write(third, 5)
+	latest(5, 3, 1)
+	files, _ := filepath.Glob(filepath.Join(dir, "*"))
+	os.WriteFile(files[len(files)-1], []byte("dwsnap half"), 0o600)
+	latest(3, 2, 1)
+	if f, _ := snapshot.Latest(dir, "n1"); len(f.Rejected) != 1 || !errors.Is(f.Rejected[0], snapshot.ErrTorn) {
+		t.Fatal(f.Rejected)
+	}
+	fourth := claim()
+	write(fourth, 6)
+	latest(6, 4, 1)
+	if files, _ = filepath.Glob(filepath.Join(dir, "*")); len(files) != 3 {
+		t.Errorf("left: %v", files) // of life 2, from which the fourth started, and after
+	}
+	if f, err := snapshot.Latest(dir, "n2"); f.Image != nil || err != nil {
+		t.Error("another node's was taken")
+	}
+	// A folder that can't be written to is an error, and leaves what is there.
+	if _, err := snapshot.Claim(filepath.Join(dir, "none"), "n1", snapshot.Generation{}); err == nil {
+		t.Error("claimed in no folder")
+	}
+}
+
+// TestWriterChild is the program that TestKilledWriter kills: it writes, and says each number once that is on the disk.
+func TestWriterChild(t *testing.T) {
+	dir := os.Getenv("SNAPSHOT_CHILD")
+	if dir == "" {
+		t.Skip("not the child")
+	}
+	f, err := snapshot.Latest(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := snapshot.Claim(dir, "n1", f.Generation)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; ; i++ {
+		if _, err := w.Write(image(200+i%700, float64(w.Last().Life*1e6+uint64(i)))); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Printf("wrote %d %d\n", w.Last().Life, w.Last().Number)
+	}
+}
+
+// A writer is killed 50 times, at any instant. What is found then is whole and of one write, and at least as new as the
+// last that was said to be on the disk.
+func TestKilledWriter(t *testing.T) {
+	const seed = 20261201
+	rng := rand.New(rand.NewPCG(seed, 0))
+	t.Logf("seed %d", seed)
+	dir := t.TempDir()
+	for kill := range 50 {
+		cmd := exec.Command(os.Args[0], "-test.run=^TestWriterChild$", "-test.timeout=1m")
+		cmd.Env = append(os.Environ(), "SNAPSHOT_CHILD="+dir)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var said snapshot.Generation
+		lines := bufio.NewScanner(out)
+		after := 1 + rng.IntN(12)
+		for lines.Scan() {
+			if n, _ := fmt.Sscanf(lines.Text(), "wrote %d %d", &said.Life, &said.Number); n == 2 && said.Number == uint64(after) {
+				time.Sleep(time.Duration(rng.IntN(3000)) * time.Microsecond)
+				cmd.Process.Kill()
+			}
+		}
+		cmd.Wait()
+		f, err := snapshot.Latest(dir, "n1")
+		if err != nil || f.Image == nil || len(f.Rejected) > 0 {
+			t.Fatalf("kill %d: %+v, %v", kill, f, err)
+		}
+		if said.Number < uint64(after) || f.Life != said.Life || f.Number < said.Number {
+			t.Fatalf("kill %d: found %+v, where %+v was on the disk", kill, f.Generation, said)
+		}
+		want := float64(f.Life*1e6 + f.Number)
+		for _, c := range f.Image.Learnt.Customers {
+			if c.Level != want || c.Total != want {
+				t.Fatalf("kill %d: mixed: %v in %v", kill, c.Level, want)
+			}
+		}
+	}
+	if files, _ := filepath.Glob(filepath.Join(dir, "*.snapshot")); len(files) > 3 {
+		t.Errorf("left: %s", strings.Join(files, " "))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := snapshot.Encode(nil, snapshot.Generation{Life: 1}, image(3, 1))
+	f.Add(b[36:])
+	f.Add([]byte("\x9b\xff\xff\xff\xff\xff\xff\xff\xff"))
+	now := image(0, 0)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		// With a header that is right: what is behind it must be bounded and checked, too.
+		_, m, err := snapshot.Decode(snapshot.Sealed(body))
+		if err != nil {
+			return
+		}
+		if l, _, err := snapshot.Fit(m, now); err == nil {
+			g, err := dw.New(dw.Settings{Instances: 4, Self: 1, Zones: 2, MaxAttempts: 1, Classes: make2(), Plans: []dw.Plan{{}, {}}}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Import(l.At+1e6, l)
+			g.Handle(l.At+2e6, dw.ServerList{Kind: dw.ListFull, Servers: []dw.ServerEntry{{ID: 1}}}, nil)
+			g.Handle(l.At+3e6, dw.Arrival{ID: "a", Remaining: 1e9, Units: 1, Spread: 1}, nil)
+		}
+	})
+}
+
+func make2() []dw.Class { return []dw.Class{{Aim: 1e9, Deadline: 1e9}, {Aim: 1e9, Deadline: 1e9}} }
+
+func BenchmarkEncode(b *testing.B) {
+	m := image(10000, 123.456)
+	var buf []byte
+	for b.Loop() {
+		buf, _ = snapshot.Encode(buf[:0], snapshot.Generation{Life: 1}, m)
+	}
+	b.ReportMetric(float64(len(buf)), "bytes")
+}
+
+func BenchmarkWrite(b *testing.B) {
+	m := image(10000, 123.456)
+	w, err := snapshot.Claim(b.TempDir(), "n1", snapshot.Generation{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := w.Write(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/state_test.go
@@ -0,0 +1,103 @@
+package dewhitch_test
+
+import (
+	"testing"
+
+	dw "dewhitch"
+)
+
+// replaced is a bed whose gateway is another process of b's, with or without what that one had learnt. Both go on using
+// one counter, and the list is told anew.
+func (b *bed) replaced(s dw.Settings, warm bool, servers ...dw.ServerEntry) *bed {
+	b.t.Helper()
+	g, err := dw.New(s, 2)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if warm {
+		var l dw.Learnt
+		b.g.Export(&l, 1000)
+		if n, m := g.Import(b.now, &l); n == 0 || m == 0 {
+			b.t.Fatalf("took %d servers and %d customers", n, m)
+		}
+	}
+	c := &bed{t: b.t, g: g, now: b.now, over: map[dw.RequestID]dw.Action{}, answer: b.answer, next: b.next}
+	c.do(dw.ServerList{Kind: dw.ListFull, Servers: servers})
+	return c
+}
+
+// A customer near its quota is served by a warm successor as if nothing had happened, where a cold one takes all that
+// the window holds for the others' use, and refuses what there is room for.
+func TestWarmStartKeepsACustomersRoom(t *testing.T) {
+	s := settings()
+	s.Instances, s.Plans[0] = 4, dw.Plan{Rate: 4, Burst: 12, Price: 1, OverrunCost: 1}
+	hall := dw.ServerEntry{ID: 7}
+	in := map[bool]int{}
+	for _, warm := range []bool{true, false} {
+		b := newBed(t, s, hall)
+		b.serve(28, 250*ms, dw.Arrival{Spread: 4}) // all of the quota, up to the last quarter of a window of 6 s
+		in[warm] = b.replaced(s, warm, hall).serve(20, 100*ms, dw.Arrival{Spread: 4})
+	}
+	t.Logf("of 20 requests a warm successor served %d, a cold one %d", in[true], in[false])
+	if in[true] < 19 || in[false] > in[true]-4 {
+		t.Errorf("of 20 requests a warm successor served %d, a cold one %d", in[true], in[false])
+	}
+}
+
+// Its quota is no larger for that: what the old process has not pushed yet counts, once.
+func TestWarmStartSpendsNothingTwice(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{Rate: 2, Burst: 12, Price: 1, OverrunCost: 1}
+	hall := dw.ServerEntry{ID: 7}
+	b := newBed(t, s, hall)
+	in := b.serve(40, 50*ms, dw.Arrival{})
+	for range 5 { // one process after another, within 8 s
+		b = b.replaced(s, true, hall)
+		in += b.serve(24, 50*ms, dw.Arrival{})
+	}
+	if most := 12 + 2*8 + 5; in > most || in < 20 { // and a request for each replacement
+		t.Errorf("%d went on, where the quota holds %d", in, most)
+	}
+}
+
+// What an old process says of servers is no more than a hint: nothing goes to one that is not listed, a slow one is
+// avoided, one called fast gets no flood, and one that has started since is new.
+func TestWarmStartDoubtsServers(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{Price: 1}
+	var four []dw.ServerEntry
+	for id := range dw.ServerID(4) {
+		four = append(four, dw.ServerEntry{ID: id + 1})
+	}
+	l := dw.Learnt{Latency: 0.02, Idle: 0.02, Worth: 3, Sent: 100, Good: 100, Tried: 100, Wanted: 100, Budget: 10,
+		Sizes: []float64{1, 1}, Cut: []float64{0}}
+	for i, e := range four {
+		l.Servers = append(l.Servers, dw.LearntServer{ServerEntry: e, Latency: []float64{0.001, 0.02, 0.02, 0.5}[i]})
+	}
+	start := func(age dw.Span) *bed {
+		g, err := dw.New(s, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := &bed{t: t, g: g, now: dw.Instant(100 * sec), over: map[dw.RequestID]dw.Action{}}
+		l.At = b.now - dw.Instant(age)
+		if n, _ := g.Import(b.now, &l); (n == 4) != (age <= 60*sec && age >= 0) {
+			t.Errorf("took %d servers at an age of %v s", n, age/sec)
+		}
+		return b
+	}
+	b := start(sec / 2)
+	if _, ok := b.ask(dw.Arrival{}); ok {
+		t.Fatal("sent to a server that no list named")
+	}
+	b.do(dw.ServerList{Kind: dw.ListFull, Servers: four})
+	got := map[dw.ServerID]int{}
+	for range 12 { // nothing is answered yet
+		if _, ok := b.ask(dw.Arrival{}); ok {
+			got[b.sent[len(b.sent)-1].Server]++
+		}
+	}
+	if got[4] > 0 || got[1] > 6 || len(got) != 3 {
+		t.Errorf("of the first 12 requests, by server: %v", got)
+	}
+}
