Take an idle server for one at ease, the less so the less a gateway sees of it

What an idle server is taken for goes to the mean of what was measured; only the two slow servers are measured, so the mean is theirs (0.13 to 0.22 s), the cold ones look as slow, are never tried, and the state keeps itself up.

Change: it goes to the latency of servers at ease (idle) as far as the gateway sees a server often (the square of 1 - blind), else to the mean as before: where 80 gateways each see little, many stray estimates would let everything in.

The new test lets 0 of 50 requests in on the code before.

--- a/gateway.go
+++ b/gateway.go
@@ -716,8 +716,9 @@
 		})
 	}
 	// Danger: of many stray estimates the best lets everything in, and who refuses all does not learn that
-	// things are better. An idle server's estimate goes to the mean; with none measured, the mean fades.
-	part := seconds(g.sweepEvery()) / seconds(recoverSpan)
+	// things are better. An idle server's estimate goes to that of servers at ease, or, the less this gateway
+	// sees of one, to the mean, which a few slow ones may make; with none measured, the mean fades.
+	part, seen := seconds(g.sweepEvery())/seconds(recoverSpan), 1-g.blind()
 	if g.now-g.measured > Instant(recoverSpan) {
 		g.latency *= 1 - part
 	} else {
@@ -725,7 +726,7 @@
 	}
 	for _, s := range g.servers {
 		if s.out == 0 {
-			s.latency += (g.latency - s.latency) * part
+			s.latency += (g.latency + seen*seen*(g.idle-g.latency) - s.latency) * part
 		}
 	}
 }
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -354,6 +354,32 @@
 	}
 }
 
+// Where only slow servers are left for a while, the others are not taken for slow when they are back.
+func TestServersThatWereAwayAreNotTakenForSlow(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{Price: 1}
+	var all, away []dw.ServerEntry
+	for id := range dw.ServerID(6) {
+		all = append(all, dw.ServerEntry{ID: id})
+		if id > 1 {
+			away = append(away, dw.ServerEntry{ID: id, State: dw.Draining})
+		}
+	}
+	b := newBed(t, s, all...)
+	b.serve(500, 10*ms, dw.Arrival{})
+	b.do(dw.ServerList{Kind: dw.ListDelta, Servers: away})
+	for i := range 500 { // the two that are left are too slow for what earns less
+		if id, ok := b.ask(dw.Arrival{Class: i % 2}); ok {
+			b.do(dw.Ended{Request: id, Server: b.sent[len(b.sent)-1].Server, Final: true, Latency: 95 * ms})
+		}
+		b.pass(10 * ms)
+	}
+	b.do(dw.ServerList{Kind: dw.ListDelta, Servers: all[2:]})
+	if in := b.serve(50, 10*ms, dw.Arrival{}); in < 48 {
+		t.Errorf("of 50 requests %d went on", in)
+	}
+}
+
 // Rule 1 holds even if the outcome of the last attempt is late.
 func TestAnsweredWithoutAnOutcome(t *testing.T) {
 	for class := range 2 {
