--- /dev/null
+++ b/cmd/dewhitch/large_test.go
@@ -0,0 +1,213 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var errBusy = errors.New("refused")
+
+const largeValue = 3 << 20
+
+// large is the value of a req: its bytes follow from its id.
+func large(id string) []byte {
+	n, _ := strconv.Atoi(strings.TrimLeft(id, "v"))
+	b := make([]byte, largeValue+n)
+	rng := rand.New(rand.NewPCG(uint64(n), 1))
+	for i := 0; i < len(b); i += 8 {
+		v := rng.Uint64()
+		for k := i; k < min(i+8, len(b)); k++ {
+			b[k] = byte(v)
+			v >>= 8
+		}
+	}
+	return b
+}
+
+// serveLarge has the backends answer with large values, in pieces split anywhere; those whose id begins with x end within.
+func (b *byHand) serveLarge(pause time.Duration) {
+	for c := range b.conns {
+		go func() {
+			defer c.Close()
+			for r := bufio.NewReader(c); ; {
+				words, err := readWords(r)
+				if err != nil {
+					return
+				}
+				value := large(words[2])
+				text := append(fmt.Appendf(nil, "*3\r\n$%d\r\n", len(value)), value...)
+				text = append(text, "\r\n$-1\r\n$18\r\nqueue=0,inflight=1\r\n"...)
+				if words[2][0] == 'x' {
+					text = text[:len(text)/2]
+				}
+				for at, n := 0, 1; at < len(text); at, n = at+n, n*3%300007+1 {
+					if _, err := c.Write(text[at:min(at+n, len(text))]); err != nil {
+						return
+					}
+					if n%7 == 0 {
+						time.Sleep(pause)
+					}
+				}
+				if words[2][0] == 'x' {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func readWords(r *bufio.Reader) ([]string, error) {
+	var n int
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	fmt.Sscanf(line, "*%d", &n)
+	words := make([]string, n)
+	for i := range words {
+		var size int
+		if line, err = r.ReadString('\n'); err != nil {
+			return nil, err
+		}
+		fmt.Sscanf(line, "$%d", &size)
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return nil, err
+		}
+		words[i] = string(b[:size])
+	}
+	return words, nil
+}
+
+// peak is the most memory that a process has had resident, in bytes.
+func peak(t *testing.T, pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kb << 10
+}
+
+// TestLargeValues: 40 clients at once, some of them slow, get values of 3 MiB each, together well over the memory limit, to
+// the byte and in the order of their commands; the connection to the backend is used again; a value that breaks off, and a
+// client that leaves within one, end no more than that.
+func TestLargeValues(t *testing.T) {
+	w := newWorld(t)
+	w.override = []string{`{"limits": {"memory_mb": 64, "sockets": 512}}`}
+	go w.backends.serveLarge(200 * time.Microsecond)
+	p := w.start("serve")
+	get := func(c net.Conn, r *bufio.Reader, id string, slow bool) error {
+		line, err := r.ReadString('\n')
+		if strings.HasPrefix(line, "-BUSY") {
+			return errBusy
+		}
+		want := large(id)
+		if err != nil || line != fmt.Sprintf("$%d\r\n", len(want)) {
+			return fmt.Errorf("%s: %q, %v", id, line, err)
+		}
+		got := make([]byte, 0, len(want)+2)
+		for piece := make([]byte, 64<<10); len(got) < len(want)+2; {
+			n, err := r.Read(piece[:min(len(piece), len(want)+2-len(got))])
+			if err != nil {
+				return fmt.Errorf("%s after %d bytes: %w", id, len(got), err)
+			}
+			got = append(got, piece[:n]...)
+			if slow {
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		if !bytes.Equal(got[:len(want)], want) || string(got[len(want):]) != "\r\n" {
+			return fmt.Errorf("%s: not the value that was sent", id)
+		}
+		return nil
+	}
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", w.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.(*net.TCPConn).SetReadBuffer(64 << 10)
+		c.SetDeadline(time.Now().Add(3 * patience))
+		return c, bufio.NewReaderSize(c, 4<<10)
+	}
+	req := func(id string) []byte {
+		return encode("SVC.QUERY 00000000b4d65521 " + id + " c=lookup,t=wide,d=60000,units=1,spread=2,first=0")
+	}
+	c, r := dial() // the module learns how quick the backend is
+	defer c.Close()
+	for i := range 20 {
+		c.Write(req(fmt.Sprint("v", i)))
+		if err := get(c, r, fmt.Sprint("v", i), false); err != nil && err != errBusy {
+			t.Fatal(err)
+		}
+	}
+	var clients sync.WaitGroup
+	var busy atomic.Int64
+	for i := range 40 {
+		c, r := dial()
+		defer c.Close()
+		clients.Go(func() {
+			first, second := fmt.Sprint("v", 2*i+1), fmt.Sprint("v", 2*i+2)
+			c.Write(append(append(req(first), req(second)...), encode("PING")...)) // the second waits behind the first
+			for _, id := range []string{first, second} {
+				if err := get(c, r, id, i%4 == 0); err == errBusy {
+					busy.Add(1)
+				} else if err != nil {
+					t.Error(err)
+					return
+				}
+			}
+			if line, err := r.ReadString('\n'); line != "+PONG\r\n" {
+				t.Errorf("behind the values: %q, %v", line, err)
+			}
+		})
+	}
+	clients.Wait()
+	if t.Failed() {
+		t.Fatal(p.log())
+	}
+	most := peak(t, p.cmd.Process.Pid)
+	t.Logf("80 values of 3 MiB: %d MiB resident at most", most>>20)
+	if most > 64<<20 {
+		t.Errorf("%d bytes resident", most)
+	}
+	if n := busy.Load(); n > 40 {
+		t.Errorf("%d of 80 were refused", n)
+	}
+	// One that breaks off: the client sees the end within it, and nothing else.
+	c, r = dial()
+	defer c.Close()
+	c.Write(req("x1"))
+	line, _ := r.ReadString('\n')
+	if n, err := io.Copy(io.Discard, r); !strings.HasPrefix(line, "$3145") || n >= largeValue {
+		t.Errorf("%q and %d bytes, %v", line, n, err)
+	}
+	// A client that leaves within its value takes nothing along: the next is served.
+	c, r = dial()
+	c.Write(req("v90"))
+	r.ReadString('\n')
+	c.Close()
+	c, r = dial()
+	defer c.Close()
+	c.Write(req("v91"))
+	if err := get(c, r, "v91", false); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -80,7 +80,9 @@
 type fetch struct {
 	core.Fetch
 	pool   *pool
+	began  func(core.Stream)
 	done   func(core.FetchEnd)
+	entry  ledger.Posting  // of its end; its event is None once that is posted
 	ctx    context.Context // ends when the module gives the fetch up
 	cancel context.CancelFunc
 }
@@ -94,9 +96,9 @@
 }
 
 // Start implements core.Backends.
-func (p *Pools) Start(f core.Fetch, done func(core.FetchEnd)) {
+func (p *Pools) Start(f core.Fetch, began func(core.Stream), done func(core.FetchEnd)) {
 	ctx, cancel := context.WithDeadline(context.Background(), f.Until)
-	k, x := key{f.Req, f.Attempt}, &fetch{Fetch: f, done: done, ctx: ctx, cancel: cancel}
+	k, x := key{f.Req, f.Attempt}, &fetch{Fetch: f, began: began, done: done, ctx: ctx, cancel: cancel}
 	p.mu.Lock()
 	p.fetches[k] = x
 	if x.pool = p.pools[f.Backend]; x.pool == nil {
@@ -106,12 +108,11 @@
 	x.pool.gone = false // it is on the list, or nothing would be sent
 	x.pool.out++
 	p.mu.Unlock()
-	entry := ledger.Posting{Event: ledger.FetchBegan, Key: f.Source.Row, Ref: f.Source.Ref}
-	p.books.Post(entry)
+	x.entry = ledger.Posting{Event: ledger.FetchBegan, Key: f.Source.Row, Ref: f.Source.Ref}
+	p.books.Post(x.entry)
 	go func() {
 		end := p.run(x)
-		entry.Event = ends[end.Outcome]
-		p.books.Post(entry)
+		p.book(x, end.Outcome)
 		cancel()
 		p.mu.Lock()
 		delete(p.fetches, k)
@@ -122,6 +123,15 @@
 	}()
 }
 
+// book posts how a fetch ended, once.
+func (p *Pools) book(f *fetch, o dw.Outcome) {
+	if f.entry.Event != ledger.None {
+		f.entry.Event = ends[o]
+		p.books.Post(f.entry)
+		f.entry.Event = ledger.None
+	}
+}
+
 var ends = [dw.Outcomes]ledger.Event{dw.OutcomeOK: ledger.FetchOK, dw.OutcomeError: ledger.FetchError,
 	dw.OutcomeRejected: ledger.FetchRejected, dw.OutcomeTimeout: ledger.FetchTimeout,
 	dw.OutcomeConnectFailed: ledger.FetchConnectFailed, dw.OutcomeReset: ledger.FetchReset,
@@ -208,8 +218,8 @@
 	// From here on the connection is the fetch's own: when time is up or the fetch is given up, its reads and
 	// writes fail, and it is closed, which tells the backend.
 	unhook := context.AfterFunc(f.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	end, clean := p.exchange(f, c)
-	if unhook() && clean {
+	end, clean := p.exchange(f, c, unhook)
+	if (unhook() || !end.First.IsZero()) && clean {
 		p.put(c)
 	} else {
 		p.drop(c)
@@ -217,8 +227,9 @@
 	return end
 }
 
-// exchange writes the command and reads the answer; clean means that the connection may be used again.
-func (p *Pools) exchange(f *fetch, c *conn) (end core.FetchEnd, clean bool) {
+// exchange writes the command and reads the answer; clean means that the connection may be used again. A value that is
+// streamed is no longer the fetch's to end: unhook takes its time and its cancelling off the connection.
+func (p *Pools) exchange(f *fetch, c *conn, unhook func() bool) (end core.FetchEnd, clean bool) {
 	command := p.command(f)
 	if n, _ := c.Write(command); n < len(command) {
 		// Not written whole, whatever the reason: the backend never begins it.
@@ -239,8 +250,14 @@
 		}
 	}
 	var v resp.Value
+	large := 0
 	if err == nil {
-		v, err = c.r.ReadValue()
+		if v, large, err = c.r.ReadAnswer(); err == nil && large > 0 && v.Len == parts {
+			if unhook() {
+				return p.stream(f, c, v, large)
+			}
+			err = os.ErrDeadlineExceeded // its time ran out before its value began
+		}
 	}
 	end, whole := outcome(v, err == nil)
 	switch {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"io"
 	"time"
 
 	dw "dewhitch"
@@ -59,10 +60,18 @@
 	Failed          // nothing is promised
 )
 
+// Stream is a value too large to be held, as it comes. Whoever was given it reads it to its end, or not, and closes it.
+type Stream interface {
+	io.Reader  // io.EOF behind its last byte; any other error if there is no more of it
+	Size() int // of the whole value
+	Close()    // from any goroutine, and again
+}
+
 // Answer is the one final answer to a req.
 type Answer struct {
 	Verdict    Verdict
-	Value      []byte        // of a served req
+	Value      []byte        // of a served req, if it is held
+	Stream     Stream        // of a served req, if it is not
 	RetryAfter time.Duration // of a refused one; 0: no advice
 	Limit      *dw.Limit     // of a query that was served
 	Units      float64       // of an adjustment that was served: those booked
@@ -88,12 +97,14 @@
 	Outcome dw.Outcome // tells truly whether the fetch may have run
 	Value   []byte
 	Load    dw.Load
+	First   time.Time // of a value that was streamed: when it began; zero: now
 }
 
 // Backends starts fetches; none of its methods may block.
 type Backends interface {
-	// Start begins f and calls done once, from any goroutine but the caller's.
-	Start(f Fetch, done func(FetchEnd))
+	// Start begins f and calls done once, from any goroutine but the caller's. Before that it calls began, if the value
+	// is too large to be held: whoever takes the stream ends the fetch by closing it.
+	Start(f Fetch, began func(Stream), done func(FetchEnd))
 	// Cancel gives a fetch up, if it is still out.
 	Cancel(req dw.RequestID, attempt int)
 	// Forget closes the idle connections to a backend, and keeps none after the fetches that are out.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -20,7 +20,23 @@
 	if m.end.Outcome == dw.OutcomeOK {
 		p.answer(t.id, ledger.PlanServed, Answer{Verdict: Served, Value: m.end.Value})
 	}
+	first := time.Now()
+	if !m.end.First.IsZero() {
+		first = m.end.First
+	}
 	p.tell(dw.Ended{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Outcome: m.end.Outcome,
-		Final: t.answered, Latency: dw.Span(time.Since(m.began)), Load: m.end.Load})
+		Final: t.answered, Latency: dw.Span(first.Sub(m.began)), Load: m.end.Load})
 	p.drop(t)
 }
+
+// handle passes a value on that is still coming. The client owns the attempt from now on: nobody else's answer would be
+// true, and the module takes it as begun.
+func (m fetchBegan) handle(p *Planner) {
+	t := p.reqs[m.fetch.Req]
+	if t == nil || t.answered {
+		m.value.Close()
+		return
+	}
+	p.tell(dw.Started{Request: t.id, Attempt: m.fetch.Attempt, Server: m.fetch.Backend.ID, Latency: dw.Span(time.Since(m.began))})
+	p.answer(t.id, ledger.PlanServed, Answer{Verdict: Served, Stream: m.value})
+}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -7,6 +7,13 @@
 	"dewhitch/internal/ledger"
 )
 
+// fetchBegan tells that the value of a good fetch has begun to come.
+type fetchBegan struct {
+	fetch Fetch
+	began time.Time
+	value Stream
+}
+
 type fetchEnded struct {
 	fetch  Fetch
 	began  time.Time
@@ -37,5 +44,9 @@
 		return
 	}
 	t.post(p, ledger.PlanSent)
-	p.backends.Start(f, func(end FetchEnd) { _ = p.post(fetchEnded{f, now, end, false}) })
+	p.backends.Start(f, func(v Stream) {
+		if p.post(fetchBegan{f, now, v}) != nil {
+			v.Close()
+		}
+	}, func(end FetchEnd) { _ = p.post(fetchEnded{f, now, end, false}) })
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -113,6 +113,10 @@
 	r.Answer = func(a core.Answer) {
 		verdict = a.Verdict
 		ended(a.Verdict, true)
+		if a.Stream != nil {
+			s.FillFrom(resp.AppendBulkHead(nil, a.Stream.Size()), a.Stream)
+			return
+		}
 		s.Fill(words(nil, a))
 	}
 	taken := ledger.Posting{Event: ledger.FrontTaken, Key: r.Row, Ref: r.Ref, Units: ledger.MicroUnits(r.Units),
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -27,7 +27,8 @@
 	lingerBytes = 256 << 10               // that are read and passed over meanwhile
 	sendTime    = 5 * time.Second         // for one write; a client that takes nothing for so long has gone
 	helloTime   = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
-	commandTime = 1300 * time.Millisecond // from a command's first byte to its last
+	byteTime    = 2500 * time.Millisecond // between two bytes of a command: a client may spend 2 s on a head
+	commandTime = 10 * time.Second        // from a command's first byte to its last
 	idleTime    = 5 * time.Second         // a client that asks for nothing for so long can connect again
 	strikes     = 16                      // commands that can't be used, after which the session ends
 	strikePause = 50 * time.Millisecond
@@ -67,12 +68,19 @@
 type Slot struct {
 	session *session
 	answer  []byte
+	value   Value // that follows the answer's bytes, with its end behind it; nil: none
 	filled  bool
 	large   int64  // bytes of the command that Bounds.large holds a place for
 	gone    func() // called if the client leaves before the slot is filled
 	settled func(Fate)
 }
 
+// Value is a large value as it comes.
+type Value interface {
+	io.Reader
+	Close() // from any goroutine, and again
+}
+
 // Fate is what became of a slot's answer.
 type Fate int
 
@@ -101,6 +109,7 @@
 	slots     []*Slot // in the order of the commands, those whose answers are not in out yet
 	room      *sync.Cond
 	out       []byte
+	value     *Slot         // whose value is written behind out
 	marks     []mark        // of the answers in out whose fate someone wants to know
 	owed      int           // bytes of answers that wait to be written, in out and in slots
 	wake      chan struct{} // something is in out, or the session is over
@@ -109,11 +118,12 @@
 	drain     bool          // operators drain the gateway: it ends between two commands
 	drainedAt time.Time
 	born      time.Time
-	awaiting  bool // the reader waits for the first byte of a command
-	last      bool // it ends as soon as nothing is owed
-	over      bool // nothing more is taken or answered
-	taken     int  // commands
-	bad       int  // of those, that could not be used
+	until     time.Time // by which the command that is being read must be whole; zero: none is
+	awaiting  bool      // the reader waits for the first byte of a command
+	last      bool      // it ends as soon as nothing is owed
+	over      bool      // nothing more is taken or answered
+	taken     int       // commands
+	bad       int       // of those, that could not be used
 }
 
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
@@ -192,7 +202,25 @@
 			return false
 		}
 	}
-	return s.deadline(commandTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = time.Now().Add(commandTime)
+	return !s.over
+}
+
+// Read reads from the client's connection: in the midst of a command it bounds each read. A wait for a command, and what is
+// passed over at the end, have deadlines of their own.
+func (s *session) Read(b []byte) (int, error) {
+	s.mu.Lock()
+	if !s.until.IsZero() && !s.over {
+		next := time.Now().Add(byteTime)
+		if next.After(s.until) {
+			next = s.until
+		}
+		s.conn.SetReadDeadline(next)
+	}
+	s.mu.Unlock()
+	return s.conn.Read(b)
 }
 
 // watch bounds a wait for the next command; false: the session is over. A drained session looks often.
@@ -238,7 +266,7 @@
 
 // read takes commands until the session is over or the client has broken the protocol.
 func (s *session) read() {
-	r, before := resp.NewReader(s.conn, readBuffer), 0
+	r, before := resp.NewReader(s, readBuffer), 0
 	for {
 		if !s.await(r) {
 			s.lost()
@@ -246,6 +274,9 @@
 		}
 		c, err := r.ReadCommand()
 		came := time.Now()
+		s.mu.Lock()
+		s.until = time.Time{}
+		s.mu.Unlock()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errSlow
 		} else if err != nil && !errors.Is(err, resp.ErrProtocol) {
@@ -360,14 +391,23 @@
 }
 
 // Fill gives the slot its answer. It does not block; a second answer is passed over.
-func (o *Slot) Fill(answer []byte) {
+func (o *Slot) Fill(answer []byte) { o.fill(answer, nil) }
+
+// FillFrom gives the slot an answer of a bulk string's head and a value of that length, which the session copies when its
+// turn has come, and closes in any case.
+func (o *Slot) FillFrom(head []byte, v Value) { o.fill(head, v) }
+
+func (o *Slot) fill(answer []byte, v Value) {
 	s := o.session
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v != nil && (o.filled || s.over) {
+		v.Close()
+	}
 	if o.filled {
 		return
 	}
-	o.answer, o.filled, o.gone = answer, true, nil
+	o.answer, o.value, o.filled, o.gone = answer, v, true, nil
 	s.bounds.large.Release(o.large)
 	if s.over {
 		return
@@ -380,18 +420,28 @@
 		return
 	}
 	s.busy = time.Now()
+	s.gather()
+	s.signal()
+}
+
+// gather moves answers whose turn has come to what is written next, up to the first with a value; the lock is held. Until
+// that value is written its answer counts as owed.
+func (s *session) gather() {
 	n := 0
-	for n < len(s.slots) && s.slots[n].filled {
-		s.out = append(s.out, s.slots[n].answer...)
-		if f := s.slots[n].settled; f != nil {
-			s.marks = append(s.marks, mark{len(s.out), f})
+	for n < len(s.slots) && s.slots[n].filled && s.value == nil {
+		o := s.slots[n]
+		if s.out = append(s.out, o.answer...); o.value != nil {
+			s.value = o
+			s.owed++
+			s.bounds.waiting.Add(1)
+		} else if o.settled != nil {
+			s.marks = append(s.marks, mark{len(s.out), o.settled})
 		}
 		s.slots[n] = nil
 		n++
 	}
 	s.slots = s.slots[n:]
 	s.room.Signal()
-	s.signal()
 }
 
 func (s *session) signal() {
@@ -410,7 +460,8 @@
 		s.mu.Lock()
 		buf, s.out = s.out, buf[:0]
 		marks, s.marks = s.marks, marks[:0]
-		if s.last && len(s.slots) == 0 && len(buf) == 0 {
+		value := s.value
+		if s.last && len(s.slots) == 0 && len(buf) == 0 && value == nil {
 			s.over = true // all is answered, and nothing more is taken from here on
 			s.conn.SetReadDeadline(time.Now().Add(linger))
 		}
@@ -418,18 +469,30 @@
 		s.mu.Unlock()
 		if over {
 			settle(marks, 0)
+			if value != nil {
+				value.end(Cut)
+			}
 			if tcp, ok := s.conn.(*net.TCPConn); ok {
 				tcp.CloseWrite()
 			}
 			return
 		}
-		if len(buf) == 0 {
+		if len(buf) == 0 && value == nil {
 			<-s.wake
 			continue
 		}
-		s.conn.SetWriteDeadline(time.Now().Add(sendTime))
-		n, err := s.conn.Write(buf)
+		n, err := s.send(buf)
 		settle(marks, n)
+		if value != nil {
+			fate := Written
+			if err == nil {
+				err = s.copy(value.value)
+			}
+			if err != nil {
+				fate = Cut // the client can tell by the length that it is not whole
+			}
+			value.end(fate)
+		}
 		if err != nil {
 			// Danger: read may be waiting for room, which only this goroutine makes. It would wait for good, and with it
 			// the session's place and all that it holds.
@@ -442,6 +505,12 @@
 		}
 		s.mu.Lock()
 		s.paid(len(buf))
+		if value != nil {
+			s.paid(1)
+			s.value = nil
+			s.busy = time.Now()
+			s.gather()
+		}
 		s.room.Signal()
 		s.mu.Unlock()
 		if cap(buf) > keptBuffer {
@@ -450,6 +519,50 @@
 	}
 }
 
+// send writes b whole. A client may read slowly, but must take something every so often.
+func (s *session) send(b []byte) (n int, err error) {
+	for n < len(b) {
+		s.conn.SetWriteDeadline(time.Now().Add(sendTime))
+		m, err := s.conn.Write(b[n:])
+		if n += m; err != nil && (m == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// copy writes a value and the end of its bulk string. It guards the memory: of all that a server sends, no more is held
+// than a piece, and no more is read than the client takes.
+func (s *session) copy(v Value) error {
+	buf := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(buf)
+	for {
+		n, err := v.Read(buf[:])
+		if errors.Is(err, io.EOF) {
+			_, err = s.send([]byte(resp.End))
+			return err
+		}
+		if err == nil {
+			_, err = s.send(buf[:n])
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+const pieceSize = 16 << 10
+
+var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
+// end tells the fate of an answer with a value, which is no longer needed.
+func (o *Slot) end(f Fate) {
+	o.value.Close()
+	if o.settled != nil {
+		o.settled(f)
+	}
+}
+
 // settle tells the fates of answers of which so many bytes were written, one behind the other.
 func settle(marks []mark, written int) {
 	for _, m := range marks {
@@ -519,7 +632,13 @@
 	s.slots, s.out, s.marks = nil, nil, nil
 	s.paid(s.owed)
 	var gone []func()
+	if s.value != nil {
+		gone = append(gone, s.value.value.Close) // the writer may wait for more of it
+	}
 	for _, o := range slots {
+		if o.value != nil {
+			gone = append(gone, o.value.Close)
+		}
 		if o.settled != nil {
 			fate := Gone
 			if o.filled {
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -13,7 +13,8 @@
 
 // The bounds. A peer that passes one has broken the protocol.
 const (
-	MaxBulk  = 64 << 10 // bytes of one value
+	MaxBulk  = 64 << 10 // bytes of one value that is held
+	MaxValue = 8 << 20  // bytes of one that is passed on as it comes
 	MaxArgs  = 16       // words of a command, or elements of an answer
 	MaxLine  = 1 << 10  // bytes of a line: a length, a number, an error
 	maxDepth = 2        // arrays within arrays
@@ -186,6 +187,76 @@
 // ReadValue reads one answer.
 func (r *Reader) ReadValue() (Value, error) { return r.value(0) }
 
+// ReadAnswer reads one answer, but for one that is an array beginning with a bulk string too large to be held: of that it
+// reads up to the string's first byte, and tells its length. What follows is for Read, and then for ReadRest.
+func (r *Reader) ReadAnswer() (v Value, large int, err error) {
+	if b, err := r.Peek(); err != nil || Kind(b) != Array {
+		v, err = r.value(0)
+		return v, 0, err
+	}
+	if v, err = r.array(); err != nil || v.Len <= 0 {
+		return v, 0, err
+	}
+	if b, err := r.Peek(); err == nil && Kind(b) == Bulk {
+		head, err := r.line()
+		if err != nil {
+			return v, 0, cut(err, true)
+		}
+		n, err := length(head[1:], MaxValue)
+		if err != nil {
+			return v, 0, err
+		}
+		if n > MaxBulk {
+			return v, n, nil
+		}
+		first := Value{Kind: Bulk, Null: n < 0}
+		if n >= 0 {
+			first.Text, err = r.bulk(n)
+		}
+		if err != nil {
+			return v, 0, err
+		}
+		v.Items = append(v.Items, first)
+	}
+	err = r.items(&v, 0)
+	return v, 0, err
+}
+
+// Read reads what comes next as it is.
+func (r *Reader) Read(b []byte) (int, error) { return r.b.Read(b) }
+
+// ReadRest reads what follows a large bulk string that was read to its last byte: its end, and the array's other items.
+func (r *Reader) ReadRest(v *Value) error {
+	end, err := r.bulk(0)
+	if err != nil {
+		return err
+	}
+	v.Items = append(v.Items, Value{Kind: Bulk, Text: end})
+	return r.items(v, 0)
+}
+
+// array reads an array's head.
+func (r *Reader) array() (v Value, err error) {
+	head, err := r.line()
+	if err != nil {
+		return v, cut(err, false)
+	}
+	n, err := length(head[1:], MaxArgs)
+	return Value{Kind: Array, Len: n, Null: n < 0}, err
+}
+
+// items reads the items of an array that are not read yet.
+func (r *Reader) items(v *Value, depth int) error {
+	for len(v.Items) < v.Len {
+		item, err := r.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		v.Items = append(v.Items, item)
+	}
+	return nil
+}
+
 // value reads a value; of an array that breaks off, what was read of it comes with the error.
 func (r *Reader) value(depth int) (v Value, err error) {
 	if b, err := r.Peek(); err == nil && bytes.IndexByte(kinds, b) < 0 { // noise need not have a line's end
@@ -218,13 +289,7 @@
 		if v.Len, v.Null = n, n < 0; n > 0 && depth >= maxDepth {
 			return v, breach("arrays too deep")
 		}
-		for range n {
-			item, err := r.value(depth + 1)
-			if err != nil {
-				return v, err
-			}
-			v.Items = append(v.Items, item)
-		}
+		err = r.items(&v, depth)
 	}
 	return v, err
 }
@@ -239,6 +304,12 @@
 // AppendInt appends an integer.
 func AppendInt(b []byte, v int64) []byte { return appendHead(b, Integer, v) }
 
+// AppendBulkHead appends what stands before the bytes of a bulk string; End stands behind them.
+func AppendBulkHead(b []byte, n int) []byte { return appendHead(b, Bulk, int64(n)) }
+
+// End is the end of a bulk string.
+const End = "\r\n"
+
 // AppendBulk appends a bulk string.
 func AppendBulk[T string | []byte](b []byte, s T) []byte {
 	b = appendHead(b, Bulk, int64(len(s)))
