Take no attempt whose answer is on its way for as many at the other gateways

Cause: quota takes the others to have as many attempts out as this gateway, for slow servers keep more out everywhere; but an attempt that is out for its client's sake says nothing of that.

Change: attempts whose answer has begun (Started) count themselves alone.

Ruled out: buffering ahead of the client (values together are far beyond the memory; and the attempt would count for less time only as far as they fit).

--- a/gateway.go
+++ b/gateway.go
@@ -86,40 +86,38 @@
 }
 
 type request struct {
-	id       RequestID
-	kind     int // index of the class
-	class    *Class
-	customer *customer
-	units    float64
-	inside   bool // sent on within the quota
-	aim, due Instant
-	attempts []attempt
-	out      int // of them
-	done     bool
-	take     bool    // only units, with nothing sent
-	spent    float64 // by the customer when this came: a query sees nothing of what is spent later
+	id         RequestID
+	kind       int // index of the class
+	class      *Class
+	customer   *customer
+	units      float64
+	inside     bool // sent on within the quota
+	aim, due   Instant
+	attempts   []attempt
+	out        int     // of them
+	done, take bool    // take: only units, with nothing sent
+	begun      int     // 1: the attempt is out for as long as its answer is on its way
+	spent      float64 // by the customer when this came: a query sees nothing of what is spent later
 }
 
 type customer struct {
-	id         CustomerID
-	plan       *Plan
-	spread     float64
-	inSet      bool
-	window     Span
-	level      float64 // the shared store, as far as known: own use at once, others' as predicted
-	at         Instant
-	predicted  float64 // others' use taken from level since the last total
-	own        float64 // rates of use, units a second
-	others     float64
-	lastTotal  Instant
-	open       int
-	ceiling    bucket
-	listedTill Instant
-
-	turn           int64   // the window that counts go to
-	total          float64 // as last read in this window
-	tally          float64 // not yet pushed
-	adding         float64
+	id          CustomerID
+	plan        *Plan
+	spread      float64
+	inSet       bool
+	window      Span
+	level       float64 // the shared store, as far as known: own use at once, others' as predicted
+	at          Instant
+	predicted   float64 // others' use taken from level since the last total
+	own, others float64 // rates of use, units a second
+	lastTotal   Instant
+	open, begun int // attempts; of those, the ones whose answers have begun
+	ceiling     bucket
+	listedTill  Instant
+
+	turn           int64      // the window that counts go to
+	total          float64    // as last read in this window
+	tally, adding  float64    // not yet pushed; on its way
 	calling, thin  bool       // thin: a gateway's even share of the store is under one request
 	held           []*request // those that wait for the count
 	spent          float64    // units, ever
@@ -207,7 +205,8 @@
 		}
 	case Started:
 		if r := g.requests[e.Request]; r != nil {
-			r.done = true // the client owns the attempt from now on
+			r.customer.begun += 1 - r.begun
+			r.done, r.begun = true, 1 // the client owns the attempt from now on
 		}
 	case Ended:
 		g.ended(e)
@@ -488,6 +487,7 @@
 	a.ended, a.outcome = true, e.Outcome
 	r.out--
 	r.customer.open--
+	r.customer.begun, r.begun = r.customer.begun-r.begun, 0
 	g.judge(r, a, e)
 	if e.Outcome == OutcomeOK && g.set.TruedUp && e.TrueUnits > 0 && r.inside {
 		g.spend(r.customer, e.TrueUnits-r.units)
@@ -496,11 +496,13 @@
 	if e.Final || e.Outcome == OutcomeOK {
 		g.finish(r, nil)
 	}
-	if !r.done && r.out == 0 && !g.retry(r) {
-		g.giveUp(r)
+	if r.out > 0 {
+		return
 	}
-	if r.done && r.out == 0 {
+	if r.done {
 		delete(g.requests, r.id)
+	} else if !g.retry(r) {
+		g.giveUp(r)
 	}
 }
 
@@ -521,8 +523,7 @@
 //
 // Danger: of many gateways each sends a server so little that nothing else was to be answered, and where all
 // servers are slow every wait looks like silence: copies then make the slowness that asks for more of them.
-// So copies stop, as what is beyond a quota does, when a mean attempt takes more than the least threshold. It
-// covers slow networks, lost capacity and grown work too. Where servers hang meanwhile, requests are late.
+// So copies stop, as what is beyond a quota does, when a mean attempt takes more than the least threshold.
 func (g *Gateway) hedge(r *request, n int) {
 	if r.done || r.attempts[n-1].ended || !g.suspect(r, &r.attempts[n-1]) || !again[r.class.Effect].send ||
 		len(r.attempts) != n || n >= g.set.MaxAttempts ||
@@ -654,8 +655,9 @@
 	if c.thin && c.askedIn > 0 { // Danger: early in a window all let in what is asked, far over the rate
 		others = max(others, c.asked/c.askedIn*(1-1/c.spread))
 	}
-	// Those that they have out: by Little's law, or as many as this one, for slow servers keep more out.
-	others = max(others*g.latency/max(1, g.set.MaxUnits/2), (c.spread-1)*float64(c.open))
+	// Those that they have out: by Little's law, or as many as this one, for slow servers keep more out; but not
+	// those that are out for their clients' sake.
+	others = max(others*g.latency/max(1, g.set.MaxUnits/2), (c.spread-1)*float64(c.open-c.begun))
 	if p.Open > 0 && float64(c.open+1)+others > float64(p.Open) {
 		return Span(g.latency * 1e9), false
 	}
@@ -897,6 +899,7 @@
 		s.waiting, s.answered = g.now, g.now
 		s.verdicts[r.kind] = verdict{answered: g.now}
 		g.cut[s.Zone] *= 1 - latencyWeight
+		g.sizes[r.kind] += latencyWeight / 4 * (min(sample/crowd(a.beside)/g.latency, maxSize) - g.sizes[r.kind])
 	} else {
 		// Danger: a failure says that a server is in trouble, or that all are pressed. Silence is the first
 		// and must not count as slowness of all, or a few dead servers make gateways refuse everything.
@@ -906,9 +909,6 @@
 		sample = max(2*sample, seconds(g.minAim))
 	}
 	sample /= crowd(a.beside)
-	if e.Outcome == OutcomeOK {
-		g.sizes[r.kind] += latencyWeight / 4 * (min(sample/g.latency, maxSize) - g.sizes[r.kind])
-	}
 	g.latency += g.weight(g.measured, latencyWeight/4) * (min(sample, maxStray*g.latency) - g.latency)
 	s.latency += g.weight(s.measured, latencyWeight) * (sample/g.sizes[r.kind] - s.latency)
 	if l := e.Load; l.Has&HasInflight != 0 && l.Has&HasRate != 0 { // Little's law, with one more of the mean
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -354,6 +354,36 @@
 	}
 }
 
+// An attempt that is out for as long as its client reads counts itself, but says nothing of other gateways; and it counts
+// once, however often it is told to have begun.
+func TestAnswersOnTheirWayCountOnce(t *testing.T) {
+	s := settings()
+	s.Instances, s.Plans[0] = 4, dw.Plan{Open: 4, Price: 1, OverrunCost: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 7})
+	var began []dw.RequestID
+	for i := range 6 {
+		id, ok := b.ask(dw.Arrival{Spread: 4})
+		if ok != (i < 4) {
+			t.Fatalf("with %d answers on their way: %v", i, ok)
+		}
+		if ok {
+			began = append(began, id)
+			b.do(dw.Started{Request: id, Server: 7})
+			b.do(dw.Started{Request: id, Server: 7})
+		}
+	}
+	for _, id := range began {
+		b.do(dw.Ended{Request: id, Server: 7, Final: true, Latency: 10 * ms})
+	}
+	// None of them is left in the count: one that has not begun is taken for four.
+	if _, ok := b.ask(dw.Arrival{Spread: 4}); !ok {
+		t.Fatal("refused with none out")
+	}
+	if _, ok := b.ask(dw.Arrival{Spread: 4}); ok {
+		t.Fatal("let in beside one that is out at each gateway")
+	}
+}
+
 // Where only slow servers are left for a while, the others are not taken for slow when they are back.
 func TestServersThatWereAwayAreNotTakenForSlow(t *testing.T) {
 	s := settings()
