End idle client sessions early beyond a sixth of the descriptors

A probe of sessions: 128 of them, a third of the descriptors, which is all that clients may hold, and 2 to 8 of them owed anything; each client asked once and kept its connection for 2 s. What came meanwhile never reached the gateway and counts as refused: 2,700 of 3,247 refusals in 5 s. Cause: session.await lets an idle session stand for 5 s, whatever the number; Server.makeRoom acts only when all of the gateway's own places (213) are taken, which clients never reach.

Change: Server.thin ends, every 50 ms, the sessions that have been idle longest (250 ms at least, of those that asked something useful) beyond a sixth of the descriptors: half of what clients hold at most.

Ruled out: quotas and their shares (the module's refusals were the same before and after), room for places (none waited), silent clients (39 a second, gone after 1.5 s), CPU (0.11 of 0.15).

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -73,7 +73,7 @@
 	group.Go(func() error {
 		defer stopWork()
 		// A session holds its own connection and one to each planner that it needs.
-		return serveAll(taking, []*front.Server{server}, max(1, (l.Forward.Sockets-spare)/(1+l.Forward.Gateways)))
+		return serveAll(taking, []*front.Server{server}, max(1, (l.Forward.Sockets-spare)/(1+l.Forward.Gateways)), 0)
 	})
 	group.Go(func() error {
 		defer stopTaking()
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -35,6 +35,7 @@
 	lazyGC      = 400                    // percent: the live heap is small, and collecting it costs CPU
 	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
 	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
+	keepPart    = 6                      // of the descriptors: clients hold a third at most, and half of that may be idle
 	listWait    = time.Second            // at the start, for the director's first list
 	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
 	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
@@ -196,7 +197,7 @@
 		case <-time.After(wait):
 		}
 		state.Start()
-		err := serveAll(taking, servers, places)
+		err := serveAll(taking, servers, places, n.Sockets/keepPart)
 		if keptLast(); keeper != nil {
 			<-kept // its files have one writer
 			keeper.keep()
@@ -252,10 +253,10 @@
 }
 
 // serveAll shares the places for sessions among the fronts and returns when the last session has ended.
-func serveAll(ctx context.Context, servers []*front.Server, sessions int) error {
+func serveAll(ctx context.Context, servers []*front.Server, sessions, keep int) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, s := range servers {
-		s.Sessions = sessions / len(servers)
+		s.Sessions, s.Keep = sessions/len(servers), keep/len(servers)
 		group.Go(func() error { return s.Serve(ctx) })
 	}
 	return group.Wait()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	Listener net.Listener
 	Open     func() Commands // for each session
 	Sessions int             // most at once
+	Keep     int             // idle ones beyond so many sessions end early; 0: none does
 	Bounds   *Bounds
 	Log      *zap.Logger
 
@@ -34,6 +36,9 @@
 	f.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
 	defer stop()
+	if f.Keep > 0 {
+		go f.thin(ctx)
+	}
 	places := make(chan struct{}, f.Sessions)
 taking:
 	for {
@@ -118,6 +123,48 @@
 	}
 }
 
+const (
+	thinEvery = 50 * time.Millisecond
+	restTime  = 250 * time.Millisecond // of a session: a client that asks again does so by then, or can connect again
+)
+
+// thin ends idle sessions beyond those to keep, the longest idle first, until the context ends. It guards clients from each
+// other: a platform lets them hold so many connections and no more, and where each asks once and keeps its own, what is
+// asked next never gets here, though the gateway is at ease and its places are free.
+func (f *Server) thin(ctx context.Context) {
+	tick := time.NewTicker(thinEvery)
+	defer tick.Stop()
+	type candidate struct {
+		s     *session
+		since time.Time
+	}
+	var all []candidate
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		all = all[:0]
+		asked := 0
+		f.mu.Lock()
+		for s := range f.sessions {
+			since, useful, idle := s.idle()
+			if useful { // others are no client's, and have a short time anyway
+				asked++
+			}
+			if useful && idle && time.Since(since) >= restTime {
+				all = append(all, candidate{s, since})
+			}
+		}
+		f.mu.Unlock()
+		slices.SortFunc(all, func(a, b candidate) int { return a.since.Compare(b.since) })
+		for _, c := range all[:max(0, min(len(all), asked-f.Keep))] {
+			c.s.end(restTime)
+		}
+	}
+}
+
 // makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer use,
 // and a new one would wait for them for ever. Those that have asked for nothing that could be used go first: whoever
 // connects by hundreds and says nothing takes the place of no client that is served. A client that has connected a
--- /dev/null
+++ b/internal/front/thin_test.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewhitch/internal/resp"
+)
+
+// echo answers each command at once, but for WAIT, which it never answers.
+type echo struct{}
+
+func (echo) Do(_ time.Time, c resp.Command, s *Slot) {
+	if string(c[0]) != "WAIT" {
+		s.Fill(resp.AppendStatus(nil, "OK"))
+	}
+}
+
+// Of clients that ask once and keep their connections, the longest idle lose theirs beyond the number to keep; one that
+// asks again and again, and one that is owed an answer, keep theirs, and so does one that never asked: it has its own time.
+func TestIdleSessionsEndBeyondThoseToKeep(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	f := &Server{Listener: l, Open: func() Commands { return echo{} }, Sessions: 100, Keep: 10, Bounds: NewBounds(64 << 20),
+		Log: zap.NewNop()}
+	over := make(chan error, 1)
+	go func() { over <- f.Serve(ctx) }()
+	dial := func(word string) (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		r := bufio.NewReader(c)
+		if word != "" {
+			c.Write([]byte("*1\r\n$4\r\n" + word + "\r\n"))
+		}
+		if word == "ECHO" {
+			if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+				t.Fatalf("%q, %v", line, err)
+			}
+		}
+		return c, r
+	}
+	waits, _ := dial("WAIT")
+	silent, _ := dial("")
+	busy, answers := dial("ECHO")
+	ended := make(chan int, 40)
+	for i := range 40 {
+		c, _ := dial("ECHO")
+		go func() {
+			if n, err := c.Read(make([]byte, 1)); n == 0 && err != nil && ctx.Err() == nil {
+				ended <- i
+			}
+		}()
+	}
+	// Two that are owed or ask, and eight more, are kept: 32 end, and no more do in a while of asking.
+	seen := 0
+	for begin := time.Now(); time.Since(begin) < 15*time.Second && seen < 32; {
+		busy.Write([]byte("*1\r\n$4\r\nECHO\r\n"))
+		if line, err := answers.ReadString('\n'); err != nil {
+			t.Fatalf("the busy one: %q, %v", line, err)
+		}
+		select {
+		case <-ended:
+			seen++
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	if seen < 32 {
+		t.Fatalf("%d of 40 ended", seen)
+	}
+	if len(ended) > 0 {
+		t.Errorf("%d more than 32 ended", len(ended))
+	}
+	for name, c := range map[string]net.Conn{"that is owed an answer": waits, "that never asked": silent} {
+		c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); err == nil || !err.(net.Error).Timeout() {
+			t.Errorf("the one %s: %v", name, err)
+		}
+	}
+	waits.Close() // or the end waits for its answer
+	stop()
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
