Serve classes that may not be repeated any more, and count servers avoided by choice

The log: space-query-r2, Effect unsafe, goes under class -1. Cause: retune.Choose finds no class of the module that is strict enough, as the start's settings name none that may not be repeated; its reqs were answered with an error.

Ruled out: that the front reads names late (the table is in force within the signal's handler).

--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -28,6 +28,7 @@
 	"dewhitch/internal/ledger/statement"
 	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
+	"dewhitch/internal/retune"
 )
 
 const (
@@ -83,7 +84,9 @@
 	places := sockets - fetches
 	names := backend.Names{Plans: n.Words.Plans}
 	connect := time.Duration(n.Settings.ConnectTimeout)
-	keep, err := keepBooks(o, n.Name, statement.Gateway, ledger.Names{Plans: n.Words.Plans, Classes: n.Words.Classes}, log)
+	var classes []string
+	classes, n.Settings.Classes = retune.Spared(n.Words.Classes, n.Settings.Classes)
+	keep, err := keepBooks(o, n.Name, statement.Gateway, ledger.Names{Plans: n.Words.Plans, Classes: classes}, log)
 	if err != nil {
 		return err
 	}
@@ -130,7 +133,7 @@
 	}
 	operated.drains(servers)
 	excluded := operated.exclusions()
-	keeper := warmStart(n, o.Warm, planner, figures, log)
+	keeper := warmStart(n, o.Warm, classes, planner, figures, log)
 
 	// What clients come by ends first; what they are served by, after the last session.
 	work, stopWork := context.WithCancel(context.Background())
--- a/cmd/dewhitch/warm.go
+++ b/cmd/dewhitch/warm.go
@@ -27,13 +27,13 @@
 }
 
 // warmStart is nil where it is off. It has to be called before the planner runs.
-func warmStart(n *config.Node, w config.WarmStart, p *core.Planner, f *ops.Figures, log *zap.Logger) *warmth {
+func warmStart(n *config.Node, w config.WarmStart, classes []string, p *core.Planner, f *ops.Figures, log *zap.Logger) *warmth {
 	if !w.Enabled(n.Inherited != 0) {
 		return nil
 	}
 	dir := cmp.Or(w.Dir, n.Scratch)
 	k := &warmth{planner: p, every: w.Every, log: log,
-		image: snapshot.Of(n.Name, &n.Settings, n.Words.Classes, n.Words.Plans)}
+		image: snapshot.Of(n.Name, &n.Settings, classes, n.Words.Plans)}
 	found, err := snapshot.Latest(dir, n.Name)
 	if err != nil {
 		log.Warn("no snapshots are kept, and the start is a cold one", zap.Error(err))
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"time"
 
 	dw "dewhitch"
 )
@@ -94,12 +95,18 @@
 	return e
 }
 
-// counted tells the figures the listed servers, and those of them that are not sent new work.
+// countEvery is how often the figures are told of servers that the module avoids by itself: they may lag by 0.5 s.
+const countEvery = dw.Span(200e6)
+
+// counted tells the figures the listed servers, and those of them that are not sent new work: by hand, by the list or by
+// the module's choice.
 func (p *Planner) counted() {
 	if p.figures == nil {
 		return
 	}
-	disabled := 0
+	now := p.Instant(time.Now())
+	p.counts = now + dw.Instant(countEvery)
+	disabled := p.gate.Avoided(now)
 	for _, e := range p.listed {
 		if p.overlay(e).State != dw.Ready {
 			disabled++
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -64,7 +64,8 @@
 	listed     map[dw.ServerID]dw.ServerEntry
 	known      map[dw.ServerID]bool // ever listed, up to mostKnown
 	excluded   map[dw.ServerID]bool
-	version    int64 // of the list
+	version    int64      // of the list
+	counts     dw.Instant // when the figures are told next
 	figures    Figures
 	excludedTo func([]dw.ServerID)
 	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
@@ -129,6 +130,9 @@
 // fire tells the module of the timers that are due.
 func (p *Planner) fire() {
 	now := p.Instant(time.Now())
+	if now >= p.counts {
+		p.counted()
+	}
 	for len(p.timers) > 0 && p.timers[0].At <= now {
 		t := heap.Pop(&p.timers).(dw.SetTimer)
 		p.tell(dw.TimerFired{ID: t.ID})
--- a/internal/retune/retune.go
+++ b/internal/retune/retune.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 
 	dw "dewhitch"
 )
@@ -36,6 +37,20 @@
 	return t
 }
 
+// Spared is the classes that a module is made with, and their names for books and snapshots: those of the settings, and
+// behind them, for each that may be repeated, one that may not, as which settings read anew may name a class. Clients
+// never name these themselves. Danger: without one, every req of such a class would be refused until a restart.
+func Spared(names []string, classes []dw.Class) ([]string, []dw.Class) {
+	names, classes = slices.Clone(names), slices.Clone(classes)
+	for i, c := range classes {
+		if c.Effect != dw.Unsafe {
+			c.Effect, c.Group, c.DedupWindow = dw.Unsafe, dw.GroupAll, 0
+			names, classes = append(names, names[i]+" (once)"), append(classes, c)
+		}
+	}
+	return names, classes
+}
+
 // Retune is the table once settings with these classes are in force; module is the module's classes. The names that
 // they drop are kept behind, for clients that have not moved yet.
 func (t Table) Retune(module []dw.Class, names []string, classes []dw.Class) Table {
--- a/internal/retune/retune_test.go
+++ b/internal/retune/retune_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -81,6 +82,31 @@
 	})
 }
 
+// With spares, a class of any effect has one to go under, whatever the settings of the start named, but for streaming; and
+// the names of the start mean what they meant.
+func TestSparesLeaveNoClassOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names, module := classes(t, "module")
+		spareNames, spared := Spared(names, module)
+		if len(spareNames) != len(spared) {
+			t.Fatalf("%d names of %d classes", len(spareNames), len(spared))
+		}
+		for i, m := range module {
+			if spared[i] != m || spareNames[i] != names[i] {
+				t.Fatalf("class %d is %+v, was %+v", i, spared[i], m)
+			}
+		}
+		if got, want := Start(names, spared), Start(names, module); !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v, not %+v", got, want)
+		}
+		c := class(t, "new")
+		c.Streaming = module[0].Streaming
+		if k := Choose(spared, c); k < 0 || !Stricter(spared[k], c) {
+			t.Fatalf("%+v goes under %d", c, k)
+		}
+	})
+}
+
 func TestStricter(t *testing.T) {
 	safe := dw.Class{Effect: dw.Safe}
 	keyedAll := dw.Class{Effect: dw.Keyed, Group: dw.GroupAll, DedupWindow: 3e9}
--- a/state.go
+++ b/state.go
@@ -155,3 +155,25 @@
 	}
 	return 1
 }
+
+// Avoided counts the ready servers that this gateway sends nothing new for what speaks against them; as with pick, none
+// where that would be more than the module leaves out.
+func (g *Gateway) Avoided(now Instant) int {
+	ready, out := 0, 0
+	for _, s := range g.servers {
+		if s.State != Ready {
+			continue
+		}
+		ready++
+		for _, v := range s.verdicts {
+			if v.failed > 0 && now < v.ejected && s.answered <= v.at {
+				out++
+				break
+			}
+		}
+	}
+	if float64(out) > maxEjected*float64(ready) {
+		return 0
+	}
+	return out
+}
