--- a/state_test.go
+++ b/state_test.go
@@ -101,3 +101,41 @@
 		t.Errorf("of the first 12 requests, by server: %v", got)
 	}
 }
+
+// A server that fails is counted as avoided for as long as nothing new goes there; where most fail, none is left out.
+func TestAvoidedServersAreCounted(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{Price: 1}
+	b := newBed(t, s, dw.ServerEntry{ID: 1}, dw.ServerEntry{ID: 2}, dw.ServerEntry{ID: 3})
+	b.serve(200, 10*ms, dw.Arrival{})
+	fail := func(bad ...dw.ServerID) {
+		for range 50 { // within the first turn of being left out
+			id, ok := b.ask(dw.Arrival{})
+			if !ok {
+				continue
+			}
+			at, o := b.sent[len(b.sent)-1].Server, dw.OutcomeOK
+			for _, v := range bad {
+				if at == v {
+					o = dw.OutcomeReset
+				}
+			}
+			b.pass(10 * ms)
+			b.do(dw.Ended{Request: id, Server: at, Outcome: o, Final: true, Latency: 10 * ms})
+		}
+	}
+	if n := b.g.Avoided(b.now); n != 0 {
+		t.Fatalf("%d avoided at first", n)
+	}
+	fail(b.sent[len(b.sent)-1].Server) // the one that is used
+	if n := b.g.Avoided(b.now); n != 1 {
+		t.Errorf("%d avoided, where one fails", n)
+	}
+	fail(1, 2, 3)
+	if n := b.g.Avoided(b.now); n != 0 {
+		t.Errorf("%d avoided, where all fail and none is left out", n)
+	}
+	if n := b.g.Avoided(b.now + dw.Instant(60*sec)); n != 0 {
+		t.Errorf("%d avoided a minute later", n)
+	}
+}
