--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -143,14 +143,8 @@
 		return err
 	}
 	group.Go(func() error { return planner.Run(work) })
-	keeping, keptLast := context.WithCancel(work)
-	defer keptLast()
-	kept := make(chan struct{})
 	group.Go(func() error {
-		defer close(kept)
-		if keeper != nil {
-			keeper.run(keeping)
-		}
+		keeper.run(work)
 		return nil
 	})
 	group.Go(func() error {
@@ -201,10 +195,7 @@
 		}
 		state.Start()
 		err := serveAll(taking, servers, places, n.Sockets/keepPart)
-		if keptLast(); keeper != nil {
-			<-kept // its files have one writer
-			keeper.keep()
-		}
+		keeper.last()
 		return err
 	})
 	group.Go(func() error {
--- a/cmd/dewhitch/warm.go
+++ b/cmd/dewhitch/warm.go
@@ -22,17 +22,19 @@
 	image   snapshot.Image // of these settings; what is learnt is copied into it
 	writer  *snapshot.Writer
 	every   time.Duration
-	ailing  bool // the last write failed, which was said
+	ailing  bool          // the last write failed, which was said
+	ending  chan struct{} // closed by last
+	ended   chan struct{} // closed when run ends
 	log     *zap.Logger
 }
 
-// warmStart is nil where it is off. It has to be called before the planner runs.
+// warmStart is nil where it is off: such a one does nothing. It has to be called before the planner runs.
 func warmStart(n *config.Node, w config.WarmStart, classes []string, p *core.Planner, f *ops.Figures, log *zap.Logger) *warmth {
 	if !w.Enabled(n.Inherited != 0) {
 		return nil
 	}
 	dir := cmp.Or(w.Dir, n.Scratch)
-	k := &warmth{planner: p, every: w.Every, log: log,
+	k := &warmth{planner: p, every: w.Every, log: log, ending: make(chan struct{}), ended: make(chan struct{}),
 		image: snapshot.Of(n.Name, &n.Settings, classes, n.Words.Plans)}
 	found, err := snapshot.Latest(dir, n.Name)
 	if err != nil {
@@ -69,20 +71,36 @@
 	return k
 }
 
-// run keeps a snapshot until the context ends.
+// run keeps snapshots until the context ends, or last is called.
 func (k *warmth) run(ctx context.Context) {
+	if k == nil {
+		return
+	}
+	defer close(k.ended)
 	tick := time.NewTicker(k.every)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-k.ending:
+			return
 		case <-tick.C:
 			k.keep()
 		}
 	}
 }
 
+// last ends run, as the files have one writer, and keeps a last snapshot, while the planner still runs.
+func (k *warmth) last() {
+	if k == nil {
+		return
+	}
+	close(k.ending)
+	<-k.ended
+	k.keep()
+}
+
 // keep writes one snapshot.
 func (k *warmth) keep() {
 	err := k.planner.Learnt(&k.image.Learnt, snapshot.MaxCustomers)
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -47,20 +47,9 @@
 // OnExcluded has f told the excluded ids after each change, on the planner's goroutine: f may not block.
 func (p *Planner) OnExcluded(f func([]dw.ServerID)) { p.excludedTo = f }
 
-// exclude hands the call to the planner by a way of its own, as a full inbox would hold it past an operator's second.
 func (p *Planner) exclude(e exclusion) error {
 	e.done = make(chan error, 1)
-	select {
-	case p.control <- e:
-	case <-p.stop:
-		return ErrStopped
-	}
-	select {
-	case err := <-e.done:
-		return err
-	case <-p.stop:
-		return ErrStopped
-	}
+	return p.call(e, e.done)
 }
 
 func (e exclusion) handle(p *Planner) {
--- a/internal/core/learnt.go
+++ b/internal/core/learnt.go
@@ -10,29 +10,19 @@
 type learnt struct {
 	into *dw.Learnt
 	most int
-	done chan struct{}
+	done chan error
 }
 
 // Learnt copies out what the module has learnt, with most customers at most, between two events; into is the caller's
-// again when it returns. Like an operator's call it does not wait behind a full inbox.
+// again when it returns.
 func (p *Planner) Learnt(into *dw.Learnt, most int) error {
-	m := learnt{into, most, make(chan struct{})}
-	select {
-	case p.control <- m:
-	case <-p.stop:
-		return ErrStopped
-	}
-	select {
-	case <-m.done:
-		return nil
-	case <-p.stop: // what it was doing when it stopped is done
-		return ErrStopped
-	}
+	m := learnt{into, most, make(chan error, 1)}
+	return p.call(m, m.done)
 }
 
 func (m learnt) handle(p *Planner) {
 	p.gate.Export(m.into, m.most)
-	close(m.done)
+	m.done <- nil
 }
 
 // Resume starts from what the process before had learnt, before Run.
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// call hands the planner a message by a way of its own, as a full inbox would hold it past an operator's second, and
+// waits until it is done.
+func (p *Planner) call(m message, done <-chan error) error {
+	select {
+	case p.control <- m:
+	case <-p.stop:
+		return ErrStopped
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-p.stop:
+		return ErrStopped
+	}
+}
+
 // Run works until the context ends.
 func (p *Planner) Run(ctx context.Context) error {
 	defer close(p.stop)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -170,23 +170,16 @@
 		b = strconv.AppendInt(b, c.dispatches.Load(), 10)
 		b = append(b, '}')
 	}
-	b = append(b, `},"dispatches":`...)
-	b = strconv.AppendInt(b, f.dispatches.Load(), 10)
-	b = append(b, `,"concurrent":`...)
-	b = strconv.AppendInt(b, max(0, f.concurrent.Load()), 10)
-	b = append(b, `,"targets":`...)
-	b = strconv.AppendInt(b, f.targets.Load(), 10)
-	b = append(b, `,"targets_disabled":`...)
-	b = strconv.AppendInt(b, f.disabled.Load(), 10)
-	b = append(b, `,"reload_success":`...)
-	b = strconv.AppendInt(b, f.reloadsOK.Load(), 10)
-	b = append(b, `,"reload_failure":`...)
-	b = strconv.AppendInt(b, f.reloadsFail.Load(), 10)
-	b = append(b, `,"snapshot_loaded":`...)
-	b = strconv.AppendInt(b, f.loaded.Load(), 10)
-	b = append(b, `,"snapshot_rejected":`...)
-	b = strconv.AppendInt(b, f.rejected.Load(), 10)
-	b = append(b, `,"snapshot_age_ms":`...)
-	b = strconv.AppendInt(b, f.age.Load(), 10)
+	b = append(b, '}')
+	for _, v := range []struct {
+		name string
+		n    int64
+	}{{"dispatches", f.dispatches.Load()}, {"concurrent", max(0, f.concurrent.Load())},
+		{"targets", f.targets.Load()}, {"targets_disabled", f.disabled.Load()},
+		{"reload_success", f.reloadsOK.Load()}, {"reload_failure", f.reloadsFail.Load()},
+		{"snapshot_loaded", f.loaded.Load()}, {"snapshot_rejected", f.rejected.Load()}, {"snapshot_age_ms", f.age.Load()}} {
+		b = append(strconv.AppendQuote(append(b, ','), v.name), ':')
+		b = strconv.AppendInt(b, v.n, 10)
+	}
 	return append(b, '}')
 }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// claimed is a process's writer, behind all that the folder has.
+func claimed(t *testing.T, dir string) *snapshot.Writer {
+	t.Helper()
+	f, err := snapshot.Latest(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := snapshot.Claim(dir, "n1", f.Generation)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
 // Two processes that write in the same second write two files; the newer life wins, whatever comes last, and a file that
 // is not whole gives way to the one before it.
 func TestLivesAndGenerations(t *testing.T) {
@@ -141,17 +155,7 @@
 	if f, err := snapshot.Latest(dir, "n1"); err != nil || f.Image != nil || len(f.Rejected) > 0 {
 		t.Fatal(f, err)
 	}
-	claim := func() *snapshot.Writer {
-		f, err := snapshot.Latest(dir, "n1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w, err := snapshot.Claim(dir, "n1", f.Generation)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return w
-	}
+	claim := func() *snapshot.Writer { return claimed(t, dir) }
 	write := func(w *snapshot.Writer, v float64) {
 		if _, err := w.Write(image(5, v)); err != nil {
 			t.Fatal(err)
@@ -201,14 +205,7 @@
 	if dir == "" {
 		t.Skip("not the child")
 	}
-	f, err := snapshot.Latest(dir, "n1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w, err := snapshot.Claim(dir, "n1", f.Generation)
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := claimed(t, dir)
 	for i := 1; ; i++ {
 		if _, err := w.Write(image(200+i%700, float64(w.Last().Life*1e6+uint64(i)))); err != nil {
 			t.Fatal(err)
