--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,374 @@
+package link
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	chunk    = 4 << 10
+	held     = 64 // chunks of a direction that a silent or slow way holds; then the sender waits, as with a full window
+	dialTime = 2 * time.Second
+	backlog  = 1024
+	datagram = 64 << 10
+)
+
+// Link is the way of one process to one address of another: it listens, and passes on what comes.
+type Link struct {
+	there, back *Way // from the side that opens connections, and to it
+	addr        string
+	target      string
+	mu          sync.Mutex
+	l           *net.TCPListener // nil: refused
+	hung        bool
+	fill        []net.Conn // that keep the listener's queue full while it hangs
+	conns       map[*conn]struct{}
+	byFar       map[string]*conn // by the address that the far side sees
+	udp         *net.UDPConn
+	over        atomic.Bool
+}
+
+// conn is one connection through a link.
+type conn struct {
+	near, far  *net.TCPConn
+	nearClosed atomic.Int64 // when the side that opened it ended its sending or the connection, Unix ns; 0: it has not
+	ended      chan struct{}
+	once       sync.Once
+}
+
+// Open makes a link at addr, an own one of loopback, on the way from one process to the address target of another.
+// Datagrams are passed on too, where wanted.
+func (n *Net) Open(from, to, addr, target string, datagrams bool) (*Link, error) {
+	l := &Link{there: n.Way(from, to), back: n.Way(to, from), addr: addr, target: target, conns: map[*conn]struct{}{},
+		byFar: map[string]*conn{}}
+	if err := l.listen(); err != nil {
+		return nil, err
+	}
+	if datagrams {
+		if err := l.openUDP(); err != nil {
+			l.Close()
+			return nil, err
+		}
+	}
+	for _, w := range []*Way{l.there, l.back} {
+		w.mu.Lock()
+		w.links = append(w.links, l)
+		w.mu.Unlock()
+	}
+	n.mu.Lock()
+	n.links = append(n.links, l)
+	n.mu.Unlock()
+	l.apply()
+	return l, nil
+}
+
+// Addr is where it listens.
+func (l *Link) Addr() string { return l.addr }
+
+// Left tells when the side that opened a connection ended it, or its sending on it; the connection is named by the
+// address that the far side sees. Zero: it has not.
+func (l *Link) Left(far string) time.Time {
+	l.mu.Lock()
+	c := l.byFar[far]
+	l.mu.Unlock()
+	if c == nil {
+		return time.Time{}
+	}
+	if at := c.nearClosed.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
+func (l *Link) listen() error {
+	t, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.l = t.(*net.TCPListener)
+	l.mu.Unlock()
+	go l.accept(l.l)
+	return nil
+}
+
+// apply has the listener do what the two ways say: listen, refuse, or hang.
+func (l *Link) apply() {
+	if l.over.Load() {
+		return
+	}
+	there, _ := l.there.now()
+	back, _ := l.back.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	refuse, hang := there.Refused || back.Refused, there.Silent || back.Silent
+	if refuse && l.l != nil {
+		l.release()
+		l.l.Close()
+		l.l = nil
+	}
+	if !refuse && l.l == nil {
+		t, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return // the next change tries again
+		}
+		l.l = t.(*net.TCPListener)
+		go l.accept(l.l)
+	}
+	switch {
+	case l.l == nil || hang == l.hung:
+	case hang:
+		l.hang()
+	default:
+		l.release()
+	}
+}
+
+// hang has new connections never come up: nobody accepts, and the listener's queue of one is full, so that the kernel
+// drops what comes, as a wire that is cut does.
+func (l *Link) hang() {
+	l.hung = true
+	l.l.SetDeadline(time.Unix(1, 0)) // accept waits from now on
+	queue(l.l, 0)
+	for range 4 {
+		c, err := net.DialTimeout("tcp", l.addr, 30*time.Millisecond)
+		if err != nil {
+			break // full
+		}
+		l.fill = append(l.fill, c)
+	}
+}
+
+func (l *Link) release() {
+	if !l.hung {
+		return
+	}
+	l.hung = false
+	for _, c := range l.fill {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	l.fill = nil
+	queue(l.l, backlog)
+	l.l.SetDeadline(time.Time{})
+}
+
+// queue sets how many connections may wait to be accepted.
+func queue(l *net.TCPListener, n int) {
+	raw, err := l.SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) })
+	}
+}
+
+func (l *Link) accept(t *net.TCPListener) {
+	for {
+		c, err := t.AcceptTCP()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded): // it hangs
+			time.Sleep(5 * time.Millisecond)
+			continue
+		case err != nil:
+			return
+		}
+		l.mu.Lock()
+		filler := l.hung
+		for _, f := range l.fill {
+			filler = filler || f.LocalAddr().String() == c.RemoteAddr().String()
+		}
+		l.mu.Unlock()
+		if filler {
+			c.Close()
+			continue
+		}
+		go l.pass(c)
+	}
+}
+
+// pass carries one connection.
+func (l *Link) pass(near *net.TCPConn) {
+	raw, err := net.DialTimeout("tcp", l.target, dialTime)
+	if err != nil { // as near as a relay comes to a refusal
+		near.SetLinger(0)
+		near.Close()
+		return
+	}
+	c := &conn{near: near, far: raw.(*net.TCPConn), ended: make(chan struct{})}
+	name := c.far.LocalAddr().String()
+	l.mu.Lock()
+	l.conns[c], l.byFar[name] = struct{}{}, c
+	l.mu.Unlock()
+	if l.over.Load() {
+		c.end(true)
+	}
+	var both sync.WaitGroup
+	both.Go(func() { l.carry(c, near, c.far, l.there, &c.nearClosed) })
+	both.Go(func() { l.carry(c, c.far, near, l.back, nil) })
+	both.Wait()
+	c.end(false)
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	time.AfterFunc(10*time.Second, func() { // Left is asked a little later
+		l.mu.Lock()
+		delete(l.byFar, name)
+		l.mu.Unlock()
+	})
+}
+
+// end closes both sides, with a reset or not.
+func (c *conn) end(reset bool) {
+	c.once.Do(func() {
+		close(c.ended)
+		for _, s := range []*net.TCPConn{c.near, c.far} {
+			if reset {
+				s.SetLinger(0)
+			}
+			s.Close()
+		}
+	})
+}
+
+type parcel struct {
+	b   []byte
+	due time.Time
+}
+
+// carry passes on what comes from one side, in its order, when the way lets it.
+func (l *Link) carry(c *conn, from, to *net.TCPConn, w *Way, closed *atomic.Int64) {
+	parcels := make(chan parcel, held)
+	reset := false
+	go func() {
+		defer close(parcels)
+		for {
+			b := make([]byte, chunk)
+			n, err := from.Read(b)
+			if n > 0 {
+				select {
+				case parcels <- parcel{b[:n], w.due(n)}:
+				case <-c.ended:
+					return
+				}
+			}
+			if err != nil {
+				if closed != nil {
+					closed.CompareAndSwap(0, time.Now().UnixNano())
+				}
+				reset = errors.Is(err, syscall.ECONNRESET)
+				return
+			}
+		}
+	}()
+	defer func() { // the reader has ended, or ends with the connection
+		for range parcels {
+		}
+	}()
+	for p := range parcels {
+		if !l.wait(c, w, p.due) {
+			return
+		}
+		if _, err := to.Write(p.b); err != nil {
+			c.end(true)
+			return
+		}
+		w.count(len(p.b))
+	}
+	if !l.wait(c, w, w.due(0)) {
+		return
+	}
+	if reset {
+		c.end(true)
+		return
+	}
+	to.CloseWrite()
+	// Danger: a process that closes a connection whole looks here as one that ends its sending alone; what still comes
+	// for it would be read for ever. The other side's next write finds out.
+}
+
+// wait waits until something is due and its way is not silent; false: the connection is over.
+func (l *Link) wait(c *conn, w *Way, due time.Time) bool {
+	if d := time.Until(due); d > 0 {
+		select {
+		case <-c.ended:
+			return false
+		case <-time.After(d):
+		}
+	}
+	for {
+		s, changed := w.now()
+		if !s.Silent {
+			return true
+		}
+		select {
+		case <-c.ended:
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// Reset breaks all open connections.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.end(true)
+	}
+}
+
+// openUDP passes datagrams on, from one socket: who they come from is in them, or nobody asks.
+func (l *Link) openUDP() error {
+	at, err := net.ResolveUDPAddr("udp", l.addr)
+	if err != nil {
+		return err
+	}
+	to, err := net.ResolveUDPAddr("udp", l.target)
+	if err != nil {
+		return err
+	}
+	if l.udp, err = net.ListenUDP("udp", at); err != nil {
+		return err
+	}
+	go func() {
+		b := make([]byte, datagram)
+		for {
+			n, _, err := l.udp.ReadFromUDP(b)
+			if err != nil {
+				if l.over.Load() || errors.Is(err, net.ErrClosed) {
+					return
+				}
+				continue // a refusal of one that was sent before
+			}
+			if l.there.lost() {
+				continue
+			}
+			packet := append([]byte(nil), b[:n]...)
+			time.AfterFunc(time.Until(l.there.due(n)), func() {
+				if _, err := l.udp.WriteToUDP(packet, to); err == nil {
+					l.there.count(n)
+				}
+			})
+		}
+	}()
+	return nil
+}
+
+// Close ends the link and what goes through it.
+func (l *Link) Close() {
+	l.over.Store(true)
+	l.mu.Lock()
+	if l.l != nil {
+		l.release()
+		l.l.Close()
+	}
+	l.mu.Unlock()
+	if l.udp != nil {
+		l.udp.Close()
+	}
+	l.Reset()
+}
--- /dev/null
+++ b/internal/standin/link/link_test.go
@@ -0,0 +1,175 @@
+package link
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"dewhitch/internal/standin"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	l, err := standin.Listen("", func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, line)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l.Addr()
+}
+
+func open(t *testing.T) (*Net, *Link) {
+	n := NewNet(1)
+	l, err := n.Open("a", "b", standin.OwnAddr(), echo(t), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n, l
+}
+
+// says sends a line and tells whether it comes back in time.
+func says(c net.Conn, patience time.Duration) bool {
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintln(c, "hello")
+	_, err := bufio.NewReader(c).ReadString('\n')
+	return err == nil
+}
+
+func TestSilentWay(t *testing.T) {
+	for _, way := range [][2]string{{"a", "b"}, {"b", "a"}} {
+		t.Run(way[0]+"-"+way[1], func(t *testing.T) {
+			n, l := open(t)
+			c, err := net.Dial("tcp", l.Addr())
+			if err != nil || !says(c, 5*time.Second) {
+				t.Fatal("a way that is well carries nothing", err)
+			}
+			n.Set(way[0], way[1], func(s *State) { s.Silent = true })
+			if says(c, 200*time.Millisecond) {
+				t.Error("an open connection says something through a silent way")
+			}
+			if c, err := net.DialTimeout("tcp", l.Addr(), 300*time.Millisecond); err == nil {
+				t.Error("a new connection comes up through a silent way", c.LocalAddr())
+			} else if e, ok := err.(net.Error); !ok || !e.Timeout() {
+				t.Error("it must not be refused, but never come up:", err)
+			}
+			n.Heal()
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || line != "hello\n" {
+				t.Errorf("what was written meanwhile does not arrive: %q, %v", line, err)
+			}
+			if c, err = net.DialTimeout("tcp", l.Addr(), 5*time.Second); err != nil || !says(c, 5*time.Second) {
+				t.Error("a healed way carries nothing:", err)
+			}
+		})
+	}
+}
+
+func TestRefusedWay(t *testing.T) {
+	n, l := open(t)
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil || !says(c, 5*time.Second) {
+		t.Fatal(err)
+	}
+	n.Set("b", "a", func(s *State) { s.Refused = true })
+	if says(c, 5*time.Second) {
+		t.Error("an open connection was not reset")
+	}
+	if _, err := net.DialTimeout("tcp", l.Addr(), 5*time.Second); err == nil || os.IsTimeout(err) {
+		t.Error("it must be refused:", err)
+	}
+	n.Heal()
+	if c, err = net.Dial("tcp", l.Addr()); err != nil || !says(c, 5*time.Second) {
+		t.Error("a healed way carries nothing:", err)
+	}
+}
+
+func TestDelay(t *testing.T) {
+	n, l := open(t)
+	n.Set("a", "b", func(s *State) { s.Delay = 150 * time.Millisecond })
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if !says(c, 5*time.Second) || time.Since(began) < 150*time.Millisecond {
+		t.Error("the answer took", time.Since(began))
+	}
+}
+
+// Left has to be known for a connection whose gateway gave up, while the server still holds its end.
+func TestLeft(t *testing.T) {
+	seen := make(chan string, 1)
+	hold := make(chan struct{})
+	s, err := standin.Listen("", func(c net.Conn) { seen <- c.RemoteAddr().String(); <-hold })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	defer close(hold)
+	n := NewNet(1)
+	defer n.Close()
+	l, err := n.Open("a", "b", standin.OwnAddr(), s.Addr(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := <-seen
+	if at := l.Left(far); !at.IsZero() {
+		t.Error("it has left before it did:", at)
+	}
+	c.Close()
+	for end := time.Now().Add(5 * time.Second); l.Left(far).IsZero(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is not seen to have left")
+		}
+	}
+}
+
+func TestDatagrams(t *testing.T) {
+	at, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer at.Close()
+	n := NewNet(1)
+	defer n.Close()
+	l, err := n.Open("a", "b", standin.OwnAddr(), at.LocalAddr().String(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("udp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrives := func(patience time.Duration) bool {
+		c.Write([]byte("x"))
+		at.SetReadDeadline(time.Now().Add(patience))
+		_, _, err := at.ReadFrom(make([]byte, 8))
+		return err == nil
+	}
+	if !arrives(5 * time.Second) {
+		t.Error("a datagram does not arrive")
+	}
+	n.Set("a", "b", func(s *State) { s.Loss = 1 })
+	if arrives(100 * time.Millisecond) {
+		t.Error("a datagram arrives where all are lost")
+	}
+	if n.Bytes("a", "b") != 1 {
+		t.Errorf("%d bytes counted", n.Bytes("a", "b"))
+	}
+}
