Add drills: several real processes, links that fail between them, Starlark scenarios and checkers

Change: cmd/drill and internal/drill. Servers are modelled (cores, waiting room, late reports, cold start, fall), links stand in every way, scenarios are bounded, and eight rules are judged by the stand-ins' books. soak's processes and settings moved to internal/standin (Process, Config), so that both use them. Ruled out: TOML scenarios (no loops), virtual time for real processes. Every rule is broken on purpose in a test.

--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,116 @@
+// Command drill plays scenarios on several processes of dewhitch, with faults between them, and judges them.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"dewhitch/internal/drill"
+)
+
+var cli struct {
+	List  listCmd  `cmd:"" help:"List the scenarios of the library."`
+	Check checkCmd `cmd:"" help:"Read a scenario and say what is wrong with it; play nothing."`
+	Run   runCmd   `cmd:"" help:"Play a scenario. It ends with 0: all held; 1: a check fell; 2: it could not run."`
+}
+
+type listCmd struct{}
+
+func (listCmd) Run() error {
+	all, err := drill.List()
+	for _, s := range all {
+		fmt.Printf("%-18s %s\n", s.Name, s.About)
+	}
+	return err
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"A name of the library, or a file."`
+}
+
+func (c checkCmd) Run() error {
+	s, err := drill.Find(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is good: %d gateways and %d servers in %d zones, %d events in %v\n", s.Name, len(s.Zones)*s.Gateways,
+		len(s.Zones)*s.Servers, len(s.Zones), len(s.Events), s.Length)
+	return nil
+}
+
+type runCmd struct {
+	File          string `arg:"" help:"A name of the library, or a file."`
+	Program       string `default:"bin/dewhitch" help:"The program, built (${default})."`
+	Seed          uint64 `default:"1" help:"Of all that is drawn (${default})."`
+	JSON          string `help:"Where to write what it came to; - for standard output."`
+	Uncoordinated bool   `help:"Play it without the fleet view."`
+	Quiet         bool   `help:"Print no line a second."`
+}
+
+func (c runCmd) Run(ctx context.Context) error {
+	s, err := drill.Find(c.File)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "drill")
+	if err != nil {
+		return err
+	}
+	var lines io.Writer = os.Stderr
+	if c.Quiet {
+		lines = nil
+	}
+	r, err := drill.Run(ctx, s, drill.Options{Program: c.Program, Dir: dir, Seed: c.Seed, Uncoordinated: c.Uncoordinated, Lines: lines})
+	if err != nil && !errors.Is(err, drill.ErrFell) {
+		return fmt.Errorf("%w (the processes' files are in %s)", err, dir)
+	}
+	defer os.RemoveAll(dir)
+	text, jsonErr := json.MarshalIndent(r, "", "  ")
+	if jsonErr != nil {
+		return jsonErr
+	}
+	text = append(text, '\n')
+	switch c.JSON {
+	case "":
+	case "-":
+		os.Stdout.Write(text)
+	default:
+		if err := os.WriteFile(c.JSON, text, 0o644); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(os.Stderr, "%s, seed %d: served %.4f, %.4f in the worst 5 s, of %d reqs; lost %d; CPU a req %.0f µs\n", r.Scenario, r.Seed,
+		r.Served, r.Worst, r.Reqs, r.Lost, r.CPU)
+	for _, t := range r.Troubles {
+		first, last := t.Left()
+		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs after %.1f to %.1f s\n", t.What,
+			t.At, t.Until, t.Sent, t.Last, first, last)
+	}
+	for _, b := range append(r.Breaches, r.Fallen...) {
+		fmt.Fprintln(os.Stderr, "FELL:", b)
+	}
+	return err
+}
+
+func main() {
+	k := kong.Parse(&cli, kong.Name("drill"), kong.Description("Plays scenarios on several processes of dewhitch, with faults between them."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		stop()
+		if errors.Is(err, drill.ErrFell) {
+			os.Exit(1)
+		}
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/internal/drill/run_test.go
@@ -0,0 +1,79 @@
+package drill
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dewhitch/internal/standin"
+)
+
+// program builds the program once for all tests of this package.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "drill")
+	if err != nil {
+		return "", err
+	}
+	return standin.Build(dir, "dewhitch")
+})
+
+// play plays a scenario's text on real processes.
+func play(t *testing.T, text string, seed uint64, more ...Event) (*Result, error) {
+	t.Helper()
+	p, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(t.Name()+".star", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Events = append(s.Events, more...)
+	r, err := Run(t.Context(), s, Options{Program: p, Dir: t.TempDir(), Seed: seed})
+	if r == nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: served %.4f, worst 5 s %.4f, %v; %v", r.Seed, r.Served, r.Worst, r.Ends, r.Timeline)
+	return r, err
+}
+
+// Faults of all kinds at once: the rules hold, and nothing is lost.
+func TestFaults(t *testing.T) {
+	t.Parallel()
+	r, err := play(t, `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 2, load = 0.3, length = 11)
+at(1, cut(zone("a"), zone("b")))
+at(2, kill(gateway("a", 1), back = 1))
+at(3, heal())
+at(4, stall(gateway("b", 1), seconds = 1))
+at(4.5, down(server("c", 1)))
+at(5, delay(zone("a"), zone("c"), ms = 20, jitter = 10))
+at(6, well(server("c", 1)))
+at(6.5, drain(server("b", 2)))
+at(7, term(gateway("c", 2), back = 1))
+at(8, cut(gateway("a", 2), zone("c"), how = "refused", one_way = True))
+expect(served = 0.6, lost = 0)
+`, 5)
+	if err != nil {
+		t.Fatal(err, r.Breaches, r.Fallen)
+	}
+	if len(r.Timeline) < 10 || r.Reqs < 500 {
+		t.Errorf("%d lines, %d reqs", len(r.Timeline), r.Reqs)
+	}
+}
+
+// What a drill is for: a process that ends of itself, and an expectation that is not met, are found.
+func TestDrillFalls(t *testing.T) {
+	t.Parallel()
+	r, err := play(t, `fleet(zones = ["a"], gateways = 2, servers = 2, load = 0.2, length = 6)
+expect(sent = 0, target = servers("a"), start = 0, end = 6)
+`, 6, Event{At: 2 * time.Second, Text: "planted", Do: func(w *world) { w.gateways[0].Program().Cmd.Process.Kill() }})
+	if !errors.Is(err, ErrFell) || r.Rules[ruleEnded] == 0 {
+		t.Error("a process that ended of itself is not found:", err, r.Rules)
+	}
+	if len(r.Fallen) != 1 || !strings.Contains(r.Fallen[0], ".star:2:7: sent ") {
+		t.Errorf("expectations not met: %q", r.Fallen)
+	}
+}
--- /dev/null
+++ b/internal/drill/scenarios/hurt.star
@@ -0,0 +1,6 @@
+# One gateway is killed and comes back, one is stalled, one is restarted as planned.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.6, length = 30)
+at(5, kill(gateway("a", 1), back = 3))
+at(12, stall(gateway("b", 1), seconds = 3))
+at(20, term(gateway("c", 2), back = 2))
+expect(lost = 0)
--- a/internal/soak/cost.go
+++ b/internal/soak/cost.go
@@ -5,13 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"dewhitch/internal/ledger"
@@ -88,19 +86,20 @@
 	if w.director, err = standin.NewDirector(w.members(-1), 1); err != nil {
 		return s, err
 	}
-	n := &node{name: "n0", listen: standin.OwnAddr(), args: []string{"serve"}}
+	n := w.node("n0", "", "serve")
+	n.limits = ""
 	w.nodes = []*node{n}
 	if err := w.configure(0, n); err != nil {
 		return s, err
 	}
 	text := fmt.Sprintf("[ledger]\nenabled = %v\n", mode != "off")
 	if mode == "disk" {
-		text += fmt.Sprintf("dir = %q\nstatement_ms = 2000\n", filepath.Join(n.dir, "ledger"))
+		text += fmt.Sprintf("dir = %q\nstatement_ms = 2000\n", filepath.Join(n.Dir, "ledger"))
 	}
-	if err := os.WriteFile(filepath.Join(n.dir, "operations.toml"), []byte(text), 0o640); err != nil {
+	if err := n.Write(map[string]string{"operations.toml": text}); err != nil {
 		return s, err
 	}
-	if err := w.start(n); err != nil {
+	if err := n.Start(patience); err != nil {
 		return s, err
 	}
 	var mu sync.Mutex
@@ -111,7 +110,7 @@
 	defer stop()
 	for h := range p.Clients {
 		clients.Go(func() {
-			took, err := p.client(load, n.listen, h)
+			took, err := p.client(load, n.Listen, h)
 			if err != nil {
 				failed <- err
 			}
@@ -126,11 +125,10 @@
 		return s, err
 	default:
 	}
-	n.prog.Cmd.Process.Signal(syscall.SIGTERM)
-	if err := n.prog.Wait(patience); err != nil {
+	if err := n.End(patience); err != nil {
 		return s, err
 	}
-	used := n.prog.Cmd.ProcessState.UserTime() + n.prog.Cmd.ProcessState.SystemTime()
+	used := n.Program().CPU()
 	slices.Sort(all)
 	return sample{used.Seconds() * 1e6 / float64(len(all)), all[len(all)*99/100]}, ctx.Err()
 }
--- a/internal/soak/hauliers.go
+++ b/internal/soak/hauliers.go
@@ -95,11 +95,11 @@
 			n++
 			again := batch[0]
 			other := (at + 1) % gateways
-			again.row.Node = w.nodes[other].name
+			again.row.Node = w.nodes[other].Name
 			again.words = append([]string(nil), again.words...)
 			again.words[2] = fmt.Sprintf("i%x-%d", h, n)
 			again.value = again.words[2]
-			if c, err := standin.Dial(w.nodes[other].listen, time.Second); err == nil {
+			if c, err := standin.Dial(w.nodes[other].Listen, time.Second); err == nil {
 				retries.Go(func() {
 					defer c.Close()
 					w.exchange(c, []command{again}, 0)
@@ -109,7 +109,7 @@
 		c := sessions[at]
 		if c == nil {
 			var err error
-			if c, err = standin.Dial(w.nodes[at].listen, time.Second); err != nil {
+			if c, err = standin.Dial(w.nodes[at].Listen, time.Second); err != nil {
 				wait(ctx, 20*time.Millisecond)
 				continue
 			}
@@ -142,7 +142,7 @@
 // command makes a haulier's n-th command, for a gateway or, behind the last, the forwarder.
 func (w *world) command(rng *rand.Rand, at int, h uint64, n int, forwarded bool) command {
 	plan := plans[h%uint64(len(plans))]
-	c := command{row: Row{w.nodes[at].name, h, plan, classes[rng.IntN(2)]}}
+	c := command{row: Row{w.nodes[at].Name, h, plan, classes[rng.IntN(2)]}}
 	args := "t=" + plan + ",d=1500,spread=3,first=0"
 	customer := fmt.Sprintf("%016x", h)
 	if forwarded && rng.IntN(3) == 0 {
--- a/internal/soak/quota.go
+++ b/internal/soak/quota.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -75,8 +74,9 @@
 		return err
 	}
 	for _, n := range w.nodes {
-		n.prog.Cmd.Process.Signal(syscall.SIGTERM)
-		n.prog.Wait(patience)
+		if err := n.End(patience); err != nil {
+			return err
+		}
 	}
 	return w.judge(began, p.Phase, phases)
 }
@@ -100,16 +100,9 @@
 		return err
 	}
 	for i := range gateways {
-		n := &node{name: "n" + strconv.Itoa(i), listen: standin.OwnAddr(), limits: standin.OwnAddr(), args: []string{"serve"}}
-		w.nodes = append(w.nodes, n)
-		if err := w.configure(i, n); err != nil {
-			return err
-		}
-		if err := w.start(n); err != nil {
-			return err
-		}
+		w.nodes = append(w.nodes, w.node("n"+strconv.Itoa(i), "", "serve"))
 	}
-	return nil
+	return w.startAll()
 }
 
 // burst asks for one haulier in an open loop: what is due is sent, whatever is answered.
@@ -140,7 +133,7 @@
 		c := sessions[at]
 		if c == nil {
 			var err error
-			if c, err = standin.Dial(w.nodes[at].listen, time.Second); err != nil {
+			if c, err = standin.Dial(w.nodes[at].Listen, time.Second); err != nil {
 				continue
 			}
 			sessions[at] = c
--- a/internal/soak/reckon.go
+++ b/internal/soak/reckon.go
@@ -40,18 +40,18 @@
 	accounts := map[uint64]*ledger.Counts{}
 	lives, kills := uint64(0), 0
 	for _, n := range w.nodes {
-		dir := filepath.Join(n.dir, "ledger")
+		dir := filepath.Join(n.Dir, "ledger")
 		v, err := store.Read(dir)
 		if err != nil {
 			return err
 		}
 		lives += v.Life
-		kills += n.kills
+		kills += n.Kills()
 		for _, note := range v.Notes {
-			say("%s: %s", n.name, note)
+			say("%s: %s", n.Name, note)
 		}
 		for _, f := range v.Ledger.Audit(true) {
-			say("%s: %+v: %v", n.name, f.Key, f)
+			say("%s: %+v: %v", n.Name, f.Key, f)
 		}
 		if err := store.Records(dir, 0, func(_ []byte, r statement.Record) error {
 			merged.Add(r)
@@ -60,9 +60,9 @@
 			return err
 		}
 		for _, line := range v.Ledger.Lines() {
-			r := Row{n.name, line.Key.Customer, v.Names.Plan(line.Key.Plan), v.Names.Class(line.Key.Class)}
+			r := Row{n.Name, line.Key.Customer, v.Names.Plan(line.Key.Plan), v.Names.Class(line.Key.Class)}
 			if line.Key.Customer == ledger.Others {
-				say("%s rolled rows up: the run has too many hauliers for its books", n.name)
+				say("%s rolled rows up: the run has too many hauliers for its books", n.Name)
 			}
 			if line.Key.Class == ledger.ClassAccount {
 				if accounts[r.Haulier] == nil {
@@ -73,7 +73,7 @@
 				books[r] = &book{line.Counts}
 			}
 			// What the export says of the row, added up, is what the books say.
-			name := n.name
+			name := n.Name
 			if n.role == statement.Forwarder {
 				name = v.Node
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,18 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"dewhitch/internal/ledger/statement"
@@ -50,13 +45,8 @@
 
 // node is one program of the run.
 type node struct {
-	name, role, listen, limits string
-	dir                        string
-	args                       []string
-	mu                         sync.Mutex
-	prog                       *standin.Program
-	logs                       []string // of earlier lives
-	kills                      int
+	standin.Process
+	role, limits string
 }
 
 // world is all of a run.
@@ -125,17 +115,27 @@
 		return err
 	}
 	for i := range gateways {
-		n := &node{name: "n" + strconv.Itoa(i), role: statement.Gateway, listen: standin.OwnAddr(), limits: standin.OwnAddr(),
-			args: []string{"serve"}}
-		w.nodes = append(w.nodes, n)
+		w.nodes = append(w.nodes, w.node("n"+strconv.Itoa(i), statement.Gateway, "serve"))
 	}
-	f := &node{name: "forwarder", role: statement.Forwarder, listen: standin.OwnAddr(), args: []string{"forward"}}
-	w.nodes = append(w.nodes, f)
+	w.nodes = append(w.nodes, w.node("forwarder", statement.Forwarder, "forward"))
+	return w.startAll()
+}
+
+// node makes one program of the run.
+func (w *world) node(name, role, command string) *node {
+	n := &node{role: role, limits: standin.OwnAddr()}
+	n.Name, n.Dir, n.Listen, n.Path = name, filepath.Join(w.Dir, name), standin.OwnAddr(), w.Program
+	n.Args = []string{"--limits", n.File("limits.toml"), "--operations", n.File("operations.toml"), command}
+	return n
+}
+
+// startAll writes the files of all programs, and starts them.
+func (w *world) startAll() error {
 	for i, n := range w.nodes {
 		if err := w.configure(i, n); err != nil {
 			return err
 		}
-		if err := w.start(n); err != nil {
+		if err := n.Start(patience); err != nil {
 			return err
 		}
 	}
@@ -157,36 +157,19 @@
 
 // configure writes a node's files.
 func (w *world) configure(i int, n *node) error {
-	n.dir = filepath.Join(w.Dir, n.name)
-	if err := os.MkdirAll(n.dir, 0o750); err != nil {
-		return err
-	}
-	type object = map[string]any
 	counter := w.counter.Addr()
 	if i < len(w.doors) {
 		counter = w.doors[i].Addr()
 	}
-	config := object{"name": n.name, "listen": n.listen, "discovery": w.director.Addr(), "counter": counter,
-		"seed":   fmt.Sprintf("%016x", w.Seed+uint64(i)),
-		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 512},
-		"settings": object{"NInstances": gateways, "MyNumber": i % gateways, "Areas": []string{"hall-a"}, "Kinds": []string{"std-3c"},
-			"Tick": 4_000_000,
-			"Caps": object{"ConnIdle": 15_000_000_000, "ConnectTimeout": 250_000_000, "MaxRetryAfter": 500_000_000, "MayCancel": true,
-				"RetryAfter": true, "TryLimit": 6},
-			"Contracts": []object{
-				{"Name": plans[0], "QuotaRate": 20, "Depth": 30, "OverrunCost": 0.8, "Pays": 0.8},
-				{"Name": plans[1], "QuotaRate": 40, "Depth": 80, "BeyondEarns": 0.2, "Pays": 1.1},
-				{"Name": plans[2], "QuotaRate": 60, "Depth": 90, "CapRate": 120, "HardBurst": 180, "Tolerance": 18, "Open": 40,
-					"OverrunCost": 1, "Pays": 1.4}},
-			"FamilyInfo": object{"Counter": true, "CountLimit": 30_000_000, "UnitsTop": 4},
-			"Feedback":   object{"Source": "answers", "Fields": []string{"queue", "inflight", "qps"}},
-			"RequestClasses": []object{
-				{"Name": classes[0], "Aim": 1_500_000_000, "Deadline": 4_000_000_000, "Effect": "safe", "Points": 1},
-				{"Name": classes[1], "Aim": 2_000_000_000, "Deadline": 5_000_000_000, "DedupWindow": 3_000_000_000, "Effect": "keyed",
-					"Group": "all", "Points": 5}},
-			"Rules": object{"AnswerSlack": 16_000_000, "Cold": 13_000_000_000, "Fall": 3_000_000_000, "FallMultiple": 3,
-				"StartCapacity": 0.22, "StopSendingWithin": 500_000_000}}}
-	text, err := json.Marshal(config)
+	config, err := standin.Config{Name: n.Name, Listen: n.Listen, Director: w.director.Addr(), Counter: counter, Seed: w.Seed + uint64(i),
+		Instances: gateways, Number: i % gateways, Zones: []string{"hall-a"}, Plans: []standin.Plan{
+			{Name: plans[0], QuotaRate: 20, Depth: 30, OverrunCost: 0.8, Pays: 0.8},
+			{Name: plans[1], QuotaRate: 40, Depth: 80, BeyondEarns: 0.2, Pays: 1.1},
+			{Name: plans[2], QuotaRate: 60, Depth: 90, CapRate: 120, HardBurst: 180, Tolerance: 18, Open: 40, OverrunCost: 1, Pays: 1.4}},
+		Classes: []standin.Class{
+			{Name: classes[0], Aim: 1500 * time.Millisecond, Deadline: 4 * time.Second, Effect: "safe", Points: 1},
+			{Name: classes[1], Aim: 2 * time.Second, Deadline: 5 * time.Second, DedupWindow: 3 * time.Second, Effect: "keyed",
+				Group: "all", Points: 5}}}.JSON()
 	if err != nil {
 		return err
 	}
@@ -195,39 +178,10 @@
 		servers = strconv.Quote(w.registry.Addr())
 	}
 	limits := fmt.Sprintf("listen = %q\n[registry]\nservers = [%s]\nsession_ms = 1500\n[forward]\nlisten = %q\ngateways = %d\n",
-		n.limits, servers, n.listen, gateways)
+		n.limits, servers, n.Listen, gateways)
 	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 250\nstatement_ms = 1000\nsegment_mb = 1\nrows = 2000\ndir = %q\n",
-		filepath.Join(n.dir, "ledger"))
-	for name, text := range map[string]string{"config.json": string(text), "limits.toml": limits, "operations.toml": operations} {
-		if err := os.WriteFile(filepath.Join(n.dir, name), []byte(text), 0o640); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// start starts a node and waits until it listens.
-func (w *world) start(n *node) error {
-	cmd := exec.Command(w.Program, append([]string{"--limits", filepath.Join(n.dir, "limits.toml"), "--operations",
-		filepath.Join(n.dir, "operations.toml")}, n.args...)...)
-	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(n.dir, "config.json"))
-	p, err := standin.Start(cmd)
-	if err != nil {
-		return err
-	}
-	n.mu.Lock()
-	n.prog = p
-	n.mu.Unlock()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if c, err := standin.Dial(n.listen, time.Second); err == nil {
-			c.Close()
-			return nil
-		}
-		if p.Over() {
-			break
-		}
-	}
-	return fmt.Errorf("%s does not listen: %s", n.name, p.Log())
+		n.File("ledger"))
+	return n.Write(map[string]string{"config.json": config, "limits.toml": limits, "operations.toml": operations})
 }
 
 // kill ends a node outright every so often, the forwarder each fourth time, and starts it again; now and then it is
@@ -247,20 +201,14 @@
 			n = w.nodes[gateways]
 		}
 		for again := true; again; again = rng.IntN(4) == 0 {
-			n.prog.Kill()
-			n.logs = append(n.logs, n.prog.Log())
-			n.kills++
+			n.Kill()
 			if rng.IntN(3) == 0 { // a start that is killed at once, in the midst of its repair
-				cmd := exec.Command(n.prog.Cmd.Path, n.prog.Cmd.Args[1:]...)
-				cmd.Env = n.prog.Cmd.Env
-				if p, err := standin.Start(cmd); err == nil {
+				if _, err := n.Spawn(); err == nil {
 					time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-					p.Kill()
-					n.logs = append(n.logs, p.Log())
-					n.kills++
+					n.Kill()
 				}
 			}
-			if err := w.start(n); err != nil {
+			if err := n.Start(patience); err != nil {
 				return err
 			}
 		}
@@ -309,13 +257,13 @@
 			return nil
 		}
 		for _, n := range w.nodes {
-			dir := filepath.Join(n.dir, "ledger")
+			dir := filepath.Join(n.Dir, "ledger")
 			v, err := store.Read(dir)
 			if err != nil { // it is being started, or a statement is going in
 				continue
 			}
 			if found := v.Ledger.Audit(true); len(found) > 0 {
-				return fmt.Errorf("%s, read while it works: %+v: %v", n.name, found[0].Key, found[0])
+				return fmt.Errorf("%s, read while it works: %+v: %v", n.Name, found[0].Key, found[0])
 			}
 			at := read[n]
 			if err := store.Records(dir, at.seq, func(_ []byte, r statement.Record) error {
@@ -331,23 +279,14 @@
 // end has all nodes end as at a planned restart, the forwarder first.
 func (w *world) end() error {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
-		n := w.nodes[i]
-		n.prog.Cmd.Process.Signal(syscall.SIGTERM)
-		if err := n.prog.Wait(patience); err != nil {
-			return fmt.Errorf("%s, at SIGTERM: %w\n%s", n.name, err, n.prog.Log())
+		if err := w.nodes[i].End(patience); err != nil {
+			return err
 		}
-		n.logs = append(n.logs, n.prog.Log())
 	}
 	for _, n := range w.nodes {
-		for _, log := range n.logs {
-			for line := range strings.SplitSeq(log, "\n") {
-				for _, bad := range []string{"the books do not add up", "could not keep everything", "could not be kept",
-					"can't be used", "panic:", "DATA RACE"} {
-					if strings.Contains(line, bad) {
-						return fmt.Errorf("%s says: %s", n.name, line)
-					}
-				}
-			}
+		if line, bad := n.Says("the books do not add up", "could not keep everything", "could not be kept", "can't be used",
+			"panic:", "DATA RACE"); bad {
+			return fmt.Errorf("%s says: %s", n.Name, line)
 		}
 	}
 	return nil
@@ -355,11 +294,7 @@
 
 func (w *world) close() {
 	for _, n := range w.nodes {
-		n.mu.Lock()
-		if n.prog != nil {
-			n.prog.Kill()
-		}
-		n.mu.Unlock()
+		n.Kill()
 	}
 	if w.backends != nil {
 		w.backends.Close()
--- a/internal/standin/backends.go
+++ b/internal/standin/backends.go
@@ -33,8 +33,9 @@
 
 // Step is one step of a backend's script.
 type Step struct {
-	Deed  Deed
-	Delay time.Duration // before it
+	Deed   Deed
+	Delay  time.Duration // before it
+	Report string        // the load that the answer tells; empty: a little
 }
 
 // Command is a command that came to a backend.
@@ -42,7 +43,9 @@
 	Name, Customer, ID, Class, Plan, Key, Body string
 	Backend                                    int // of those that share a stand-in, by its listener
 	At                                         time.Time
+	Far                                        string // the connection that it came by, by its other end
 	Did                                        Deed
+	report                                     string
 }
 
 // Script decides what a backend does with a command; it is called for one command at a time, in the order in which
@@ -69,7 +72,7 @@
 				continue
 			}
 			if at -= s.Weight; at < 0 {
-				return Step{d, time.Duration(rng.Float64() * float64(s.Delay))}
+				return Step{Deed: d, Delay: time.Duration(rng.Float64() * float64(s.Delay))}
 			}
 		}
 		return Step{}
@@ -79,6 +82,7 @@
 // Backends stands in for the booking nodes, each at an address of its own, with one script and one record.
 type Backends struct {
 	Nodes  []*Listener
+	Watch  func(*Command) (answered func()) // called as each comes, with what it does; set before any does
 	mu     sync.Mutex
 	script Script
 	seen   []Command
@@ -107,6 +111,13 @@
 	b.script = s
 }
 
+// Locked calls f while no script runs and nothing is watched.
+func (b *Backends) Locked(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
 // Seen returns what came, in the order in which it came.
 func (b *Backends) Seen() []Command {
 	b.mu.Lock()
@@ -114,6 +125,26 @@
 	return append([]Command(nil), b.seen...)
 }
 
+// Down ends one of them as the death of its machine's process does: what is open is reset, and what comes is refused.
+func (b *Backends) Down(node int) {
+	b.mu.Lock()
+	l := b.Nodes[node]
+	b.mu.Unlock()
+	l.Die()
+}
+
+// Up starts one that is down again, at the same address.
+func (b *Backends) Up(node int) error {
+	l, err := Listen(b.Nodes[node].Addr(), func(c net.Conn) { b.serve(node, c) })
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Nodes[node] = l
+	return nil
+}
+
 // Close ends all of them.
 func (b *Backends) Close() {
 	for _, l := range b.Nodes {
@@ -141,18 +172,24 @@
 		}
 		args := Pairs(words[3])
 		c := Command{Name: words[0], Customer: words[1], ID: words[2], Class: args["c"], Plan: args["t"], Key: args["k"],
-			Backend: node, At: time.Now()}
+			Backend: node, At: time.Now(), Far: conn.RemoteAddr().String()}
 		if len(words) > 4 {
 			c.Body = words[4]
 		}
 		b.mu.Lock()
 		step := b.script(&c)
-		if c.Did = step.Deed; b.keep {
+		if c.Did, c.report = step.Deed, step.Report; b.keep {
 			b.seen = append(b.seen, c)
 		}
+		answered := func() {}
+		if b.Watch != nil {
+			answered = b.Watch(&c)
+		}
 		b.mu.Unlock()
 		time.Sleep(step.Delay)
-		if !b.answer(conn, r, &c) {
+		goes := b.answer(conn, r, &c)
+		answered()
+		if !goes {
 			return
 		}
 	}
@@ -160,7 +197,10 @@
 
 // answer writes what the deed says; false: the connection is over.
 func (b *Backends) answer(conn net.Conn, r *bufio.Reader, c *Command) bool {
-	value := c.Value()
+	value, report := c.Value(), c.report
+	if report == "" {
+		report = idle
+	}
 	good := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$%d\r\n%s\r\n", len(value), value, len(report), report)
 	switch c.Did {
 	case Serve:
@@ -188,4 +228,4 @@
 	return err == nil && c.Did != Broken
 }
 
-const report = "queue=0,inflight=1,qps=1"
+const idle = "queue=0,inflight=1,qps=1"
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -95,6 +95,7 @@
 // OwnAddr is an address that nobody else uses: a program is told where to listen, and a port that was free a moment ago
 // may not be. So each address is of a loopback host of its own, by process and number.
 func OwnAddr() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:7379", 64+pid%64, pid/64%256, hosts.Add(1))
+	const each = 250 // hosts; then they begin again with another port
+	pid, n := os.Getpid(), hosts.Add(1)-1
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid%64, pid/64%256, 1+n%each, 7379+n/each)
 }
--- a/internal/standin/director.go
+++ b/internal/standin/director.go
@@ -30,8 +30,13 @@
 
 // Member is one backend of a list.
 func Member(id, addr, phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"std-3c","cell":0,"phase":%q,"size":1,"up_since_ms":0}`,
-		id, addr, phase)
+	return MemberIn("a", id, addr, phase, 0)
+}
+
+// MemberIn is one backend of a list, with its zone and when it began, in Unix time in milliseconds; 0: long ago.
+func MemberIn(zone, id, addr, phase string, upSince int64) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"std-3c","cell":0,"phase":%q,"size":1,"up_since_ms":%d}`,
+		id, addr, zone, phase, upSince)
 }
 
 // Members is a list.
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -85,6 +85,13 @@
 	return time.Time{}
 }
 
+// Has tells whether a connection, by the address that the far side sees, goes through this link.
+func (l *Link) Has(far string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byFar[far] != nil
+}
+
 func (l *Link) listen() error {
 	t, err := net.Listen("tcp", l.addr)
 	if err != nil {
@@ -299,9 +306,14 @@
 		case <-time.After(d):
 		}
 	}
-	for {
+	for waited := false; ; waited = true {
 		s, changed := w.now()
 		if !s.Silent {
+			// What is still under way for somebody who has left does not arrive: its sender's kernel gave it up meanwhile.
+			if waited && c.nearClosed.Load() != 0 {
+				c.end(true)
+				return false
+			}
 			return true
 		}
 		select {
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -108,6 +108,40 @@
 	}
 }
 
+// What a gateway has given up while a way was silent may not come to life when that heals.
+func TestGivenUpDoesNotArrive(t *testing.T) {
+	got := make(chan string, 1)
+	s, err := standin.Listen("", func(c net.Conn) {
+		line, err := bufio.NewReader(c).ReadString('\n')
+		got <- fmt.Sprint(line, err != nil)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	n := NewNet(1)
+	defer n.Close()
+	l, err := n.Open("a", "b", standin.OwnAddr(), s.Addr(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); l.open() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	n.Set("a", "b", func(s *State) { s.Silent = true })
+	fmt.Fprintln(c, "hello")
+	c.Close()
+	time.Sleep(50 * time.Millisecond)
+	n.Heal()
+	if line := <-got; line != "true" {
+		t.Errorf("it arrived: %q", line)
+	}
+}
+
 // Left has to be known for a connection whose gateway gave up, while the server still holds its end.
 func TestLeft(t *testing.T) {
 	seen := make(chan string, 1)
@@ -173,3 +207,9 @@
 		t.Errorf("%d bytes counted", n.Bytes("a", "b"))
 	}
 }
+
+func (l *Link) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
--- a/internal/standin/link/way.go
+++ b/internal/standin/link/way.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// Reset breaks what is open between two processes, once.
+func (n *Net) Reset(a, b string) {
+	w := n.Way(a, b)
+	w.mu.Lock()
+	links := w.links
+	w.mu.Unlock()
+	for _, l := range links {
+		l.Reset()
+	}
+}
+
 // Heal makes all ways well.
 func (n *Net) Heal() {
 	n.mu.Lock()
--- a/internal/standin/program.go
+++ b/internal/standin/program.go
@@ -79,3 +79,11 @@
 	p.Cmd.Process.Kill()
 	<-p.over
 }
+
+// CPU is the processor time that a program used, once it has ended.
+func (p *Program) CPU() time.Duration {
+	if !p.Over() {
+		return 0
+	}
+	return p.Cmd.ProcessState.UserTime() + p.Cmd.ProcessState.SystemTime()
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -73,13 +73,23 @@
 }
 
 // Close ends it and closes all connections.
-func (l *Listener) Close() {
+func (l *Listener) Close() { l.end((*net.TCPConn).Close) }
+
+// Die ends it and breaks all connections with a reset.
+func (l *Listener) Die() {
+	l.end(func(c *net.TCPConn) error {
+		c.SetLinger(0)
+		return c.Close()
+	})
+}
+
+func (l *Listener) end(how func(*net.TCPConn) error) {
 	l.l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.over = true
 	for c := range l.conns {
-		c.Close()
+		how(c.(*net.TCPConn))
 	}
 }
 
