Give the running gateway a type of its own, whose parts are opened, run and ended by concern

Change: gateway in cmd/dewhitch, opened in five steps by concern; run has what ends last in one list and what clients come by in another.

--- /dev/null
+++ b/cmd/dewhitch/gateway.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	dw "dewhitch"
+	"dewhitch/internal/admin"
+	"dewhitch/internal/backend"
+	"dewhitch/internal/config"
+	"dewhitch/internal/core"
+	"dewhitch/internal/counter"
+	"dewhitch/internal/director"
+	"dewhitch/internal/front"
+	"dewhitch/internal/front/limits"
+	"dewhitch/internal/front/platform"
+	"dewhitch/internal/front/sessions"
+	"dewhitch/internal/ledger"
+	"dewhitch/internal/ledger/statement"
+	"dewhitch/internal/ops"
+	"dewhitch/internal/registry"
+	"dewhitch/internal/retune"
+)
+
+const (
+	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
+	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
+	keepPart    = 6                      // of the descriptors: clients hold a third at most, and half of that may be idle
+	listWait    = time.Second            // at the start, for the director's first list
+	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
+	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
+)
+
+// gateway is a running gateway. Its parts stand together by concern, each opened by a function of its own in the order of
+// the fields, and run by the one of run's three lists that says when it ends.
+type gateway struct {
+	n   *config.Node
+	l   *config.Limits
+	o   *config.Operations
+	log *zap.Logger
+
+	// Figures: books and counts.
+	keep    *keeping
+	state   *ops.State
+	figures *ops.Figures
+
+	// Calls outward, and who decides on them.
+	fetches, places int // descriptors: for fetches, and for client sessions
+	classes         []string
+	pools           *backend.Pools
+	count           *counter.Client
+	planner         *core.Planner
+	decoder         *director.Decoder
+	known           core.Listing
+	list            *director.Director
+	patience        time.Duration // for the director's first list
+
+	// Operators.
+	operated *operated
+	desk     *admin.Server // nil: no operators' address
+
+	// Fronts.
+	commands *platform.Commands
+	servers  []*front.Server
+
+	// What lasts beyond the process.
+	excluded chan []dw.ServerID
+	keeper   *warmth
+}
+
+// openGateway opens all parts; nothing runs yet but the books.
+func openGateway(n *config.Node, l *config.Limits, o *config.Operations, log *zap.Logger) (*gateway, error) {
+	g := &gateway{n: n, l: l, o: o, log: log}
+	for _, open := range []func() error{g.openFigures, g.openOutward, g.openOperators, g.openFronts, g.openLasting} {
+		if err := open(); err != nil {
+			g.close()
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// openFigures opens the books and the counts.
+func (g *gateway) openFigures() (err error) {
+	g.classes, g.n.Settings.Classes = retune.Spared(g.n.Words.Classes, g.n.Settings.Classes)
+	names := ledger.Names{Plans: g.n.Words.Plans, Classes: g.classes}
+	g.state, g.figures = &ops.State{}, &ops.Figures{}
+	g.figures.Classes(g.n.Words.Classes)
+	g.keep, err = keepBooks(g.o, g.n.Name, statement.Gateway, names, g.log)
+	return err
+}
+
+// openOutward opens the planner and what it calls: pools, counter and director.
+func (g *gateway) openOutward() (err error) {
+	n, books := g.n, g.keep.books
+	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
+	g.fetches = int(fetchShare * float64(sockets))
+	g.places = sockets - g.fetches
+	connect := time.Duration(n.Settings.ConnectTimeout)
+	g.pools = backend.New(backend.Names{Plans: n.Words.Plans}, backend.Limits{Conns: g.fetches, Idle: n.Words.ConnIdle,
+		Connect: connect}, books)
+	g.pools.Dispatched = g.figures.Dispatched
+	g.count = counter.New(n.Counter, lateAnswers*time.Duration(n.Settings.CounterTimeout), connect, books, g.log)
+	if g.planner, err = core.NewPlanner(n.Settings, n.Seed, core.NewClock(), g.pools, g.count, books, g.log); err != nil {
+		return err
+	}
+	g.planner.Count(g.figures)
+	if g.keep.desk != nil {
+		g.keep.desk.Tallies(g.planner.Tallies)
+	}
+	g.decoder = director.NewDecoder(director.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds})
+	if g.known, err = g.decoder.Known(n.Known); err != nil {
+		return fmt.Errorf("configuration: known: %w", err)
+	}
+	g.list, g.patience = director.New(n.Discovery, g.decoder, g.planner.Listed, n.Seed, g.log), listWait
+	if n.Settings.ListOnRequest && len(g.known.List.Servers) > 0 {
+		g.list.Shared(g.known.List.Version, n.Settings.Instances)
+		g.patience = 0
+	}
+	return nil
+}
+
+// openOperators opens the operators' address.
+func (g *gateway) openOperators() (err error) {
+	g.operated = &operated{state: g.state, figures: g.figures, planner: g.planner, decoder: g.decoder, log: g.log}
+	g.desk, err = operators(g.n, g.operated)
+	return err
+}
+
+// openFronts opens the clients' addresses.
+func (g *gateway) openFronts() (err error) {
+	g.commands = &platform.Commands{Planner: g.planner, Books: g.keep.books, Words: g.n.Words, Settings: g.n.Settings,
+		Figures: g.figures, State: g.state}
+	bounds := front.NewBounds(g.n.MemoryMB << 20)
+	first := &front.Server{Open: func() front.Commands { return g.commands }, Bounds: bounds, Log: g.log}
+	if first.Listener, err = listen(g.n); err != nil {
+		return err
+	}
+	g.servers = []*front.Server{first}
+	if g.l.Listen != "" {
+		asks := &limits.Commands{Commands: g.commands}
+		second := &front.Server{Open: func() front.Commands { return sessions.New(asks, version) }, Bounds: bounds, Log: g.log}
+		if second.Listener, err = net.Listen("tcp", g.l.Listen); err != nil {
+			return fmt.Errorf("configuration: listen (limits file): %w", err)
+		}
+		g.servers = append(g.servers, second)
+	}
+	g.operated.drains(g.servers)
+	return nil
+}
+
+// openLasting opens what goes to the process that replaces this one, and takes over what the one before left.
+func (g *gateway) openLasting() error {
+	g.excluded = g.operated.exclusions()
+	g.keeper = warmStart(g.n, g.o.Warm, g.classes, g.planner, g.figures, g.log)
+	return g.planner.Listed(g.known)
+}
+
+// close ends the books, after all that posts to them has ended.
+func (g *gateway) close() {
+	if g.keep != nil {
+		g.keep.close()
+	}
+}
+
+// part is something that runs until its context ends.
+type part func(context.Context) error
+
+func quietly(f func(context.Context)) part {
+	return func(ctx context.Context) error {
+		f(ctx)
+		return nil
+	}
+}
+
+// run runs all parts until a signal ends them: what clients come by first, and what they are served by after the last
+// session.
+func (g *gateway) run(term, again <-chan os.Signal) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	taking, stopTaking := context.WithCancel(work)
+
+	// What sessions are served by ends with the last of them.
+	serving := []part{
+		g.planner.Run, g.pools.Run, g.count.Run, g.list.Run,
+		quietly(g.keeper.run),
+		quietly(func(ctx context.Context) { g.operated.handOver(ctx, g.n, g.excluded) }),
+		quietly(func(ctx context.Context) { g.reload(ctx, again) }),
+	}
+	if g.desk != nil {
+		serving = append(serving, g.desk.Serve)
+	}
+	for _, p := range serving {
+		group.Go(func() error { return p(work) })
+	}
+	// What has clients come ends when a signal has come and new sessions come no more.
+	for _, p := range []part{g.register} {
+		group.Go(func() error { return p(taking) })
+	}
+	group.Go(func() error {
+		defer stopWork()
+		return g.serve(taking)
+	})
+	group.Go(func() error {
+		defer stopTaking()
+		linger(work, term, g.state, g.log)
+		return nil
+	})
+	g.log.Info("serving", zap.String("name", g.n.Name), zap.String("listen", g.n.Listen), zap.Int("fetches", g.fetches),
+		zap.Int("sessions", g.places), zap.String("limits", g.l.Listen), zap.String("admin", g.n.Admin),
+		zap.Int("inherited", g.n.Inherited))
+	err := group.Wait()
+	g.log.Info("ended", zap.Error(err))
+	return err
+}
+
+// register has forwarders find this planner, where there is a registry.
+func (g *gateway) register(ctx context.Context) error {
+	if g.l.Listen == "" || len(g.l.Registry.Servers) == 0 {
+		return nil
+	}
+	r, err := registry.Open(g.l.Registry.Servers, g.l.Registry.Path, g.l.Registry.Session, g.log)
+	if err != nil {
+		return err
+	}
+	defer r.Close() // forwarders turn to others before this one ends
+	return r.Register(ctx, registry.Planner{Address: g.l.Listen, Gateway: g.n.Settings.Self})
+}
+
+// serve takes client sessions until the context ends, and returns with the last of them.
+func (g *gateway) serve(ctx context.Context) error {
+	// The list that the configuration holds may be old or empty, and a client that is answered counts on the
+	// gateway: it waits for the director's, but not for long, as the director may be away.
+	select {
+	case <-g.list.First:
+	case <-ctx.Done():
+	case <-time.After(g.patience):
+	}
+	g.state.Start()
+	err := serveAll(ctx, g.servers, g.places, g.n.Sockets/keepPart)
+	g.keeper.last()
+	return err
+}
+
+// retune has reqs come by the classes of the new settings, with no more attempts than they allow.
+func (g *gateway) retune(m *config.Node) {
+	t := g.commands.Retune(m.Words.Classes, m.Settings.Classes)
+	g.figures.Classes(t.Names())
+	g.planner.Attempts(m.Settings.MaxAttempts)
+	g.log.Info("retuned", zap.Any("classes", t), zap.Int("attempts", m.Settings.MaxAttempts))
+}
+
+// reload reads the configuration anew at each signal. All of it is checked before any of it is applied: with a fault
+// in it, the old one stays. The director's and the counter's addresses are what can change while the program runs.
+func (g *gateway) reload(ctx context.Context, again <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		m, err := config.ReloadNode(os.Getenv)
+		if err == nil {
+			_, err = config.LoadLimits(cli.Limits)
+		}
+		if err == nil {
+			_, err = config.LoadOperations(cli.Operations)
+		}
+		g.figures.Reloaded(err == nil)
+		if err != nil {
+			g.log.Error("the new configuration is faulty; the old one stays", zap.Error(err))
+			continue
+		}
+		if m.Discovery != g.n.Discovery {
+			g.list.Move(m.Discovery)
+		}
+		if m.Counter != g.n.Counter {
+			g.count.Move(m.Counter)
+		}
+		g.retune(m)
+		g.log.Info("new configuration", zap.String("discovery", m.Discovery), zap.String("counter", m.Counter),
+			zap.Strings("needs_a_restart", g.n.Fixed(m)))
+		g.n.Discovery, g.n.Counter = m.Discovery, m.Counter
+	}
+}
+
+// serveAll shares the places for sessions among the fronts and returns when the last session has ended.
+func serveAll(ctx context.Context, servers []*front.Server, sessions, keep int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, s := range servers {
+		s.Sessions, s.Keep = sessions/len(servers), keep/len(servers)
+		group.Go(func() error { return s.Serve(ctx) })
+	}
+	return group.Wait()
+}
+
+// linger waits for a signal, and then for as long as new sessions may still come.
+func linger(ctx context.Context, term <-chan os.Signal, state *ops.State, log *zap.Logger) {
+	select {
+	case <-ctx.Done():
+		return
+	case s := <-term:
+		state.End()
+		log.Info("ending", zap.Stringer("signal", s))
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(serveOn):
+	}
+}
