Add the fleet view's pure part: members, evidence, and a plan that a quorum of voters commits

Change: internal/fleet. A Node is handed time, messages and members, and asks for sends and for what has to be on the disk first. The log is go.etcd.io/raft's RawNode; its elections are called by the node from a seeded source, as raft's own can't be seeded, so a schedule plays the same each time. Voters that lost their folder are new voters; a majority that lost it is founded anew, by promise of all. Leases run from the moment of asking. A voter that forgets and votes all the same is found.

--- /dev/null
+++ b/internal/fleet/node_test.go
@@ -0,0 +1,294 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// found is what a sim says when a promise is broken.
+type found struct{ text string }
+
+func (f *found) Fatalf(format string, a ...any) { f.text = fmt.Sprintf(format, a...); panic(f) }
+func (f *found) Logf(string, ...any)            {}
+
+// breaks plays until a promise is broken, and says which.
+func breaks(play func(f *found)) (text string) {
+	f := &found{}
+	defer func() {
+		if r := recover(); r != nil && r != any(f) {
+			panic(r)
+		}
+		text = f.text
+	}()
+	play(f)
+	return ""
+}
+
+// A guard that is taken out on purpose is found: a voter that lost its folder and votes as if it had not.
+func TestPlantedForgetfulVoter(t *testing.T) {
+	for seed := range uint64(400) {
+		text := breaks(func(f *found) {
+			s := newSim(f, seed, 3, 3)
+			s.run(4 * time.Second)
+			s.forget = true
+			for i := range 30 { // one side settles; a voter forgets, and helps the other to settle
+				a := i % 3
+				s.heal()
+				s.run(1500 * time.Millisecond)
+				for b := range 3 {
+					s.cut[[2]int{a, b}], s.cut[[2]int{b, a}] = a != b, a != b
+				}
+				s.ask(s.members[(a+1)%3], fmt.Sprint("p", i))
+				s.run(1500 * time.Millisecond)
+				other := (a + 1 + int(seed)%2) % 3
+				s.start(s.members[other], false)
+				left := 3 - a - other
+				clear(s.cut)
+				for b := range 3 {
+					s.cut[[2]int{left, b}], s.cut[[2]int{b, left}] = left != b, left != b
+				}
+				s.ask(s.members[a], fmt.Sprint("q", i))
+				s.run(3 * time.Second)
+				s.ask(s.members[a], fmt.Sprint("r", i))
+				s.run(time.Second)
+			}
+		})
+		if strings.Contains(text, "another plan of epoch") || strings.Contains(text, "goes back") || strings.Contains(text, "fresh") ||
+			strings.Contains(text, "founding") {
+			t.Logf("seed %d: %s", seed, text)
+			return
+		}
+	}
+	t.Error("it is not found")
+}
+
+// settledSim is a fleet that has a leader and a plan.
+func settledSim(t *testing.T, members, voters int) *sim {
+	s := newSim(t, 7, members, voters)
+	s.run(4 * time.Second)
+	s.ask(s.members[0], "first")
+	s.run(time.Second)
+	if len(s.leaders()) != 1 || len(s.members[0].epochs) != 1 {
+		t.Fatalf("leaders %v, settled %v", s.leaders(), s.members[0].epochs)
+	}
+	return s
+}
+
+func (s *sim) leader() *member {
+	for _, m := range s.members {
+		if !m.dead && m.n.Leads() {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestLeaderStallsAndWakes(t *testing.T) {
+	s := settledSim(t, 6, 3)
+	old := s.leader()
+	old.stall = s.now + 6*time.Second
+	s.run(3 * time.Second)
+	if l := s.leaders(); len(l) != 2 { // the stalled one still thinks so
+		t.Fatalf("leaders %v", l)
+	}
+	for _, m := range s.members {
+		if m != old && !m.n.Leads() {
+			s.ask(m, "meanwhile")
+			break
+		}
+	}
+	s.run(2900 * time.Millisecond)
+	if s.newest == old.n.plan.Epoch {
+		t.Fatal("nothing was settled meanwhile")
+	}
+	s.run(200 * time.Millisecond) // it wakes, hears what lay in its sockets, and then the time
+	if old.n.Leads() {
+		t.Error("it still leads")
+	}
+	s.run(time.Second)
+	if old.n.plan.Epoch != s.newest {
+		t.Errorf("it acts on %v of %v", old.n.plan.Epoch, s.newest)
+	}
+}
+
+func TestSmallSideSettlesNothing(t *testing.T) {
+	s := settledSim(t, 6, 3)
+	small := []*member{s.leader(), s.members[5]}
+	for _, a := range small {
+		for _, b := range s.members {
+			if b != small[0] && b != small[1] {
+				s.cut[[2]int{a.at, b.at}], s.cut[[2]int{b.at, a.at}] = true, true
+			}
+		}
+	}
+	s.run(1500 * time.Millisecond)
+	s.ask(small[0], "small")
+	for _, m := range s.members[:5] {
+		if m != small[0] {
+			s.ask(m, "large")
+			break
+		}
+	}
+	s.run(9 * time.Second)
+	if len(small[0].told) != 1 || small[0].n.Fresh() || small[1].n.Fresh() {
+		t.Errorf("the small side: told %v, fresh %v and %v", small[0].told, small[0].n.Fresh(), small[1].n.Fresh())
+	}
+	s.heal()
+	healed := s.now
+	for s.run(10 * time.Millisecond); ; s.run(10 * time.Millisecond) {
+		same := true
+		for _, m := range s.members {
+			same = same && m.n.plan.Epoch == s.newest
+		}
+		if same {
+			break
+		}
+		if s.now-healed > time.Second {
+			t.Fatal("a second after the partition's end they act on different plans")
+		}
+	}
+	if m, ok := small[1].n.plan.Frozen(); !ok || m.Why != "large" {
+		t.Errorf("the plan says %+v", m)
+	}
+}
+
+func TestNamesakeIsFenced(t *testing.T) {
+	s := settledSim(t, 4, 3)
+	m := s.members[3]
+	later := m.cfg
+	later.Started++
+	n, err := New(later, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Member("m00", true)
+	n.Tick(s.now, s.unix())
+	n.Tick(s.now+simStatus, s.unix())
+	sends, _ := n.Take()
+	if len(sends) == 0 {
+		t.Fatal("it says nothing")
+	}
+	m.n.Heard(s.now, s.unix(), sends[0].Data)
+	if _, said := m.n.Take(); len(said) != 1 || said[0].Kind != Fenced || m.n.Fresh() {
+		t.Errorf("said %+v, fresh %v", said, m.n.Fresh())
+	}
+	m.n.Tick(s.now+time.Second, s.unix())
+	if sends, _ := m.n.Take(); len(sends) > 0 {
+		t.Error("it goes on talking")
+	}
+}
+
+func TestWhatIsPassedOver(t *testing.T) {
+	s := settledSim(t, 3, 3)
+	m := s.members[1].n
+	from := func(change func(*envelope)) []byte {
+		e := envelope{Version: wireVersion, Fleet: "test", From: "m09", Started: 9, Life: 9, Seq: 1}
+		change(&e)
+		return encode(e)
+	}
+	absurd := map[string]Count{"a": {Tries: 1, Served: 2}}
+	for name, b := range map[string][]byte{
+		"garbled":        []byte("\xff\x00garbled"),
+		"empty":          {},
+		"another fleet":  from(func(e *envelope) { e.Fleet = "other" }),
+		"newer version":  from(func(e *envelope) { e.Version = 2 }),
+		"nobody":         from(func(e *envelope) { e.From = "" }),
+		"absurd numbers": from(func(e *envelope) { e.Status = &Status{Report: &Report{Zones: absurd}} }),
+		"endless":        make([]byte, MostMessage+1),
+	} {
+		before := m.Drops()
+		m.Heard(s.now, s.unix(), b)
+		if m.Drops() != before+1 {
+			t.Errorf("%s: %d passed over", name, m.Drops()-before)
+		}
+		m.Take()
+	}
+	status := from(func(e *envelope) { e.Seq, e.Status = 5, &Status{Epoch: Epoch{1, 1}} })
+	m.Heard(s.now, s.unix(), status)
+	m.Heard(s.now, s.unix(), from(func(e *envelope) { e.Seq, e.Status = 5, &Status{Epoch: Epoch{1, 2}} })) // doubled: the same number
+	m.Heard(s.now, s.unix(), from(func(e *envelope) { e.Started, e.Seq, e.Status = 8, 7, &Status{Epoch: Epoch{1, 3}} }))
+	if p := m.peers["m09"]; p.Status.Epoch != (Epoch{1, 1}) {
+		t.Errorf("a doubled status, or one of an earlier life, counts: %v", p.Status.Epoch)
+	}
+}
+
+// What reports add up to is the same however they are lost, late and doubled.
+func TestReportsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s seen
+		sum, now := Count{}, Count{}
+		for range rapid.IntRange(1, 30).Draw(t, "reports") {
+			now.Add(Count{Tries: uint64(rapid.IntRange(0, 5).Draw(t, "tries")), Micros: 7})
+			if rapid.Bool().Draw(t, "lost") {
+				continue
+			}
+			for range rapid.IntRange(1, 2).Draw(t, "times") {
+				d, err := s.take(&Report{Zones: map[string]Count{"a": now}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				sum.Add(d.Zones["a"])
+			}
+		}
+		if d, err := s.take(&Report{Zones: map[string]Count{"a": now}}); err != nil {
+			t.Fatal(err)
+		} else {
+			sum.Add(d.Zones["a"])
+		}
+		if sum.Tries != now.Tries {
+			t.Fatalf("%+v of %+v", sum, now)
+		}
+	})
+}
+
+func TestFullDiskHalts(t *testing.T) {
+	s := settledSim(t, 3, 3)
+	old := s.leader()
+	old.full = true
+	s.ask(old, "on a full disk")
+	s.run(4 * time.Second)
+	if l := s.leader(); l == nil || l == old {
+		t.Fatalf("leaders %v", s.leaders())
+	}
+	s.settles()
+}
+
+// Bytes a member do not grow with the fleet, but for the voters, who hear all.
+func TestBytesByFleet(t *testing.T) {
+	each := map[int]float64{}
+	for _, members := range []int{30, 300} {
+		s := newSim(t, 3, members, 3)
+		s.run(4 * time.Second)
+		before := map[string]int{}
+		for _, m := range s.members {
+			before[m.cfg.Name] = m.sent
+		}
+		s.run(5 * time.Second)
+		for _, m := range s.members[3:] {
+			each[members] += float64(m.sent-before[m.cfg.Name]) / 5 / float64(members-3)
+		}
+		t.Logf("%d members: %.0f bytes a second each", members, each[members])
+	}
+	if each[300] > 1.3*each[30] {
+		t.Errorf("it grows with the fleet: %v", each)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(encode(envelope{Version: wireVersion, Fleet: "test", From: "m00", Status: &Status{Zone: "a"}})))
+	f.Add([]byte(encode(envelope{Version: wireVersion, Fleet: "test", From: "m01", Raft: &raftMessage{1, 2, []byte("x")}})))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n, err := New(Config{Fleet: "test", Name: "m00", Voters: []string{"m00", "m01"}, Tick: simTick, Status: simStatus, Lease: simLease}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Heard(0, 0, b)
+		n.Kept()
+		n.Heard(time.Second, 1, b)
+		n.Tick(2*time.Second, 2)
+	})
+}
