--- a/cmd/dewhitch/books.go
+++ b/cmd/dewhitch/books.go
@@ -39,18 +39,7 @@
 // keepBooks opens the books as the operators' file says. A folder that can't be used is no reason not to serve.
 func keepBooks(o *config.Operations, node, role string, names ledger.Names, log *zap.Logger) (*keeping, error) {
 	k := &keeping{books: desk.Nobody{}, stop: func() {}}
-	var listener net.Listener
-	if o.Operator.Listen != "" {
-		var err error
-		if listener, err = net.Listen("tcp", o.Operator.Listen); err != nil {
-			return nil, fmt.Errorf("configuration: operator.listen: %w", err)
-		}
-	}
 	if !o.Ledger.Enabled {
-		if listener != nil {
-			listener.Close()
-			log.Warn("the operators' listener has nothing to show, as no books are kept: see ledger.enabled")
-		}
 		return k, nil
 	}
 	limits := ledger.Limits{Rows: o.Ledger.Rows, Open: o.Ledger.Open, Flight: o.Ledger.Flight}
@@ -83,16 +72,38 @@
 	ctx, stop := context.WithCancel(context.Background())
 	k.stop = stop
 	k.done.Go(func() { _ = k.desk.Run(ctx) })
-	if listener != nil {
-		k.done.Go(func() {
-			if err := operator.Serve(ctx, listener, k.desk, k.lasting); err != nil {
-				log.Error("the operators' listener ended", zap.Error(err))
-			}
-		})
-	}
 	return k, nil
 }
 
+// shows are the books' part of the operators' listener, if there are any.
+func (k *keeping) shows() []operator.Part {
+	if k.desk == nil {
+		return nil
+	}
+	return []operator.Part{operator.Ledger(k.desk, k.lasting)}
+}
+
+// shown runs the operators' listener, until the context ends; nil: there is none, or nothing to show.
+func shown(o *config.Operations, parts []operator.Part, log *zap.Logger) (part, error) {
+	if o.Operator.Listen == "" {
+		return nil, nil
+	}
+	if len(parts) == 0 {
+		log.Warn("the operators' listener has nothing to show, as no books are kept and there is no fleet: see ledger.enabled")
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", o.Operator.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: operator.listen: %w", err)
+	}
+	return func(ctx context.Context) error {
+		if err := operator.Serve(ctx, l, parts...); err != nil {
+			log.Error("the operators' listener ended", zap.Error(err))
+		}
+		return nil
+	}, nil
+}
+
 func (k *keeping) lasting() bool { return k.store != nil && k.store.Kept() }
 
 // close ends the books, after all that posts to them has ended.
--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -45,6 +45,10 @@
 		return err
 	}
 	defer keep.close()
+	show, err := shown(o, keep.shows(), log)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", l.Forward.Listen)
 	if err != nil {
 		return fmt.Errorf("configuration: forward.listen: %w", err)
@@ -58,6 +62,9 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
+	if show != nil {
+		group.Go(func() error { return show(work) })
+	}
 	planners := &forward.Planners{}
 	group.Go(func() error {
 		return reg.Watch(work, func(m map[int]string) {
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/counter"
 	"dewhitch/internal/director"
+	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
 	"dewhitch/internal/front/platform"
@@ -43,6 +44,7 @@
 	n   *config.Node
 	l   *config.Limits
 	o   *config.Operations
+	f   *config.Fleet // nil: it is in no fleet
 	log *zap.Logger
 
 	// Figures: books and counts.
@@ -61,9 +63,13 @@
 	list            *director.Director
 	patience        time.Duration // for the director's first list
 
+	// The fleet.
+	fleet *agent.Agent // nil: none
+
 	// Operators.
 	operated *operated
 	desk     *admin.Server // nil: no operators' address
+	show     part          // the operators' listener; nil: none
 
 	// Fronts.
 	commands *platform.Commands
@@ -75,9 +81,9 @@
 }
 
 // openGateway opens all parts; nothing runs yet but the books.
-func openGateway(n *config.Node, l *config.Limits, o *config.Operations, log *zap.Logger) (*gateway, error) {
-	g := &gateway{n: n, l: l, o: o, log: log}
-	for _, open := range []func() error{g.openFigures, g.openOutward, g.openOperators, g.openFronts, g.openLasting} {
+func openGateway(n *config.Node, l *config.Limits, o *config.Operations, f *config.Fleet, log *zap.Logger) (*gateway, error) {
+	g := &gateway{n: n, l: l, o: o, f: f, log: log}
+	for _, open := range []func() error{g.openFigures, g.openOutward, g.openFleet, g.openOperators, g.openFronts, g.openLasting} {
 		if err := open(); err != nil {
 			g.close()
 			return nil, err
@@ -126,8 +132,15 @@
 	return nil
 }
 
-// openOperators opens the operators' address.
+// openOperators opens the operators' address, and their listener.
 func (g *gateway) openOperators() (err error) {
+	parts := g.keep.shows()
+	if g.fleet != nil {
+		parts = append(parts, g.fleet)
+	}
+	if g.show, err = shown(g.o, parts, g.log); err != nil {
+		return err
+	}
 	g.operated = &operated{state: g.state, figures: g.figures, planner: g.planner, decoder: g.decoder, log: g.log}
 	g.desk, err = operators(g.n, g.operated)
 	return err
@@ -197,6 +210,12 @@
 	if g.desk != nil {
 		serving = append(serving, g.desk.Serve)
 	}
+	if g.show != nil {
+		serving = append(serving, g.show)
+	}
+	if g.fleet != nil {
+		serving = append(serving, g.fleet.Run)
+	}
 	for _, p := range serving {
 		group.Go(func() error { return p(work) })
 	}
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -20,10 +20,13 @@
 
 	Operations string `default:"deploy/operations.toml" help:"The operators' file (${default})."`
 
+	Fleet string `help:"The fleet file; none: this process is in no fleet."`
+
 	Serve    serveCmd    `cmd:"" help:"Serve as one gateway."`
 	Forward  forwardCmd  `cmd:"" help:"Forward hauliers' commands to the planners that are registered."`
 	Ledger   ledgerCmd   `cmd:"" help:"Read, check, export and merge the books."`
 	Snapshot snapshotCmd `cmd:"" help:"Read what a gateway has learnt, as it is kept for the next process."`
+	Members  fleetCmd    `cmd:"" name:"fleet" help:"Show a fleet, and have it settle things, through a member's operators' listener."`
 	Check    checkCmd    `cmd:"" help:"Read and check the configuration, and end."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
@@ -56,6 +59,9 @@
 	if _, err := config.LoadOperations(cli.Operations); err != nil {
 		return err
 	}
+	if _, err := config.LoadFleet(cli.Fleet); err != nil {
+		return err
+	}
 	fmt.Printf("configuration of %s is good\n", n.Name)
 	return nil
 }
--- a/cmd/dewhitch/serve.go
+++ b/cmd/dewhitch/serve.go
@@ -35,6 +35,10 @@
 	if err != nil {
 		return err
 	}
+	f, err := config.LoadFleet(cli.Fleet)
+	if err != nil {
+		return err
+	}
 	log, err := logger()
 	if err != nil {
 		return err
@@ -43,7 +47,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
 	debug.SetGCPercent(lazyGC) // the memory limit has it collect sooner when it must
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
-	return serve(n, l, o, log, signals(), again)
+	return serve(n, l, o, f, log, signals(), again)
 }
 
 func signals() <-chan os.Signal {
@@ -54,8 +58,9 @@
 
 // serve runs one gateway until a signal ends it. Then it goes on serving for a while, answers all that it has
 // taken, and returns. At a signal on again it reads its configuration anew.
-func serve(n *config.Node, l *config.Limits, o *config.Operations, log *zap.Logger, term, again <-chan os.Signal) error {
-	g, err := openGateway(n, l, o, log)
+func serve(n *config.Node, l *config.Limits, o *config.Operations, f *config.Fleet, log *zap.Logger, term,
+	again <-chan os.Signal) error {
+	g, err := openGateway(n, l, o, f, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -37,7 +37,7 @@
 }
 
 func (c checkCmd) Run() error {
-	s, err := drill.Find(c.File)
+	s, err := drill.Find(c.File, drill.Size{})
 	if err != nil {
 		return err
 	}
@@ -52,11 +52,12 @@
 	Seed          uint64 `default:"1" help:"Of all that is drawn (${default})."`
 	JSON          string `help:"Where to write what it came to; - for standard output."`
 	Uncoordinated bool   `help:"Play it without the fleet view."`
+	Gateways      int    `help:"In each zone, in place of what the scenario says."`
 	Quiet         bool   `help:"Print no line a second."`
 }
 
 func (c runCmd) Run(ctx context.Context) error {
-	s, err := drill.Find(c.File)
+	s, err := drill.Find(c.File, drill.Size{Gateways: c.Gateways})
 	if err != nil {
 		return err
 	}
@@ -89,6 +90,10 @@
 	}
 	fmt.Fprintf(os.Stderr, "%s, seed %d: served %.4f, %.4f in the worst 5 s, of %d reqs; lost %d; CPU a req %.0f µs\n", r.Scenario, r.Seed,
 		r.Served, r.Worst, r.Reqs, r.Lost, r.CPU)
+	if f := r.Fleet; f != nil {
+		fmt.Fprintf(os.Stderr, "%d plans, each acted on by a gateway after %.3f s (median), %.3f s (worst); %.0f bytes a second a gateway\n", f.Plans,
+			f.SeenMedian, f.SeenWorst, r.FleetBytes)
+	}
 	for _, t := range r.Troubles {
 		first, last := t.Left()
 		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs after %.1f to %.1f s\n", t.What,
--- a/deploy/schema.go
+++ b/deploy/schema.go
@@ -1,5 +1,5 @@
-// Package deploy holds the published schema of the operators' file, so that the program and its readers check by the
-// same one. It does nothing itself.
+// Package deploy holds the published schemas of the operators' files, so that the program and its readers check by the
+// same ones. It does nothing itself.
 package deploy
 
 import _ "embed"
@@ -8,3 +8,8 @@
 //
 //go:embed operations.schema.json
 var OperationsSchema []byte
+
+// FleetSchema is the JSON Schema of fleet.toml.
+//
+//go:embed fleet.schema.json
+var FleetSchema []byte
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"dewhitch/deploy"
+)
+
+// Fleet is how a process takes part in a fleet; nil: it does not.
+type Fleet struct {
+	Name, Listen, Region string
+	Voters, Seeds        []string
+	Keyring, Dir         string
+	Lease, Status        time.Duration
+	Peers                map[string]string
+}
+
+// LoadFleet reads the fleet file and checks it against the published schema; an empty path is no fleet.
+func LoadFleet(path string) (*Fleet, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault(path, "%v", err)
+	}
+	return parseFleet(path, text)
+}
+
+func parseFleet(path string, text []byte) (*Fleet, error) {
+	if err := checkFile(path, text, "fleet.schema.json", deploy.FleetSchema); err != nil {
+		return nil, err
+	}
+	var f struct {
+		Fleet struct {
+			Name, Listen, Region string
+			Voters, Seeds        []string
+			Keyring, Dir         string
+			LeaseMS              int `toml:"lease_ms"`
+			StatusMS             int `toml:"status_ms"`
+		}
+		Peers map[string]string
+	}
+	f.Fleet.LeaseMS, f.Fleet.StatusMS = 2000, 200
+	if err := toml.Unmarshal(text, &f); err != nil { // the schema has seen to that
+		return nil, fault(path, "%v", err)
+	}
+	l := &f.Fleet
+	if l.Name == "" {
+		return nil, fault("fleet", "missing")
+	}
+	if err := address("fleet.listen", l.Listen); err != nil {
+		return nil, err
+	}
+	if len(l.Voters)%2 == 0 {
+		return nil, fault("fleet.voters", "%d; an odd number, as an even one bears no more losses than one less", len(l.Voters))
+	}
+	for _, s := range l.Seeds {
+		name, addr, full := strings.Cut(s, "/")
+		if !full {
+			if addr = f.Peers[name]; addr == "" {
+				return nil, fault("fleet.seeds", "%q is neither NAME/HOST:PORT nor a name of [peers]", s)
+			}
+		}
+		if err := address("fleet.seeds", addr); err != nil {
+			return nil, err
+		}
+	}
+	names := []string{}
+	for name := range f.Peers {
+		names = append(names, name)
+	}
+	slices.Sort(names) // of two faults, the same one is said each time
+	for _, name := range names {
+		if err := address("peers."+name, f.Peers[name]); err != nil {
+			return nil, err
+		}
+	}
+	if l.LeaseMS < 4*l.StatusMS {
+		return nil, fault("fleet.lease_ms", "%d; at least four times status_ms, as a status or its answer may be lost", l.LeaseMS)
+	}
+	return &Fleet{Name: l.Name, Listen: l.Listen, Region: l.Region, Voters: l.Voters, Seeds: l.Seeds, Keyring: l.Keyring, Dir: l.Dir,
+		Lease: time.Duration(l.LeaseMS) * time.Millisecond, Status: time.Duration(l.StatusMS) * time.Millisecond, Peers: f.Peers}, nil
+}
--- a/internal/config/operations.go
+++ b/internal/config/operations.go
@@ -86,15 +86,7 @@
 }
 
 func parseOperations(path string, text []byte) (*Operations, error) {
-	var tree map[string]any
-	if err := toml.Unmarshal(text, &tree); err != nil {
-		var wrong toml.ParseError
-		if errors.As(err, &wrong) {
-			return nil, fault(fmt.Sprintf("%s:%d", path, wrong.Position.Line), "%s: %s", wrong.LastKey, wrong.Message)
-		}
-		return nil, fault(path, "%v", err)
-	}
-	if err := checkTree(path, text, tree); err != nil {
+	if err := checkFile(path, text, "operations.schema.json", deploy.OperationsSchema); err != nil {
 		return nil, err
 	}
 	var f operationsFile
@@ -117,8 +109,16 @@
 		Warm: WarmStart{Mode: f.Warm.Mode, Every: time.Duration(f.Warm.EveryMS) * time.Millisecond, Dir: f.Warm.Dir}}, nil
 }
 
-// checkTree checks a file's keys against the schema; its error names the first key at fault, and the line.
-func checkTree(path string, text []byte, tree map[string]any) error {
+// checkFile checks a file's keys against a published schema; its error names the first key at fault, and the line.
+func checkFile(path string, text []byte, name string, published []byte) error {
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		var wrong toml.ParseError
+		if errors.As(err, &wrong) {
+			return fault(fmt.Sprintf("%s:%d", path, wrong.Position.Line), "%s: %s", wrong.LastKey, wrong.Message)
+		}
+		return fault(path, "%v", err)
+	}
 	// Through JSON and back: the schema knows its kinds of number alone.
 	b, err := json.Marshal(tree)
 	if err != nil {
@@ -128,17 +128,17 @@
 	if err != nil {
 		return fault(path, "%v", err)
 	}
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(deploy.OperationsSchema))
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(published))
 	if err != nil {
-		return fault("operations.schema.json", "%v", err)
+		return fault(name, "%v", err)
 	}
 	c := jsonschema.NewCompiler()
-	if err := c.AddResource("operations.schema.json", doc); err != nil {
-		return fault("operations.schema.json", "%v", err)
+	if err := c.AddResource(name, doc); err != nil {
+		return fault(name, "%v", err)
 	}
-	schema, err := c.Compile("operations.schema.json")
+	schema, err := c.Compile(name)
 	if err != nil {
-		return fault("operations.schema.json", "%v", err)
+		return fault(name, "%v", err)
 	}
 	var wrong *jsonschema.ValidationError
 	if err := schema.Validate(value); errors.As(err, &wrong) {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,6 +16,9 @@
 	t.out--
 	if !m.unsent {
 		t.post(p, ledger.PlanHeard)
+		if p.tried != nil {
+			p.tried(Tried{m.fetch.Backend.ID, p.listed[m.fetch.Backend.ID].Zone, m.end.Outcome, time.Since(m.began), m.end.Load})
+		}
 	}
 	if m.end.Outcome == dw.OutcomeOK {
 		p.answer(t.id, ledger.PlanServed, Answer{Verdict: Served, Value: m.end.Value})
--- a/internal/drill/actions.go
+++ b/internal/drill/actions.go
@@ -152,6 +152,24 @@
 		})
 	}
 	onGateways("stall", "seconds", 0.01, 60, true, func(w *world, g *gateway, d time.Duration, _ bool) { w.stall(g, d) })
+	for _, verb := range []string{"freeze", "thaw"} {
+		add(verb, func(c *call) (starlark.Value, error) {
+			var t target
+			why := c.pos()
+			if err := c.unpack("target", &t, "why?", &why); err != nil {
+				return nil, err
+			}
+			gateways, _ := b.resolve(t)
+			if len(gateways) == 0 && t.kind != "leader" {
+				return nil, fmt.Errorf("%s(%s): expected gateways", verb, t)
+			}
+			return act{text: c.text(), do: func(w *world) {
+				for _, g := range w.names(b, t) {
+					w.settle(w.gateway(g), verb, why)
+				}
+			}}, nil
+		})
+	}
 	onGateways("kill", "back", 0, 600, false, func(w *world, g *gateway, d time.Duration, fresh bool) { w.kill(g, d, fresh) })
 	onGateways("term", "back", 0, 600, false, func(w *world, g *gateway, d time.Duration, fresh bool) { w.term(g, d, fresh) })
 }
--- a/internal/drill/library.go
+++ b/internal/drill/library.go
@@ -32,11 +32,11 @@
 }
 
 // Find reads a scenario of the library by its name, or a file by its path.
-func Find(name string) (*Scenario, error) {
+func Find(name string, size Size) (*Scenario, error) {
 	if text, err := library.ReadFile("scenarios/" + name + ".star"); err == nil {
-		return Load(name+".star", text)
+		return Load(name+".star", text, size)
 	}
-	s, err := Load(name, nil)
+	s, err := Load(name, nil, size)
 	if err != nil && !strings.HasSuffix(name, ".star") {
 		return nil, fmt.Errorf("no scenario of that name in the library, and as a file: %w", err)
 	}
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -34,6 +35,7 @@
 	Rules       map[string]int `json:"rules"` // breaches by name
 	CPU         float64        `json:"cpu_us_per_req"`
 	FleetBytes  float64        `json:"fleet_bytes_per_s"` // a gateway, between gateways
+	Fleet       *FleetResult   `json:"fleet,omitempty"`
 	Troubles    []Trouble      `json:"troubles,omitempty"`
 	Seconds     []float64      `json:"served_by_second"`
 	Timeline    []Moment       `json:"timeline"`
@@ -164,19 +166,24 @@
 
 // end has all processes that live end as at a planned restart.
 func (w *world) end() {
+	w.fleet.close()
+	var all sync.WaitGroup
 	for _, g := range w.gateways {
-		if g.Program().Over() {
-			if !g.expected() {
-				w.judge.Fault(time.Now(), ruleEnded, "%s ended of itself: %s", g.name, tail(g.Program().Log()))
+		all.Go(func() {
+			if g.Program().Over() {
+				if !g.expected() {
+					w.judge.Fault(time.Now(), ruleEnded, "%s ended of itself: %s", g.name, tail(g.Program().Log()))
+				}
+				return
 			}
-			continue
-		}
-		g.ends(true)
-		if err := g.End(patience); err != nil {
-			w.judge.Fault(time.Now(), ruleEnded, "%v", err)
-		}
-		g.spent()
+			g.ends(true)
+			if err := g.End(patience); err != nil {
+				w.judge.Fault(time.Now(), ruleEnded, "%v", err)
+			}
+			g.spent()
+		})
 	}
+	all.Wait()
 	for _, g := range w.gateways {
 		if line, bad := g.Says("panic:", "DATA RACE", "fatal error:"); bad {
 			w.judge.Fault(time.Now(), ruleEnded, "%s says: %s", g.name, line)
@@ -228,6 +235,9 @@
 		r.Breaches = append(r.Breaches, fmt.Sprintf("%s at %.1f s: %s", b.rule, b.at.Sub(w.began).Seconds(), b.text))
 	}
 	w.troubles(r)
+	if w.coordinated() {
+		r.Fleet = w.fleet.result()
+	}
 	w.expectations(r)
 	return r
 }
@@ -279,6 +289,14 @@
 		if e.hasEx && r.Ends["excused"] > e.Excused {
 			fell(e, "excused %d, expected %d", r.Ends["excused"], e.Excused)
 		}
+		if f := r.Fleet; f != nil {
+			if f.Plans < e.Plans {
+				fell(e, "%d plans, expected %d", f.Plans, e.Plans)
+			}
+			if e.Seen > 0 && f.SeenWorst > e.Seen {
+				fell(e, "a plan was acted on by all after %.2f s, expected %v", f.SeenWorst, e.Seen)
+			}
+		}
 		if e.Sent >= 0 && len(e.Targets) > 0 {
 			servers := map[string]bool{}
 			for _, s := range e.Targets {
--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := Load(t.Name()+".star", []byte(text))
+	s, err := Load(t.Name()+".star", []byte(text), Size{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,3 +77,26 @@
 		t.Errorf("expectations not met: %q", r.Fallen)
 	}
 }
+
+// The fleet's own drills, whole: one leader after another, partitions, restarts. What is settled is seen by all within a
+// second, no epoch goes back, and nothing is lost.
+func TestFleetDrills(t *testing.T) {
+	for _, name := range []string{"leader", "parted", "restarted"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, err := program()
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := Find(name, Size{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := Run(t.Context(), s, Options{Program: p, Dir: t.TempDir(), Seed: 31})
+			if err != nil {
+				t.Fatal(err, r)
+			}
+			t.Logf("served %.4f; %d plans, seen after %.3f s, %.3f s at worst", r.Served, r.Fleet.Plans, r.Fleet.SeenMedian, r.Fleet.SeenWorst)
+		})
+	}
+}
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -63,7 +63,9 @@
 	Sent           int     // to the targets in a span, at most
 	Targets        []string
 	From, To       time.Duration
-	Excused        int // at most
+	Excused        int     // at most
+	Plans          int     // settled, at least
+	Seen           float64 // seconds until all act on a plan, at most; 0: no bound
 	hasLost, hasEx bool
 }
 
@@ -95,8 +97,11 @@
 func (a act) Truth() starlark.Bool  { return true }
 func (a act) Hash() (uint32, error) { return starlark.String(a.text).Hash() }
 
+// Size replaces what a scenario says of its fleet; zero: nothing.
+type Size struct{ Gateways int }
+
 // Load reads a scenario from a file, or from its text where that is not nil.
-func Load(name string, text []byte) (*Scenario, error) {
+func Load(name string, text []byte, size Size) (*Scenario, error) {
 	if text == nil {
 		info, err := os.Stat(name)
 		if err != nil {
@@ -110,7 +115,7 @@
 		}
 	}
 	text = loadWord.ReplaceAll(text, []byte("Load$1"))
-	b := &builder{s: Scenario{Name: strings.TrimSuffix(name, ".star"), Length: 60 * time.Second, Class: "mixed"}}
+	b := &builder{size: size, s: Scenario{Name: strings.TrimSuffix(name, ".star"), Length: 60 * time.Second, Class: "mixed"}}
 	options := &syntax.FileOptions{TopLevelControl: true, GlobalReassign: true, While: true}
 	file, err := options.Parse(name, text, 0)
 	if err != nil {
@@ -162,6 +167,7 @@
 // builder is a scenario as it is read.
 type builder struct {
 	s     Scenario
+	size  Size
 	fleet bool
 }
 
@@ -249,6 +255,9 @@
 		"length?", &length, "coordinated?", &s.Coordinated, "rate?", &rate, "cls?", &s.Class); err != nil {
 		return nil, err
 	}
+	if b.size.Gateways > 0 {
+		gateways = b.size.Gateways
+	}
 	for i := range zones.Len() {
 		z, ok := starlark.AsString(zones.Index(i))
 		if !ok || len(z) != 1 || z < "a" || z > "z" || slices.Contains(s.Zones, z) {
@@ -300,14 +309,16 @@
 
 func (b *builder) addExpect(c *call) (starlark.Value, error) {
 	e := Expect{Pos: c.pos()}
+	seen := number(0)
 	served, worst, from, to := number(0), number(0), number(0), number(0)
 	lost, sent, excused := -1, -1, -1
 	var to0 starlark.Value
 	if err := c.unpack("served?", &served, "lost?", &lost, "worst_5s?", &worst, "sent?", &sent, "target?", &to0, "start?", &from,
-		"end?", &to, "excused?", &excused); err != nil {
+		"end?", &to, "excused?", &excused, "plans?", &e.Plans, "seen?", &seen); err != nil {
 		return nil, err
 	}
 	e.Served, e.Worst, e.Lost, e.hasLost, e.Sent = float64(served), float64(worst), lost, lost >= 0, sent
+	e.Seen = float64(seen)
 	e.Excused, e.hasEx, e.From, e.To = excused, excused >= 0, seconds(from), seconds(to)
 	for what, v := range map[string]float64{"served": e.Served, "worst_5s": e.Worst} {
 		if err := within(what, v, 0, 1); err != nil {
--- a/internal/drill/scenario_test.go
+++ b/internal/drill/scenario_test.go
@@ -12,7 +12,7 @@
 		t.Fatal(len(all), err)
 	}
 	for _, s := range all {
-		if _, err := Find(s.Name); err != nil {
+		if _, err := Find(s.Name, Size{}); err != nil {
 			t.Error(err)
 		}
 		if len(s.About) < 10 || strings.HasPrefix(s.About, "fleet") {
@@ -45,7 +45,7 @@
 		{"load(\"other.star\", \"x\")", "x.star:1"},
 		{"fleet(", "x.star:1"},
 	} {
-		_, err := Load("x.star", []byte(c.text))
+		_, err := Load("x.star", []byte(c.text), Size{})
 		if err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q: %v; expected %q", c.text, err, c.want)
 		}
@@ -56,7 +56,7 @@
 	s, err := Load("x.star", []byte(`fleet(load = 0.5, length = 30)
 for i in range(3):
     at(20 - 5 * i, silent(server("b", 1 + i)))
-`))
+`), Size{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/drill/scenarios/leader.star
@@ -0,0 +1,10 @@
+# The leader of the fleet is killed and comes back, then it is stalled for longer than its lease, then restarted as planned.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.4, length = 26)
+at(2, freeze(gateway("a", 2)))
+at(4, kill(leader(), back = 3))
+at(6, thaw(gateway("b", 2)))
+at(10, stall(leader(), seconds = 4))
+at(12, freeze(gateway("c", 2)))
+at(17, term(leader(), back = 2))
+at(19.5, thaw(gateway("b", 2)))
+expect(served = 0.8, lost = 0, plans = 5, seen = 1.0)
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -44,6 +44,7 @@
 	standin.Process
 	name, zone string
 	number     int
+	talk, show string // where it speaks to the fleet, and its operators' listener
 	director   *standin.Director
 	servers    []*link.Link // by server
 
@@ -80,6 +81,7 @@
 	gateways []*gateway
 	byName   map[string]*gateway
 	judge    *judge
+	fleet    *fleetLog
 	load     *load
 	plans    []standin.Plan
 	classes  []class
@@ -125,7 +127,7 @@
 		{Name: "fleet", QuotaRate: 2*each + 2, Depth: 10*each + 10, CapRate: 4*each + 8, HardBurst: 20*each + 20,
 			Tolerance: 2*each + 2, Open: int(20*each) + 40, OverrunCost: 1, Pays: 1.4}}
 	w.judge = newJudge(w.classes, w.plans)
-	w.net = link.NewNet(w.Seed)
+	w.net, w.began = link.NewNet(w.Seed), time.Now()
 	for _, z := range w.Zones {
 		for i := range w.Servers {
 			s := &server{w: w, name: serverName(z, i+1), at: len(w.servers), m: newMachine(coresEach, room, meanWork)}
@@ -141,9 +143,14 @@
 	}
 	for _, z := range w.Zones {
 		for i := range w.Gateways {
-			if err := w.addGateway(z, i+1); err != nil {
-				return err
-			}
+			g := &gateway{name: gatewayName(z, i+1), zone: z, number: len(w.gateways), talk: standin.OwnAddr(), show: standin.OwnAddr()}
+			w.gateways, w.byName[g.name] = append(w.gateways, g), g
+		}
+	}
+	w.fleet = newFleetLog(w)
+	for _, g := range w.gateways {
+		if err := w.equip(g); err != nil {
+			return err
 		}
 	}
 	var all sync.WaitGroup
@@ -159,16 +166,21 @@
 		g.in.Store(true)
 	}
 	w.load = newLoad(w)
+	if w.coordinated() {
+		return w.fleet.formed(patience)
+	}
 	return nil
 }
 
-// addGateway makes a gateway's links and files.
-func (w *world) addGateway(zone string, number int) error {
-	g := &gateway{name: gatewayName(zone, number), zone: zone, number: len(w.gateways)}
+// coordinated tells whether the processes form a fleet.
+func (w *world) coordinated() bool { return w.Coordinated && !w.Uncoordinated }
+
+// equip makes a gateway's links and files.
+func (w *world) equip(g *gateway) error {
 	g.Name, g.Dir, g.Listen, g.Path = g.name, filepath.Join(w.Dir, g.name), standin.OwnAddr(), w.Program
 	g.Args = []string{"--limits", g.File("limits.toml"), "--operations", g.File("operations.toml"), "serve"}
 	g.Env = []string{"TMPDIR=" + g.Dir}
-	w.gateways, w.byName[g.name] = append(w.gateways, g), g
+	g.Line = func(line string) { w.fleet.line(g, line) }
 	for _, s := range w.servers {
 		l, err := w.net.Open(g.name, s.name, standin.OwnAddr(), w.farm.Nodes[s.at].Addr(), false)
 		if err != nil {
@@ -194,7 +206,7 @@
 	zones, own := []string{}, 0
 	for i, z := range w.Zones {
 		zones = append(zones, "hall-"+z)
-		if z == zone {
+		if z == g.zone {
 			own = i
 		}
 	}
@@ -208,7 +220,15 @@
 	if err != nil {
 		return err
 	}
-	return g.Write(map[string]string{"config.json": config, "limits.toml": "listen = \"\"\n", "operations.toml": "[warm_start]\nmode = \"off\"\n"})
+	files := map[string]string{"config.json": config, "limits.toml": "listen = \"\"\n", "operations.toml": "[warm_start]\nmode = \"off\"\n"}
+	if w.coordinated() {
+		g.Args = append([]string{"--fleet", g.File("fleet.toml")}, g.Args...)
+		files["operations.toml"] += fmt.Sprintf("[operator]\nlisten = %q\n", g.show)
+		if files["fleet.toml"], err = w.fleetFile(g); err != nil {
+			return err
+		}
+	}
+	return g.Write(files)
 }
 
 // members is the list of servers with the doors that a gateway has to them.
@@ -318,9 +338,6 @@
 	return append(gateways, servers...)
 }
 
-// leader is the gateway that leads the fleet; empty: none is known.
-func (w *world) leader() string { return "" }
-
 // harm books that the script hurts a gateway from now on, until the function that it returns is called.
 func (g *gateway) harm() (over func()) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,330 @@
+// Package agent runs a fleet's member: it owns the goroutine of a Node, its clock, its folder and its part in the gossip,
+// and answers operators. It decides nothing.
+package agent
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewhitch/internal/fleet"
+	"dewhitch/internal/fleet/gossip"
+	"dewhitch/internal/fleet/vault"
+)
+
+// Options say how a process takes part in a fleet.
+type Options struct {
+	Gossip   gossip.Options // without what the agent sets
+	Voters   []string
+	Dir      string // where a voter keeps its log; empty: it is forgotten with the process
+	Lease    time.Duration
+	Status   time.Duration
+	Log      *zap.Logger
+	Follow   func(fleet.Plan, bool) // each plan that is acted on from now on, and whether the view is fresh; it may not block
+	Deciders map[string]fleet.Decider
+}
+
+const (
+	tick     = 50 * time.Millisecond // of the log's clock
+	look     = 25 * time.Millisecond // between two looks at the time
+	inbox    = 2048                  // messages that wait; those beyond are lost, as on the wire
+	calls    = 16
+	sayAgain = 10 * time.Second // about a folder that can't be written to
+)
+
+// Agent is a running member.
+type Agent struct {
+	o       Options
+	node    *fleet.Node
+	gossip  *gossip.Gossip
+	vault   *vault.Vault // nil: nothing is kept
+	began   time.Time
+	inbox   chan []byte
+	members chan change
+	calls   chan func()
+	ended   chan struct{}
+	tally   *Tally
+	ailing  time.Time // since then the folder could not be written to; zero: it can
+	said    time.Time
+}
+
+type change struct {
+	name  string
+	alive bool
+}
+
+// ErrEnded says that the member has ended.
+var ErrEnded = errors.New("fleet: this process is leaving")
+
+// Open opens a member; Run runs it.
+func Open(o Options) (*Agent, error) {
+	a := &Agent{o: o, began: time.Now(), inbox: make(chan []byte, inbox), members: make(chan change, inbox),
+		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally()}
+	g := o.Gossip
+	c := fleet.Config{Fleet: g.Fleet, Name: g.Name, Zone: g.About.Zone, Region: g.About.Region, Voters: o.Voters,
+		Started: a.began.UnixNano(), Life: random(), Seed: random(), Tick: tick, Status: o.Status, Lease: o.Lease,
+		Deciders: map[string]fleet.Decider{}}
+	for verb, d := range o.Deciders {
+		c.Deciders[verb] = d
+	}
+	for verb, d := range fleet.Freezing() {
+		c.Deciders[verb] = d
+	}
+	var saved *fleet.Saved
+	if o.Dir != "" && slices.Contains(o.Voters, g.Name) {
+		var err error
+		if a.vault, saved, err = vault.Open(o.Dir); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if a.node, err = fleet.New(c, saved); err != nil {
+		a.close()
+		return nil, err
+	}
+	a.node.Reports(a.tally.report)
+	g.Log = o.Log
+	g.Receive = func(b []byte) {
+		select {
+		case a.inbox <- slices.Clone(b):
+		default:
+		}
+	}
+	g.Changed = func(name, state string) {
+		o.Log.Info("fleet member", zap.String("member", name), zap.String("state", state))
+		select {
+		case a.members <- change{name, state == "alive"}:
+		default: // its next status says that it lives
+		}
+	}
+	if a.gossip, err = gossip.Open(g); err != nil {
+		a.close()
+		return nil, err
+	}
+	for _, name := range o.Voters { // asked for their word from the first on, whether gossip has heard of them or not
+		a.node.Member(name, false)
+	}
+	return a, nil
+}
+
+func (a *Agent) close() {
+	if a.vault != nil {
+		a.vault.Close()
+	}
+}
+
+func random() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // it never fails
+	return binary.BigEndian.Uint64(b[:]) >> 1
+}
+
+// Tally is where what this process sees of servers is counted.
+func (a *Agent) Tally() *Tally { return a.tally }
+
+func (a *Agent) now() (time.Duration, int64) {
+	t := time.Now()
+	return t.Sub(a.began), t.UnixMilli()
+}
+
+// Run runs the member until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.close()
+	defer close(a.ended)
+	talk, hush := context.WithCancel(context.Background())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		a.gossip.Run(talk)
+	}()
+	defer func() {
+		hush()
+		<-gone
+	}()
+	t := time.NewTicker(look)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.node.Tick(a.now())
+		case b := <-a.inbox:
+			now, unix := a.now()
+			a.node.Heard(now, unix, b)
+		case c := <-a.members:
+			a.node.Member(c.name, c.alive)
+		case f := <-a.calls:
+			f()
+		}
+		a.drive()
+	}
+}
+
+// drive keeps what has to be kept, and then sends and says what the node has ready.
+func (a *Agent) drive() {
+	for {
+		p, some := a.node.Persist()
+		if !some || !a.keep(p) {
+			break
+		}
+		a.node.Kept()
+	}
+	sends, said := a.node.Take()
+	for _, s := range sends {
+		a.gossip.Send(s.To, s.Data)
+	}
+	for _, e := range said {
+		a.say(e)
+	}
+}
+
+// keep has something on the disk; false: it could not be, and nothing that follows from it is said. It is tried again.
+func (a *Agent) keep(p fleet.Persist) bool {
+	if a.vault == nil {
+		return true
+	}
+	now := time.Now()
+	if !a.ailing.IsZero() && now.Sub(a.ailing) < tick {
+		return false
+	}
+	if err := a.vault.Save(p); err != nil {
+		a.ailing = now
+		if now.Sub(a.said) > sayAgain {
+			a.said = now
+			a.o.Log.Error("the fleet's folder can't be written to: this voter is halted, and serves on", zap.Error(err))
+		}
+		return false
+	}
+	if !a.ailing.IsZero() {
+		a.ailing, a.said = time.Time{}, time.Time{}
+		a.o.Log.Info("the fleet's folder can be written to again")
+	}
+	return true
+}
+
+func (a *Agent) say(e fleet.Event) {
+	p := a.node.Plan()
+	switch e.Kind {
+	case fleet.Fenced, fleet.Trouble:
+		a.o.Log.Warn("fleet: "+e.Text, zap.Stringer("epoch", p.Epoch))
+	case fleet.PlanChanged:
+		a.o.Log.Info("fleet: "+e.Text, zap.Stringer("epoch", e.Plan.Epoch), zap.String("digest", fmt.Sprintf("%016x", e.Plan.Digest())))
+	default:
+		a.o.Log.Info("fleet: "+e.Text, zap.Stringer("epoch", p.Epoch))
+	}
+	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FreshChanged || e.Kind == fleet.Fenced) {
+		a.o.Follow(p, a.node.Fresh())
+	}
+}
+
+// call has f run on the member's goroutine.
+func (a *Agent) call(f func()) error {
+	done := make(chan struct{})
+	select {
+	case a.calls <- func() { f(); close(done) }:
+	case <-a.ended:
+		return ErrEnded
+	}
+	select {
+	case <-done:
+		return nil
+	case <-a.ended:
+		return ErrEnded
+	}
+}
+
+// Ask has something settled, and waits for it: the epoch in which it is, or why it is not.
+func (a *Agent) Ask(ctx context.Context, verb string, args []byte) (fleet.Epoch, error) {
+	type end struct {
+		epoch fleet.Epoch
+		err   error
+	}
+	ends := make(chan end, 1)
+	if err := a.call(func() {
+		now, unix := a.now()
+		a.node.Ask(now, unix, verb, args, func(e fleet.Epoch, err error) { ends <- end{e, err} })
+	}); err != nil {
+		return fleet.Epoch{}, err
+	}
+	select {
+	case e := <-ends:
+		return e.epoch, e.err
+	case <-ctx.Done():
+		return fleet.Epoch{}, ctx.Err()
+	case <-a.ended:
+		return fleet.Epoch{}, ErrEnded
+	}
+}
+
+// MemberStatus is a member as the status shows it.
+type MemberStatus struct {
+	gossip.Member
+	Epoch       fleet.Epoch `json:"epoch"`          // that it acts on, as it last said
+	Incarnation int64       `json:"incarnation"`    // when its process began, Unix ns; 0: it has said nothing yet
+	Age         int64       `json:"last_report_ms"` // since its last status; -1: none
+	Fresh       bool        `json:"fresh"`          // it says that its view is
+	Voter       bool        `json:"voter"`
+}
+
+// Status is what operators are shown.
+type Status struct {
+	Name           string         `json:"name"`
+	Fleet          string         `json:"fleet"`
+	Leader         string         `json:"leader"`
+	LeaderAge      int64          `json:"leader_ms"` // since there was word of it
+	Quorum         bool           `json:"quorum"`    // the view is fresh: a leader with a quorum has said so within the lease
+	Epoch          fleet.Epoch    `json:"epoch"`
+	Sections       []string       `json:"sections"`
+	Frozen         *fleet.Mark    `json:"frozen,omitempty"`
+	Unacknowledged []string       `json:"unacknowledged"`
+	Members        []MemberStatus `json:"members"`
+	PassedOver     uint64         `json:"passed_over"` // messages and reports that could not be used
+	Folder         string         `json:"folder"`      // kept, halted, or none
+	Pid            int            `json:"pid"`
+}
+
+// Status tells how things stand.
+func (a *Agent) Status() (s Status, err error) {
+	err = a.call(func() {
+		p, self := a.node.Plan(), a.node.Self()
+		leader, ago := a.node.Leader()
+		s = Status{Name: a.o.Gossip.Name, Fleet: a.o.Gossip.Fleet, Leader: leader, LeaderAge: ago.Milliseconds(), Quorum: self.Fresh,
+			Epoch: p.Epoch, Unacknowledged: a.node.Unacknowledged(p.Epoch), PassedOver: a.node.Drops(), Folder: "none", Pid: os.Getpid()}
+		if a.vault != nil {
+			if s.Folder = "kept"; !a.ailing.IsZero() {
+				s.Folder = "halted"
+			}
+		}
+		if m, ok := p.Frozen(); ok {
+			s.Frozen = &m
+		}
+		for name := range p.Sections {
+			s.Sections = append(s.Sections, name)
+		}
+		slices.Sort(s.Sections)
+		now, _ := a.now()
+		peers := map[string]fleet.Peer{}
+		for _, p := range a.node.Peers() {
+			peers[p.Name] = p
+		}
+		for _, m := range a.gossip.Members() {
+			v := MemberStatus{Member: m, Age: -1, Voter: slices.Contains(a.o.Voters, m.Name)}
+			if p, ok := peers[m.Name]; ok && p.Known {
+				v.Epoch, v.Incarnation, v.Age, v.Fresh = p.Status.Epoch, p.Started, (now - p.Heard).Milliseconds(), p.Status.Fresh
+			}
+			if m.Name == s.Name {
+				v.Epoch, v.Incarnation, v.Age, v.Fresh = p.Epoch, a.began.UnixNano(), 0, self.Fresh
+			}
+			s.Members = append(s.Members, v)
+		}
+	})
+	return s, err
+}
--- /dev/null
+++ b/internal/fleet/agent/show.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dewhitch/internal/fleet"
+)
+
+const mostForm = 64 << 10
+
+// Pages shows the fleet on the operators' listener, and takes their calls: GET /fleet, POST /fleet/VERB with by and why.
+// A call that can't be settled is answered with a line that begins with NO, and changes nothing.
+func (a *Agent) Pages(mux *http.ServeMux) {
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, _ *http.Request) {
+		s, err := a.Status()
+		if err != nil {
+			http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(s)
+	})
+	for _, verb := range []string{"freeze", "thaw"} {
+		mux.HandleFunc("POST /fleet/"+verb, func(w http.ResponseWriter, r *http.Request) {
+			r.Body = http.MaxBytesReader(w, r.Body, mostForm)
+			if err := r.ParseForm(); err != nil {
+				http.Error(w, "NO "+err.Error(), http.StatusBadRequest)
+				return
+			}
+			a.settle(w, r, verb, fleet.Words(r.PostForm.Get("by"), r.PostForm.Get("why")))
+		})
+	}
+}
+
+// settle has something settled and answers with YES and the epoch, or NO and why.
+func (a *Agent) settle(w http.ResponseWriter, r *http.Request, verb string, args []byte) {
+	epoch, err := a.Ask(r.Context(), verb, args)
+	switch {
+	case err == nil:
+		fmt.Fprintf(w, "YES %v\n", epoch)
+	case errors.Is(err, fleet.ErrNoQuorum), errors.Is(err, fleet.ErrBusy), errors.Is(err, ErrEnded):
+		http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "NO "+err.Error(), http.StatusConflict)
+	}
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("dewhitch_fleet_"+name, help, labels, nil)
+}
+
+var (
+	members  = desc("members", "Members as gossip has them.", "state")
+	quorum   = desc("fresh", "1 if a leader with a quorum confirmed the plan within the lease.")
+	founding = desc("epoch_founding", "The founding of the plan's epoch.")
+	epoch    = desc("epoch_number", "The plan's epoch within its founding.")
+	waiting  = desc("unacknowledged", "Living members that have not acknowledged the plan.")
+	passed   = desc("passed_over_total", "Messages and reports that could not be used.")
+	halted   = desc("folder_halted", "1 if the folder can't be written to.")
+)
+
+// Describe implements prometheus.Collector.
+func (a *Agent) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{members, quorum, founding, epoch, waiting, passed, halted} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (a *Agent) Collect(ch chan<- prometheus.Metric) {
+	s, err := a.Status()
+	if err != nil {
+		return
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	flag := func(d *prometheus.Desc, on bool) {
+		v := 0.0
+		if on {
+			v = 1
+		}
+		gauge(d, v)
+	}
+	states := map[string]float64{"alive": 0, "suspect": 0, "gone": 0, "left": 0}
+	for _, m := range s.Members {
+		states[m.State]++
+	}
+	for state, n := range states {
+		gauge(members, n, state)
+	}
+	flag(quorum, s.Quorum)
+	flag(halted, s.Folder == "halted")
+	gauge(founding, float64(s.Epoch.Founding))
+	gauge(epoch, float64(s.Epoch.Number))
+	gauge(waiting, float64(len(s.Unacknowledged)))
+	ch <- prometheus.MustNewConstMetric(passed, prometheus.CounterValue, float64(s.PassedOver))
+}
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -109,7 +109,7 @@
 	for id, v := range r.Servers {
 		d, ok := v.Count.since(s.servers[id].Count)
 		if !ok {
-			return Report{}, errAbsurd
+			d = v.Count // whoever reports has forgotten the server, and met it again
 		}
 		v.Count = d
 		delta.Servers[id] = v
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -64,6 +66,17 @@
 	return true, cbor.Unmarshal(raw, v)
 }
 
+// Digest is a number by which two members can tell that their plans are the same.
+func (p *Plan) Digest() uint64 {
+	h := xxhash.New()
+	fmt.Fprintln(h, p.Epoch)
+	for _, name := range slices.Sorted(maps.Keys(p.Sections)) {
+		fmt.Fprintf(h, "%s %d ", name, len(p.Sections[name]))
+		h.Write(p.Sections[name])
+	}
+	return h.Sum64()
+}
+
 // size in bytes, near enough.
 func (p *Plan) size() (n int) {
 	for name, s := range p.Sections {
@@ -85,6 +98,8 @@
 	errLarge = errors.New("fleet: the plan would be too large")
 )
 
+const null = 0xf6 // an empty section, as it is encoded
+
 // with is the plan after a change, under an epoch; all voters come to the same.
 func (p Plan) with(c change, e Epoch) (Plan, error) {
 	if c.Base != p.Epoch {
@@ -95,7 +110,7 @@
 		next.Sections = map[string]cbor.RawMessage{}
 	}
 	for name, s := range c.Set {
-		if len(s) == 0 {
+		if len(s) == 0 || len(s) == 1 && s[0] == null {
 			delete(next.Sections, name)
 		} else {
 			next.Sections[name] = s
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,6 +1,6 @@
-// Package operator is the operators' listener: the ledger's figures as Prometheus metrics, and as JSON lines. It owns
-// the listener and reads reports; it changes nothing. Labels are plans, classes and ends, whose number is bounded;
-// hauliers are in the ledger's own exports.
+// Package operator is the operators' listener: what the parts of a running program show there, as Prometheus metrics and
+// pages of their own, the ledger's among them. It owns the listener. Labels are plans, classes and ends, whose number is
+// bounded; hauliers are in the ledger's own exports.
 package operator
 
 import (
@@ -29,15 +29,45 @@
 // Source gives a report on the books.
 type Source interface{ Report() desk.Report }
 
-// Serve answers at a listener until the context ends. kept says whether what is posted survives a crash.
-func Serve(ctx context.Context, l net.Listener, s Source, kept func() bool) error {
+// Part is what one part of the program shows: its pages, and its metrics.
+type Part interface {
+	Pages(*http.ServeMux)
+	prometheus.Collector
+}
+
+// Serve answers at a listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, parts ...Part) error {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), &collector{s, kept})
+	registry.MustRegister(collectors.NewGoCollector())
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
+	for _, p := range parts {
+		registry.MustRegister(p)
+		p.Pages(mux)
+	}
+	server := &http.Server{Handler: mux, ReadTimeout: readTime, WriteTimeout: writeTime, MaxHeaderBytes: maxHeader}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ledger shows the books. kept says whether what is posted survives a crash.
+func Ledger(s Source, kept func() bool) Part { return &collector{s, kept} }
+
+// collector makes metrics of a report at each scrape: the books are counted once, where they are kept.
+type collector struct {
+	source Source
+	kept   func() bool
+}
+
+// Pages implements Part: /ledger has a JSON line for each row.
+func (c *collector) Pages(mux *http.ServeMux) {
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/jsonl")
-		r := s.Report()
+		r := c.source.Report()
 		for _, line := range r.Lines {
 			head, err := json.Marshal(struct {
 				Plan  string `json:"plan"`
@@ -52,19 +82,6 @@
 			}
 		}
 	})
-	server := &http.Server{Handler: mux, ReadTimeout: readTime, WriteTimeout: writeTime, MaxHeaderBytes: maxHeader}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// collector makes metrics of a report at each scrape: the books are counted once, where they are kept.
-type collector struct {
-	source Source
-	kept   func() bool
 }
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -142,11 +142,8 @@
 	l.hung = true
 	l.l.SetDeadline(time.Unix(1, 0)) // accept waits from now on
 	queue(l.l, 0)
-	for range 4 {
-		c, err := net.DialTimeout("tcp", l.addr, 30*time.Millisecond)
-		if err != nil {
-			break // full
-		}
+	// A queue of none holds one; if it does not come up, somebody else's has filled it.
+	if c, err := net.DialTimeout("tcp", l.addr, 30*time.Millisecond); err == nil {
 		l.fill = append(l.fill, c)
 	}
 }
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -17,7 +17,8 @@
 	Listen    string // where it takes clients
 	Path      string // of the program
 	Args      []string
-	Env       []string // beside the tool's own
+	Env       []string     // beside the tool's own
+	Line      func(string) // told of each line of its log; may be nil
 
 	mu    sync.Mutex
 	prog  *Program
@@ -50,7 +51,7 @@
 func (p *Process) Spawn() (*Program, error) {
 	cmd := exec.Command(p.Path, p.Args...)
 	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+p.File("config.json")), p.Env...)
-	prog, err := Start(cmd)
+	prog, err := Follow(cmd, p.Line)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/program.go
+++ b/internal/standin/program.go
@@ -15,14 +15,19 @@
 	out  bytes.Buffer
 	over chan struct{}
 	err  error
+	line func(string) // of each whole line of the log; nil: nobody asks
+	part []byte
 }
 
 // maxLog bounds what is kept of a program's log.
 const maxLog = 8 << 20
 
 // Start starts a command. It is to be ended with Kill, or waited for with Wait.
-func Start(cmd *exec.Cmd) (*Program, error) {
-	p := &Program{Cmd: cmd, over: make(chan struct{})}
+func Start(cmd *exec.Cmd) (*Program, error) { return Follow(cmd, nil) }
+
+// Follow does the same, and has line told of each line of the log as it comes.
+func Follow(cmd *exec.Cmd, line func(string)) (*Program, error) {
+	p := &Program{Cmd: cmd, over: make(chan struct{}), line: line}
 	cmd.Stdout, cmd.Stderr = p, p
 	if err := cmd.Start(); err != nil {
 		return nil, err
@@ -41,6 +46,17 @@
 	if p.out.Len() < maxLog {
 		p.out.Write(b)
 	}
+	if p.line != nil {
+		p.part = append(p.part, b...)
+		for {
+			i := bytes.IndexByte(p.part, '\n')
+			if i < 0 {
+				break
+			}
+			p.line(string(p.part[:i]))
+			p.part = p.part[i+1:]
+		}
+	}
 	return len(b), nil
 }
 
