Leave and return to zones as a fleet: one verdict from what all gateways see, settled by the voters

Change: internal/fleet/zone (pure) judges, the plan holds the verdicts, a zone that is out is one whose servers drain for the module (internal/core/zones.go; no line of the module changed), a return is one to cold servers. A fetch that is out too long is evidence at once. dewhitch fleet zones, leave, return. Found on the way: a window of 2 s still full of what was well cost 1.4 s (three windows now); all zones slow together led to leaves (the rest has to be well); a way that was left and a zone left for all could leave a gateway nothing (rapid).

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -5,19 +5,25 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
 	"os/user"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"go.uber.org/zap"
+
 	dw "dewhitch"
 	"dewhitch/internal/config"
 	"dewhitch/internal/core"
+	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/fleet/gossip"
+	"dewhitch/internal/fleet/zone"
 )
 
 // openFleet takes part in a fleet, where a file says so.
@@ -29,7 +35,15 @@
 	if z := g.n.Settings.Zone; z < len(g.n.Words.Zones) {
 		zone = g.n.Words.Zones[z]
 	}
-	a, err := agent.Open(agent.Options{Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
+	g.plans = make(chan fleet.Plan, 1)
+	follow := func(p fleet.Plan, _ bool) {
+		select {
+		case <-g.plans: // an older one that was not taken yet
+		default:
+		}
+		g.plans <- p
+	}
+	a, err := agent.Open(agent.Options{Follow: follow, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
 		Gossip: gossip.Options{Fleet: g.f.Name, Name: g.n.Name, Listen: g.f.Listen, Peers: g.f.Peers, Seeds: g.f.Seeds,
 			Keyring: g.f.Keyring, About: gossip.About{Zone: zone, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
 				Role: "gateway"}}})
@@ -37,16 +51,68 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	g.fleet = a
-	zones, tally := g.n.Words.Zones, a.Tally()
-	g.planner.OnTried(func(t core.Tried) {
-		if t.Zone < len(zones) {
-			tally.Tried(zones[t.Zone], uint32(t.Server), outcomes[t.Outcome], uint64(t.Took.Microseconds()), uint32(t.Load.Queue),
-				uint32(t.Load.Inflight))
-		}
-	})
+	g.planner.Watch(&watcher{tally: a.Tally(), zones: g.n.Words.Zones})
 	return nil
 }
 
+// watcher tells the fleet's tally of fetches.
+type watcher struct {
+	tally *agent.Tally
+	zones []string
+}
+
+func (w *watcher) Began(f core.FetchRef, server dw.ServerID, zone int) {
+	if zone < len(w.zones) {
+		w.tally.Began(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, w.zones[zone], uint32(server))
+	}
+}
+
+func (w *watcher) Ended(f core.FetchRef, e core.FetchEnd) {
+	w.tally.Ended(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, outcomes[e.Outcome], uint32(e.Load.Queue), uint32(e.Load.Inflight))
+}
+
+// followZones has the planner use zones as the plan says. With an old view the last plan holds.
+func (g *gateway) followZones(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-g.plans:
+			v := zone.Verdicts{}
+			if _, err := p.Section(zone.Section, &v); err != nil {
+				g.log.Error("the fleet's verdicts can't be read: the last ones hold", zap.Error(err))
+				continue
+			}
+			if err := g.planner.Zones(uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name)); err != nil {
+				return nil
+			}
+		}
+	}
+}
+
+// uses is what verdicts say to one gateway.
+func uses(v zone.Verdicts, zones []string, own int, name string) map[int]core.Use {
+	from := ""
+	if own < len(zones) {
+		from = zones[own]
+	}
+	uses := map[int]core.Use{}
+	for i, z := range zones {
+		w, ok := v.For(from, z)
+		if !ok {
+			continue
+		}
+		since := core.FromUnixMS(w.Since)
+		switch {
+		case w.State == zone.Returning, w.State == zone.Probing && slices.Contains(w.Probers, name):
+			uses[i] = core.Use{Since: since}
+		default:
+			uses[i] = core.Use{Avoid: true}
+		}
+	}
+	return uses
+}
+
 // outcomes are the module's as the fleet counts them. What was withdrawn, or never left, shows nothing of a server.
 var outcomes = [dw.Outcomes]agent.Outcome{dw.OutcomeOK: agent.Served, dw.OutcomeError: agent.Failed, dw.OutcomeRejected: agent.Turned,
 	dw.OutcomeTimeout: agent.Silent, dw.OutcomeConnectFailed: agent.Refused, dw.OutcomeReset: agent.Failed,
@@ -59,6 +125,9 @@
 	Status fleetStatus `cmd:"" help:"Print the members, the leader and the plan."`
 	Freeze fleetFreeze `cmd:"" help:"Have the fleet settle nothing of itself, until thaw."`
 	Thaw   fleetThaw   `cmd:"" help:"End a freeze."`
+	Zones  fleetZones  `cmd:"" help:"Print what is settled of zones."`
+	Leave  fleetLeave  `cmd:"" help:"Have all gateways leave a zone's servers."`
+	Return fleetReturn `cmd:"" help:"Have all gateways return to a zone's servers."`
 }
 
 const callTime = 15 * time.Second
@@ -142,7 +211,7 @@
 	By  string `help:"Who asks (the user's name)."`
 }
 
-func (s fleetSaid) settle(verb string) error {
+func (s fleetSaid) settle(verb string, form url.Values) error {
 	if s.By == "" {
 		u, err := user.Current()
 		if err != nil {
@@ -150,7 +219,12 @@
 		}
 		s.By = u.Username
 	}
-	text, err := cli.Members.call(http.MethodPost, "/fleet/"+verb, url.Values{"by": {s.By}, "why": {s.Why}})
+	if form == nil {
+		form = url.Values{}
+	}
+	form.Set("by", s.By)
+	form.Set("why", s.Why)
+	text, err := cli.Members.call(http.MethodPost, "/fleet/"+verb, form)
 	if err == nil {
 		os.Stdout.Write(text)
 	}
@@ -159,8 +233,62 @@
 
 type fleetFreeze struct{ fleetSaid }
 
-func (s fleetFreeze) Run() error { return s.settle("freeze") }
+func (s fleetFreeze) Run() error { return s.settle("freeze", nil) }
 
 type fleetThaw struct{ fleetSaid }
 
-func (s fleetThaw) Run() error { return s.settle("thaw") }
+func (s fleetThaw) Run() error { return s.settle("thaw", nil) }
+
+type fleetZones struct {
+	JSON bool `help:"As JSON."`
+}
+
+func (z fleetZones) Run() error {
+	text, err := cli.Members.call(http.MethodGet, "/fleet/zones", nil)
+	if err != nil {
+		return err
+	}
+	if z.JSON {
+		_, err = os.Stdout.Write(text)
+		return err
+	}
+	v := zone.Verdicts{}
+	if err := json.Unmarshal(text, &v); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "zone\tstate\tsince\tfailed returns\tprobers\tby\twhy")
+	for _, key := range slices.Sorted(maps.Keys(v)) {
+		w := v[key]
+		state, by := string(w.State), w.By
+		if w.Hold {
+			state = "in, held"
+		}
+		if by == "" {
+			by = "the fleet"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", key, state, time.UnixMilli(w.Since).Format(time.RFC3339), w.Fails,
+			strings.Join(w.Probers, " "), by, w.Why)
+	}
+	return t.Flush()
+}
+
+type fleetLeave struct {
+	Zone string `arg:"" help:"The zone, by its full name."`
+	fleetSaid
+	For time.Duration `help:"How long to stay away; without, until return."`
+}
+
+func (l fleetLeave) Run() error {
+	return l.settle("leave", url.Values{"zone": {l.Zone}, "for_ms": {fmt.Sprint(l.For.Milliseconds())}})
+}
+
+type fleetReturn struct {
+	Zone string `arg:"" help:"The zone, by its full name."`
+	fleetSaid
+	Hold bool `help:"The fleet does not leave it of itself, until it is returned to without."`
+}
+
+func (r fleetReturn) Run() error {
+	return r.settle("return", url.Values{"zone": {r.Zone}, "hold": {fmt.Sprint(r.Hold)}})
+}
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/counter"
 	"dewhitch/internal/director"
+	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
@@ -64,7 +65,8 @@
 	patience        time.Duration // for the director's first list
 
 	// The fleet.
-	fleet *agent.Agent // nil: none
+	fleet *agent.Agent    // nil: none
+	plans chan fleet.Plan // the newest, for who follows it
 
 	// Operators.
 	operated *operated
@@ -214,7 +216,7 @@
 		serving = append(serving, g.show)
 	}
 	if g.fleet != nil {
-		serving = append(serving, g.fleet.Run)
+		serving = append(serving, g.fleet.Run, g.followZones)
 	}
 	for _, p := range serving {
 		group.Go(func() error { return p(work) })
--- /dev/null
+++ b/cmd/dewhitch/uses_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"maps"
+	"testing"
+
+	"dewhitch/internal/core"
+	"dewhitch/internal/fleet/zone"
+)
+
+func TestUsesOfVerdicts(t *testing.T) {
+	zones := []string{"hall-a", "hall-b", "hall-c"}
+	v := zone.Verdicts{"hall-b": {State: zone.Probing, Probers: []string{"n1"}, Since: 5}, "hall-a>hall-c": {State: zone.Out},
+		"hall-c": {Hold: true, State: zone.Returning}}
+	since := core.FromUnixMS(5)
+	for _, c := range []struct {
+		own  int
+		name string
+		want map[int]core.Use
+	}{
+		{0, "n0", map[int]core.Use{1: {Avoid: true}}},
+		{1, "n1", map[int]core.Use{1: {Since: since}}},
+		{2, "n2", map[int]core.Use{1: {Avoid: true}}},
+	} {
+		if got := uses(v, zones, c.own, c.name); !maps.Equal(got, c.want) {
+			t.Errorf("%s: %+v, expected %+v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -78,9 +78,11 @@
 // overlay is an entry as the module is told it: an excluded server drains, with its own start time, so that its cold
 // return is judged by the module's rules once it is put back.
 func (p *Planner) overlay(e dw.ServerEntry) dw.ServerEntry {
-	if p.excluded[e.ID] && e.State == dw.Ready {
+	use := p.uses[e.Zone]
+	if (p.excluded[e.ID] || use.Avoid) && e.State == dw.Ready {
 		e.State = dw.Draining
 	}
+	e.Since = max(e.Since, use.Since)
 	return e
 }
 
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -68,7 +68,8 @@
 	counts     dw.Instant // when the figures are told next
 	figures    Figures
 	excludedTo func([]dw.ServerID)
-	tried      func(Tried)  // nil: nobody asks
+	watcher    Watcher      // nil: nobody asks
+	uses       map[int]Use  // of zones, by their index
 	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
 }
 
@@ -96,18 +97,6 @@
 // Count has the planner tell f what operators read of it.
 func (p *Planner) Count(f Figures) { p.figures = f }
 
-// Tried is what a fetch showed of a server.
-type Tried struct {
-	Server  dw.ServerID
-	Zone    int // index in the module's settings
-	Outcome dw.Outcome
-	Took    time.Duration
-	Load    dw.Load
-}
-
-// OnTried has f told of each fetch that ends; before the planner runs. f may not block.
-func (p *Planner) OnTried(f func(Tried)) { p.tried = f }
-
 // post hands the planner a message, and waits while its inbox is full.
 func (p *Planner) post(m message) error {
 	select {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,8 +16,8 @@
 	t.out--
 	if !m.unsent {
 		t.post(p, ledger.PlanHeard)
-		if p.tried != nil {
-			p.tried(Tried{m.fetch.Backend.ID, p.listed[m.fetch.Backend.ID].Zone, m.end.Outcome, time.Since(m.began), m.end.Load})
+		if p.watcher != nil {
+			p.watcher.Ended(FetchRef{t.id, m.fetch.Attempt}, m.end)
 		}
 	}
 	if m.end.Outcome == dw.OutcomeOK {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -44,6 +44,9 @@
 		return
 	}
 	t.post(p, ledger.PlanSent)
+	if p.watcher != nil {
+		p.watcher.Began(FetchRef{t.id, f.Attempt}, backend.ID, p.listed[backend.ID].Zone)
+	}
 	p.backends.Start(f, func(v Stream) {
 		if p.post(fetchBegan{f, now, v}) != nil {
 			v.Close()
--- a/internal/drill/fleetlog.go
+++ b/internal/drill/fleetlog.go
@@ -31,6 +31,7 @@
 	plans  map[epoch]*plan
 	order  []epoch
 	leads  []Moment
+	leaves int
 	over   bool // the drill is: what processes say as they end counts no more
 }
 
@@ -61,6 +62,7 @@
 // FleetResult is what a drill showed of the fleet.
 type FleetResult struct {
 	Plans      int      `json:"plans"`
+	Leaves     int      `json:"leaves"`        // of zones, or of ways between two, by the fleet itself
 	SeenMedian float64  `json:"seen_median_s"` // until a gateway acted on a plan, since that was settled or the last trouble ended
 	SeenWorst  float64  `json:"seen_worst_s"`
 	Leaders    []Moment `json:"leaders"` // by what a majority of the gateways say
@@ -72,8 +74,8 @@
 		return
 	}
 	var v struct {
-		Msg, Epoch, Digest string
-		TS                 float64
+		Msg, Epoch, Digest, Why string
+		TS                      float64
 	}
 	if json.Unmarshal([]byte(line), &v) != nil {
 		return
@@ -92,6 +94,11 @@
 	case strings.HasSuffix(text, " leads"):
 		f.leader[g.name] = strings.TrimSuffix(text, " leads")
 		f.leads = append(f.leads, Moment{at.Sub(f.w.began).Seconds(), g.name + ": " + text})
+	case strings.HasPrefix(text, "zone "):
+		if strings.HasSuffix(text, " out") {
+			f.leaves++
+		}
+		f.w.say("%s: %s: %s", g.name, text, v.Why)
 	default:
 		f.w.say("%s: %s", g.name, text)
 	}
@@ -148,7 +155,7 @@
 func (f *fleetLog) result() *FleetResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &FleetResult{Plans: len(f.plans), Leaders: f.leads}
+	r := &FleetResult{Plans: len(f.plans), Leaves: f.leaves, Leaders: f.leads}
 	var ends []time.Time
 	for _, m := range f.w.timeline {
 		if !strings.HasPrefix(m.What, "plan ") && !strings.Contains(m.What, ": ") {
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -290,6 +290,9 @@
 			fell(e, "excused %d, expected %d", r.Ends["excused"], e.Excused)
 		}
 		if f := r.Fleet; f != nil {
+			if e.Leaves >= 0 && f.Leaves > e.Leaves {
+				fell(e, "the fleet left zones %d times, expected %d", f.Leaves, e.Leaves)
+			}
 			if f.Plans < e.Plans {
 				fell(e, "%d plans, expected %d", f.Plans, e.Plans)
 			}
--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -100,3 +100,31 @@
 		})
 	}
 }
+
+// A zone is left by all, and by no one for what is not its trouble. The bounds are wide: a busy machine may take its time.
+func TestZoneDrills(t *testing.T) {
+	for name, text := range map[string]string{
+		"silent": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.4, length = 22)
+at(4, silent(servers("b")))
+at(14, well(servers("b")))
+expect(served = 0.95, lost = 0, sent = 10, target = servers("b"), start = 8, end = 13)
+`,
+		"oneill": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.3, length = 14)
+at(3, cut(gateway("a", 2), servers("b")))
+at(3, cut(gateway("a", 2), servers("c")))
+at(9, stall(gateway("c", 1), seconds = 2))
+expect(lost = 0, leaves = 0)
+`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := play(t, text, 41)
+			if err != nil {
+				t.Fatal(err, r.Breaches, r.Fallen)
+			}
+			if name == "silent" && r.Fleet.Leaves == 0 {
+				t.Error("the fleet did not leave")
+			}
+		})
+	}
+}
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -64,6 +64,7 @@
 	Targets        []string
 	From, To       time.Duration
 	Excused        int     // at most
+	Leaves         int     // of zones by the fleet, at most; below 0: any
 	Plans          int     // settled, at least
 	Seen           float64 // seconds until all act on a plan, at most; 0: no bound
 	hasLost, hasEx bool
@@ -310,11 +311,12 @@
 func (b *builder) addExpect(c *call) (starlark.Value, error) {
 	e := Expect{Pos: c.pos()}
 	seen := number(0)
+	e.Leaves = -1
 	served, worst, from, to := number(0), number(0), number(0), number(0)
 	lost, sent, excused := -1, -1, -1
 	var to0 starlark.Value
 	if err := c.unpack("served?", &served, "lost?", &lost, "worst_5s?", &worst, "sent?", &sent, "target?", &to0, "start?", &from,
-		"end?", &to, "excused?", &excused, "plans?", &e.Plans, "seen?", &seen); err != nil {
+		"end?", &to, "excused?", &excused, "leaves?", &e.Leaves, "plans?", &e.Plans, "seen?", &seen); err != nil {
 		return nil, err
 	}
 	e.Served, e.Worst, e.Lost, e.hasLost, e.Sent = float64(served), float64(worst), lost, lost >= 0, sent
--- /dev/null
+++ b/internal/drill/scenarios/return.star
@@ -0,0 +1,7 @@
+# A zone dies and comes back cold; the leader is killed and another gateway stalled in the midst of the return.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.6, length = 60)
+at(6, down(servers("b")))
+at(14, well(servers("b")))
+at(20, kill(leader(), back = 4))
+at(24, stall(gateway("c", 2), seconds = 5))
+expect(lost = 0)
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/gossip"
 	"dewhitch/internal/fleet/vault"
+	"dewhitch/internal/fleet/zone"
 )
 
 // Options say how a process takes part in a fleet.
@@ -51,6 +52,7 @@
 	calls   chan func()
 	ended   chan struct{}
 	tally   *Tally
+	judge   *zone.Judge
 	ailing  time.Time // since then the folder could not be written to; zero: it can
 	said    time.Time
 }
@@ -66,17 +68,20 @@
 // Open opens a member; Run runs it.
 func Open(o Options) (*Agent, error) {
 	a := &Agent{o: o, began: time.Now(), inbox: make(chan []byte, inbox), members: make(chan change, inbox),
-		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally()}
+		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally(time.Now), judge: zone.New(zone.Standard)}
 	g := o.Gossip
 	c := fleet.Config{Fleet: g.Fleet, Name: g.Name, Zone: g.About.Zone, Region: g.About.Region, Voters: o.Voters,
 		Started: a.began.UnixNano(), Life: random(), Seed: random(), Tick: tick, Status: o.Status, Lease: o.Lease,
-		Deciders: map[string]fleet.Decider{}}
+		Deciders: map[string]fleet.Decider{}, Observe: a.observe, Lead: a.lead}
 	for verb, d := range o.Deciders {
 		c.Deciders[verb] = d
 	}
 	for verb, d := range fleet.Freezing() {
 		c.Deciders[verb] = d
 	}
+	for verb, d := range zone.ByHand() {
+		c.Deciders[verb] = d
+	}
 	var saved *fleet.Saved
 	if o.Dir != "" && slices.Contains(o.Voters, g.Name) {
 		var err error
@@ -170,6 +175,40 @@
 	}
 }
 
+// observe has the judge see what a member reports.
+func (a *Agent) observe(now time.Duration, from fleet.Peer, delta fleet.Report) {
+	a.judge.Seen(now, from.Name, from.Status.Zone, delta)
+}
+
+// lead has the leader settle what the judge says of the zones.
+func (a *Agent) lead(now time.Duration, unix int64, n *fleet.Node) {
+	p := n.Plan()
+	if _, frozen := p.Frozen(); frozen {
+		return
+	}
+	v := zone.Verdicts{}
+	if _, err := p.Section(zone.Section, &v); err != nil {
+		return
+	}
+	next, moved := a.judge.Judge(now, unix, v, func(name string) bool {
+		q, ok := n.Peer(name)
+		return name == a.o.Gossip.Name || ok && now-q.Heard < a.o.Lease
+	})
+	if moved && n.Settle(zone.Set(next)) {
+		for key, w := range next {
+			if old, ok := v[key]; !ok || old.State != w.State {
+				a.o.Log.Info("fleet: zone "+key+" "+string(w.State), zap.String("why", w.Why), zap.Int("fails", w.Fails),
+					zap.Strings("probers", w.Probers), zap.Stringer("on_epoch", p.Epoch))
+			}
+		}
+		for key := range v {
+			if _, ok := next[key]; !ok {
+				a.o.Log.Info("fleet: zone "+key+" in", zap.Stringer("on_epoch", p.Epoch))
+			}
+		}
+	}
+}
+
 // drive keeps what has to be kept, and then sends and says what the node has ready.
 func (a *Agent) drive() {
 	for {
--- a/internal/fleet/agent/show.go
+++ b/internal/fleet/agent/show.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dewhitch/internal/fleet"
+	"dewhitch/internal/fleet/zone"
 )
 
 const mostForm = 64 << 10
@@ -27,14 +30,49 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(s)
 	})
-	for _, verb := range []string{"freeze", "thaw"} {
+	mux.HandleFunc("GET /fleet/zones", func(w http.ResponseWriter, _ *http.Request) {
+		v := zone.Verdicts{}
+		var broken error
+		err := a.call(func() {
+			p := a.node.Plan()
+			_, broken = p.Section(zone.Section, &v)
+		})
+		if err = errors.Join(err, broken); err != nil {
+			http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+	})
+	said := func(f url.Values) ([]byte, error) { return fleet.Words(f.Get("by"), f.Get("why")), nil }
+	ofZone := func(f url.Values) ([]byte, error) {
+		c := zone.Call{By: f.Get("by"), Why: f.Get("why"), Zone: f.Get("zone")}
+		var err error
+		if s := f.Get("for_ms"); s != "" {
+			if c.ForMS, err = strconv.ParseInt(s, 10, 64); err != nil {
+				return nil, fmt.Errorf("for_ms: %w", err)
+			}
+		}
+		if s := f.Get("hold"); s != "" {
+			if c.Hold, err = strconv.ParseBool(s); err != nil {
+				return nil, fmt.Errorf("hold: %w", err)
+			}
+		}
+		return c.Encode(), nil
+	}
+	for verb, read := range map[string]func(url.Values) ([]byte, error){"freeze": said, "thaw": said, "leave": ofZone, "return": ofZone} {
 		mux.HandleFunc("POST /fleet/"+verb, func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, mostForm)
-			if err := r.ParseForm(); err != nil {
+			err := r.ParseForm()
+			var args []byte
+			if err == nil {
+				args, err = read(r.PostForm)
+			}
+			if err != nil {
 				http.Error(w, "NO "+err.Error(), http.StatusBadRequest)
 				return
 			}
-			a.settle(w, r, verb, fleet.Words(r.PostForm.Get("by"), r.PostForm.Get("why")))
+			a.settle(w, r, verb, args)
 		})
 	}
 }
--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -3,11 +3,12 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"dewhitch/internal/fleet"
 )
 
-// What a fetch came to, as the fleet counts it.
+// Outcome is what a fetch came to, as the fleet counts it.
 type Outcome int
 
 // The outcomes.
@@ -20,13 +21,30 @@
 	Nothing // it was withdrawn, or never left
 )
 
-// Tally counts what this process sees of zones and servers, from any goroutine. The servers that changed since they were
-// last told go first, so that all come in turns.
+// Ref names a fetch that is out.
+type Ref struct {
+	Req     string
+	Attempt int
+}
+
+// Tally counts what this process sees of zones and servers. A fetch that is out for longer than others take is counted as
+// silent then, and not when somebody gives it up: evidence has to come in good time. The servers that changed since they
+// were last told go first, so that all come in turns.
 type Tally struct {
 	mu      sync.Mutex
+	now     func() time.Time
 	zones   map[string]fleet.Count
 	servers map[uint32]*server
 	changed []uint32 // in the order in which they first changed since they were told
+	open    map[Ref]*open
+	usual   float64 // seconds that a served fetch takes, smoothed
+}
+
+type open struct {
+	zone  string
+	id    uint32
+	began time.Time
+	late  bool
 }
 
 type server struct {
@@ -34,22 +52,53 @@
 	waits bool // it is among the changed
 }
 
-// mostKept bounds the servers of a tally: new ones come under new ids all day.
-const mostKept = 1024
+const (
+	mostKept  = 1024 // servers: new ones come under new ids all day
+	mostOpen  = 1 << 16
+	leastMark = 120 * time.Millisecond // before a fetch is late, at least
+	markTimes = 2.5                    // what fetches usually take
+	smooth    = 0.02
+)
 
-func newTally() *Tally {
-	return &Tally{zones: map[string]fleet.Count{}, servers: map[uint32]*server{}}
+func newTally(now func() time.Time) *Tally {
+	return &Tally{now: now, zones: map[string]fleet.Count{}, servers: map[uint32]*server{}, open: map[Ref]*open{}}
 }
 
-// Tried counts a fetch that ended; micros: what it took, if it was served; queue and inflight as the server last told.
-func (t *Tally) Tried(zone string, id uint32, o Outcome, micros uint64, queue, inflight uint32) {
-	if o == Nothing {
+// Began counts a fetch that is out.
+func (t *Tally) Began(f Ref, zone string, id uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.open) < mostOpen {
+		t.open[f] = &open{zone: zone, id: id, began: t.now()}
+	}
+}
+
+// Ended counts what became of it; queue and inflight as the server last told.
+func (t *Tally) Ended(f Ref, o Outcome, queue, inflight uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.open[f]
+	if v == nil {
+		return
+	}
+	delete(t.open, f)
+	took := t.now().Sub(v.began)
+	if o == Served || o == Turned {
+		if s := t.servers[v.id]; s != nil {
+			s.Queue, s.InFlight = queue, inflight
+		}
+	}
+	if v.late || o == Nothing {
 		return
 	}
 	one := fleet.Count{Tries: 1}
 	switch o {
 	case Served:
-		one.Served, one.Micros = 1, micros
+		one.Served, one.Micros = 1, uint64(took.Microseconds())
+		if t.usual == 0 {
+			t.usual = took.Seconds()
+		}
+		t.usual += smooth * (took.Seconds() - t.usual)
 	case Refused:
 		one.Refused = 1
 	case Silent:
@@ -59,10 +108,12 @@
 	case Turned:
 		one.Turned = 1
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.add(v.zone, v.id, one)
+}
+
+func (t *Tally) add(zone string, id uint32, c fleet.Count) {
 	z := t.zones[zone]
-	z.Add(one)
+	z.Add(c)
 	t.zones[zone] = z
 	s := t.servers[id]
 	if s == nil {
@@ -74,21 +125,30 @@
 		t.servers[id] = s
 	}
 	s.Zone = zone
-	s.Count.Add(one)
-	if o == Served || o == Turned {
-		s.Queue, s.InFlight = queue, inflight
-	}
+	s.Count.Add(c)
 	if !s.waits {
 		s.waits = true
 		t.changed = append(t.changed, id)
 	}
 }
 
+// mark is how long a fetch may be out before it is late.
+func (t *Tally) mark() time.Duration {
+	return max(leastMark, time.Duration(markTimes*t.usual*float64(time.Second)))
+}
+
 // report is the next one.
 func (t *Tally) report() *fleet.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.changed) == 0 && len(t.zones) == 0 {
+	now, mark := t.now(), t.mark()
+	for _, v := range t.open {
+		if !v.late && now.Sub(v.began) > mark {
+			v.late = true
+			t.add(v.zone, v.id, fleet.Count{Tries: 1, Silent: 1})
+		}
+	}
+	if len(t.zones) == 0 {
 		return nil
 	}
 	r := &fleet.Report{Zones: map[string]fleet.Count{}, Servers: map[uint32]fleet.Server{}}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -110,6 +110,7 @@
 	numbers  uint64
 
 	report func() *Report
+	own    seen
 	sends  []Send
 	events []Event
 	drops  uint64
@@ -307,6 +308,11 @@
 	s := n.self()
 	if n.report != nil {
 		s.Report = n.report()
+		if r := s.Report; r != nil && n.cfg.Observe != nil { // its own evidence counts as anybody's
+			if delta, err := n.own.take(r); err == nil {
+				n.cfg.Observe(n.now, Peer{Name: n.cfg.Name, Status: s}, delta)
+			}
+		}
 	}
 	n.statuses++
 	n.seq++ // of this status, whoever it goes to: they are alike
@@ -581,6 +587,15 @@
 	return all
 }
 
+// Peer is another member.
+func (n *Node) Peer(name string) (Peer, bool) {
+	p := n.peers[name]
+	if p == nil {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
 // Self is this member's own status.
 func (n *Node) Self() Status { return n.self() }
 
--- /dev/null
+++ b/internal/fleet/zone/zone.go
@@ -0,0 +1,390 @@
+// Package zone judges zones by what all gateways of a fleet see of them, and says who should leave which one, who may look
+// whether it is well again, and when all return. It is pure: whoever owns a Judge hands it reports and the time, and has the
+// fleet settle what it says. docs/design/zone.md has the rules and the ways not taken.
+package zone
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"dewhitch/internal/fleet"
+)
+
+// State is what the fleet has settled of a zone. One that nothing is said of is in.
+type State string
+
+// The states.
+const (
+	Out       State = "out"       // nothing new is sent there
+	Probing   State = "probing"   // the probers alone send there
+	Returning State = "returning" // all do, as to servers that began at Since
+)
+
+// Verdict is what is settled of a zone's servers, for all gateways or for those of one zone.
+type Verdict struct {
+	State   State    `cbor:"1,keyasint" json:"state"`
+	Since   int64    `cbor:"2,keyasint" json:"since"` // of this state, Unix ms by the leader's clock
+	Fails   int      `cbor:"3,keyasint" json:"fails"` // returns and probes that failed, one after the other
+	Why     string   `cbor:"4,keyasint" json:"why"`
+	Probers []string `cbor:"5,keyasint,omitempty" json:"probers,omitempty"`
+	By      string   `cbor:"6,keyasint,omitempty" json:"by,omitempty"`    // an operator; empty: the fleet itself
+	Until   int64    `cbor:"7,keyasint,omitempty" json:"until,omitempty"` // of an operator's leave, Unix ms; 0: until return
+	Hold    bool     `cbor:"8,keyasint,omitempty" json:"hold,omitempty"`  // an operator's: not left by the fleet
+}
+
+// Verdicts are all that is settled, by the zone of the servers, or "FROM>TO" for the gateways of one zone alone.
+type Verdicts map[string]Verdict
+
+// Section is where the plan has them.
+const Section = "zones"
+
+// For is what holds for the gateways of a zone, of the servers of another. What is settled for all goes first.
+func (v Verdicts) For(from, to string) (Verdict, bool) {
+	if w, ok := v[to]; ok {
+		return w, !w.Hold // an operator's hold is for the ways there as well
+	}
+	w, ok := v[from+">"+to]
+	return w, ok
+}
+
+// Config bounds what the judge may say.
+type Config struct {
+	Windows   []time.Duration // of the evidence, the shortest first; any one that is clear is enough
+	MostOut   int             // zones that may be out at once; 0: a third of them, one at least where there are two
+	Again     time.Duration   // between leaving and the first probe
+	MostAgain time.Duration   // the same after probes that failed
+	Ramp      time.Duration   // of a return
+	Patience  time.Duration   // of a probe, for evidence
+}
+
+// Standard are the values that gateways use.
+var Standard = Config{Windows: []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond,
+	2400 * time.Millisecond}, Again: 3 * time.Second, MostAgain: 60 * time.Second, Ramp: 13 * time.Second,
+	Patience: 8 * time.Second}
+
+const (
+	bucket    = 200 * time.Millisecond
+	leastBad  = 4    // fetches, of a zone's, before it is ill
+	illShare  = 0.5  // of the fetches
+	illWay    = 0.8  // the same of a way: one that is cut carries nothing
+	illVoters = 0.7  // of the gateways that saw any
+	illRest   = 0.25 // of the fetches to the other zones, at most
+	wellNeeds = 3    // fetches that a probe has to see served
+	forget    = 30 * time.Second
+)
+
+// way is from the zone of a gateway to the zone of servers.
+type way struct{ gateway, zone string }
+
+// sample is what one gateway saw of one zone in one bucket.
+type sample struct {
+	at        time.Duration
+	good, bad uint64
+}
+
+// Judge holds the evidence of a few seconds. Only the leader's is asked, but every voter's is fed, so that the next leader
+// has it.
+type Judge struct {
+	cfg     Config
+	homes   map[string]string // zone of each gateway that ever told
+	heard   map[string]time.Duration
+	seen    map[way][]sample
+	zones   map[string]bool
+	changed time.Duration // when the verdicts last changed: what was seen before counts no more
+}
+
+// New makes a judge without evidence.
+func New(cfg Config) *Judge {
+	return &Judge{cfg: cfg, homes: map[string]string{}, heard: map[string]time.Duration{}, seen: map[way][]sample{},
+		zones: map[string]bool{}}
+}
+
+// Seen takes what a gateway saw since it last told.
+func (j *Judge) Seen(now time.Duration, gateway, home string, delta fleet.Report) {
+	j.homes[gateway], j.heard[gateway] = home, now
+	j.zones[home] = true
+	for z, c := range delta.Zones {
+		j.zones[z] = true
+		bad := c.Refused + c.Silent + c.Failed
+		if bad == 0 && c.Served == 0 {
+			continue
+		}
+		w := way{gateway, z}
+		list := j.seen[w]
+		at := now / bucket * bucket
+		if n := len(list); n > 0 && list[n-1].at == at {
+			list[n-1].good += c.Served
+			list[n-1].bad += bad
+		} else {
+			list = append(list, sample{at, c.Served, bad})
+		}
+		for len(list) > 0 && now-list[0].at > j.cfg.Patience {
+			list = list[1:]
+		}
+		j.seen[w] = list
+	}
+	for g, at := range j.heard {
+		if now-at > forget {
+			delete(j.heard, g)
+			delete(j.homes, g)
+			maps.DeleteFunc(j.seen, func(w way, _ []sample) bool { return w.gateway == g })
+		}
+	}
+}
+
+// sum is what some gateways saw of a zone since a time.
+type sum struct {
+	good, bad       uint64
+	illFor, wellFor int // gateways
+}
+
+func (j *Judge) sum(zone string, since time.Duration, who func(gateway string) bool) (s sum) {
+	for g := range j.homes {
+		if !who(g) {
+			continue
+		}
+		good, bad := uint64(0), uint64(0)
+		for _, x := range j.seen[way{g, zone}] {
+			if x.at >= since {
+				good += x.good
+				bad += x.bad
+			}
+		}
+		s.good += good
+		s.bad += bad
+		switch {
+		case bad > good:
+			s.illFor++
+		case good > 0:
+			s.wellFor++
+		}
+	}
+	return s
+}
+
+// ill tells whether some gateways see a zone ill, in one of the windows, by what they saw since a time. In a short one what
+// was well before the trouble is soon past; in a long one thin traffic adds up.
+func (j *Judge) ill(zone string, now, since time.Duration, who func(string) bool) (s sum, from time.Duration, bad bool) {
+	n := j.count(who)
+	for _, w := range j.cfg.Windows {
+		from = max(now-w, since)
+		if s = j.sum(zone, from, who); s.ill(n) {
+			return s, from, true
+		}
+	}
+	return s, from, false
+}
+
+// ill tells whether what several gateways saw speaks against a zone: enough of it, by most of them, and by two at least
+// unless there is but one that could see it.
+func (s sum) ill(gateways int) bool {
+	return s.bad >= leastBad && float64(s.bad) >= illShare*float64(s.bad+s.good) && s.illFor >= min(2, gateways) &&
+		float64(s.illFor) >= illVoters*float64(s.illFor+s.wellFor)
+}
+
+func (s sum) String() string {
+	return fmt.Sprintf("%d of %d fetches ill, by %d of %d gateways", s.bad, s.bad+s.good, s.illFor, s.illFor+s.wellFor)
+}
+
+// Judge says what should hold, given what does. moved: it differs.
+func (j *Judge) Judge(now time.Duration, unix int64, v Verdicts, alive func(gateway string) bool) (next Verdicts, moved bool) {
+	next = maps.Clone(v)
+	if next == nil {
+		next = Verdicts{}
+	}
+	zones := slices.Sorted(maps.Keys(j.zones))
+	j.settle(now, unix, next, alive)
+	j.leave(now, unix, next, zones)
+	for _, from := range zones { // what is left for all may have been the last that the ways from a zone had left it
+		if left(next, from, zones) == len(zones) {
+			maps.DeleteFunc(next, func(key string, _ Verdict) bool { f, _ := split(key); return f == from })
+		}
+	}
+	if moved = !maps.EqualFunc(v, next, equal); moved {
+		j.changed = now
+	}
+	return next, moved
+}
+
+func equal(a, b Verdict) bool {
+	return a.State == b.State && a.Since == b.Since && a.Fails == b.Fails && a.Why == b.Why && a.By == b.By && a.Until == b.Until &&
+		a.Hold == b.Hold && slices.Equal(a.Probers, b.Probers)
+}
+
+// split tells a verdict's two zones; from is empty where it holds for all.
+func split(key string) (from, to string) {
+	if a, b, ok := strings.Cut(key, ">"); ok {
+		return a, b
+	}
+	return "", key
+}
+
+// settle moves on what is out, probed or returning.
+func (j *Judge) settle(now time.Duration, unix int64, next Verdicts, alive func(string) bool) {
+	for _, key := range slices.Sorted(maps.Keys(next)) {
+		v := next[key]
+		if v.Hold {
+			continue
+		}
+		from, zone := split(key)
+		here := func(g string) bool { return from == "" || j.homes[g] == from }
+		age := time.Duration(unix-v.Since) * time.Millisecond
+		since := max(0, now-max(0, age)) // on the evidence's clock
+		switch v.State {
+		case Out:
+			switch {
+			case v.By != "" && (v.Until == 0 || unix < v.Until):
+			case v.By == "" && age < j.wait(v.Fails):
+			default:
+				if p := j.probers(zone, here, alive, v.Fails); len(p) > 0 {
+					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Why: v.Why, Probers: p}
+				}
+			}
+		case Probing:
+			s := j.sum(zone, since+bucket, func(g string) bool { return slices.Contains(v.Probers, g) })
+			switch {
+			case s.good >= wellNeeds && s.good >= 4*s.bad, age > j.cfg.Patience && s.good > 0 && s.bad == 0:
+				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Why: "a probe: " + s.String()}
+			case s.bad >= 2:
+				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails + 1, Why: "a probe: " + s.String()}
+			case age > j.cfg.Patience || !slices.ContainsFunc(v.Probers, alive):
+				if p := j.probers(zone, here, alive, int(unix/1000)); len(p) > 0 { // they see too little, or are gone
+					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Why: v.Why, Probers: p}
+				}
+			}
+		case Returning:
+			s, _, bad := j.ill(zone, now, since+bucket, here)
+			switch {
+			case bad:
+				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails + 1, Why: "ill on its return: " + s.String()}
+			case age > 2*j.cfg.Ramp:
+				delete(next, key)
+			}
+		}
+	}
+}
+
+// wait is how long a zone is left alone before it is probed, after so many failures.
+func (j *Judge) wait(fails int) time.Duration {
+	again := j.cfg.Again
+	for range min(fails, 6) {
+		again *= 3
+	}
+	return min(j.cfg.MostAgain, again)
+}
+
+func (j *Judge) count(who func(string) bool) (n int) {
+	for g := range j.homes {
+		if who(g) {
+			n++
+		}
+	}
+	return n
+}
+
+// probers chooses one gateway to look, in turns: one of the zone itself if it has any, as that has the shortest way.
+func (j *Judge) probers(zone string, here, alive func(string) bool, turn int) []string {
+	var all []string
+	for g := range j.homes {
+		if here(g) && alive(g) {
+			all = append(all, g)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Or(cmp.Compare(boolInt(j.homes[a] != zone), boolInt(j.homes[b] != zone)), cmp.Compare(a, b))
+	})
+	return []string{all[max(0, turn)%len(all)]}
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// left counts the zones that the gateways of one do not all send to.
+func left(v Verdicts, from string, zones []string) (n int) {
+	for _, to := range zones {
+		if w, ok := v.For(from, to); ok && w.State != Returning {
+			n++
+		}
+	}
+	return n
+}
+
+// leave finds zones that are ill, for all or for the gateways of one zone.
+func (j *Judge) leave(now time.Duration, unix int64, next Verdicts, zones []string) {
+	everyone := func(string) bool { return true }
+	most := j.cfg.MostOut
+	if most == 0 {
+		most = max(len(zones)/3, min(1, len(zones)-1))
+	}
+	out, ill, from := 0, map[string]sum{}, map[string]time.Duration{}
+	for _, z := range zones {
+		if v, ok := next[z]; ok && !v.Hold {
+			out++
+			continue
+		}
+		if s, since, bad := j.ill(z, now, j.changed, everyone); bad && !next[z].Hold {
+			ill[z], from[z] = s, since
+		}
+	}
+	for _, z := range slices.Sorted(maps.Keys(ill)) {
+		if out >= most {
+			break // the best of the bad is used
+		}
+		if !j.restIsWell(zones, next, "", from[z], everyone, func(z string) bool { _, bad := ill[z]; return bad }) {
+			continue
+		}
+		next[z] = Verdict{State: Out, Since: unix, Why: ill[z].String()}
+		maps.DeleteFunc(next, func(key string, _ Verdict) bool { from, to := split(key); return from != "" && to == z })
+		out++
+	}
+	// The way from one zone to another, where others see that the servers there are well.
+	for _, from := range zones {
+		here := func(g string) bool { return j.homes[g] == from }
+		n := j.count(here)
+		gone := left(next, from, zones)
+		for _, to := range zones {
+			if _, ok := next.For(from, to); ok || from == to || n < 2 || next[to].Hold || gone >= len(zones)-1 {
+				continue
+			}
+			s, since, bad := j.ill(to, now, j.changed, here)
+			if !bad {
+				continue
+			}
+			others := j.sum(to, since, func(g string) bool { return !here(g) })
+			if float64(s.bad) >= illWay*float64(s.bad+s.good) && others.good > 2*others.bad && j.restIsWell(zones, next, from, since, here, func(z string) bool { return z == to }) {
+				next[from+">"+to] = Verdict{State: Out, Since: unix, Why: "the way from " + from + ": " + s.String()}
+				gone++
+			}
+		}
+	}
+}
+
+// restIsWell tells whether the zones that would be left are well, by what some gateways saw of them since a time.
+//
+// Danger: where all zones are ill it is something that they share, and to leave one would help nobody and load the others;
+// so they have to be well, and not only a little less ill.
+func (j *Judge) restIsWell(zones []string, v Verdicts, from string, since time.Duration, who func(string) bool,
+	but func(zone string) bool) bool {
+	var rest sum
+	for _, z := range zones {
+		w, ok := v.For(from, z)
+		if but(z) || ok && w.State != Returning {
+			continue
+		}
+		s := j.sum(z, since, who)
+		rest.good += s.good
+		rest.bad += s.bad
+	}
+	return rest.good > 0 && float64(rest.bad) <= illRest*float64(rest.good+rest.bad)
+}
--- /dev/null
+++ b/internal/fleet/zone/zone_test.go
@@ -0,0 +1,236 @@
+package zone
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dewhitch/internal/fleet"
+)
+
+// world plays gateways that report what they see of zones, on a virtual clock.
+type world struct {
+	j        *Judge
+	rng      *rand.Rand
+	now      time.Duration
+	zones    []string
+	gateways []string
+	home     map[string]string
+	rate     float64                            // fetches a second of a gateway, to each zone
+	bad      func(gateway, zone string) float64 // share of the fetches that go ill
+	dead     map[string]bool
+	v        Verdicts
+	leaves   int
+	sent     map[string]int // to each zone
+}
+
+func newWorld(seed uint64, zones, each int, rate float64) *world {
+	w := &world{j: New(Standard), rng: rand.New(rand.NewPCG(seed, 1)), rate: rate, home: map[string]string{}, v: Verdicts{},
+		bad: func(string, string) float64 { return 0 }, dead: map[string]bool{}, sent: map[string]int{}}
+	for z := range zones {
+		w.zones = append(w.zones, string(rune('a'+z)))
+		for i := range each {
+			g := fmt.Sprintf("%s%d", w.zones[z], i)
+			w.gateways = append(w.gateways, g)
+			w.home[g] = w.zones[z]
+		}
+	}
+	return w
+}
+
+func (w *world) unix() int64 { return 1_700_000_000_000 + w.now.Milliseconds() }
+
+// run plays for a while, a status of each gateway and a judgement every 200 ms.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
+		for _, g := range w.gateways {
+			if w.dead[g] {
+				continue
+			}
+			delta := fleet.Report{Zones: map[string]fleet.Count{}}
+			for _, z := range w.zones {
+				n := w.rate / 5
+				if v, ok := w.v.For(w.home[g], z); ok && (v.State == Out || v.State == Probing && !slices.Contains(v.Probers, g)) {
+					continue
+				}
+				var c fleet.Count
+				for ; n > 0 && w.rng.Float64() < n; n-- {
+					c.Tries++
+					w.sent[z]++
+					if w.rng.Float64() < w.bad(g, z) {
+						c.Silent++
+					} else {
+						c.Served++
+					}
+				}
+				delta.Zones[z] = c
+			}
+			w.j.Seen(w.now, g, w.home[g], delta)
+		}
+		next, moved := w.j.Judge(w.now, w.unix(), w.v, func(g string) bool { return !w.dead[g] })
+		if moved {
+			for key, v := range next {
+				if old, ok := w.v[key]; v.State == Out && (!ok || old.State != Out) {
+					w.leaves++
+				}
+			}
+		}
+		w.v = next
+	}
+}
+
+func ill(zone string) func(string, string) float64 {
+	return func(_, z string) float64 {
+		if z == zone {
+			return 1
+		}
+		return 0.01
+	}
+}
+
+func TestZoneIsLeftAndReturnedTo(t *testing.T) {
+	for _, c := range []struct {
+		each int
+		rate float64
+	}{{2, 24}, {10, 0.67}} {
+		w := newWorld(5, 3, c.each, c.rate)
+		w.run(10 * time.Second)
+		w.bad = ill("b")
+		w.run(2 * time.Second)
+		if v := w.v["b"]; v.State != Out || len(w.v) != 1 {
+			t.Fatalf("%d gateways: after 2 s: %+v", len(w.gateways), w.v)
+		}
+		before := w.sent["b"]
+		w.run(8 * time.Second)
+		if n := w.sent["b"] - before; n > 40 {
+			t.Errorf("%d gateways: %d sent while it is out", len(w.gateways), n)
+		}
+		w.bad = ill("")
+		w.run(40 * time.Second)
+		if v := w.v["b"]; v.State != Returning && v.State != "" {
+			t.Errorf("%d gateways: 40 s after it is well: %+v", len(w.gateways), w.v)
+		}
+		w.run(40 * time.Second)
+		if len(w.v) != 0 {
+			t.Errorf("%d gateways: it is not in again: %+v", len(w.gateways), w.v)
+		}
+	}
+}
+
+// Nobody leaves for what is one gateway's trouble, or everybody's.
+func TestNoFalseLeave(t *testing.T) {
+	for name, bad := range map[string]func(g, z string) float64{
+		"one gateway is cut off":   func(g, z string) float64 { return map[bool]float64{true: 1, false: 0.01}[g == "a0"] },
+		"one gateway lies":         func(g, z string) float64 { return map[bool]float64{true: 1, false: 0}[g == "c1"] },
+		"all zones are slow":       func(g, z string) float64 { return 0.95 },
+		"one in five fails":        func(g, z string) float64 { return map[bool]float64{true: 0.2, false: 0}[z == "b"] },
+		"a server of four is down": func(g, z string) float64 { return map[bool]float64{true: 0.25, false: 0.01}[z == "b"] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				w := newWorld(seed, 3, 2, 20)
+				w.run(5 * time.Second)
+				w.bad = bad
+				w.run(20 * time.Second)
+				if w.leaves != 0 {
+					t.Fatalf("seed %d: %d leaves: %+v", seed, w.leaves, w.v)
+				}
+			}
+		})
+	}
+}
+
+func TestCutBetweenTwoZones(t *testing.T) {
+	w := newWorld(3, 3, 2, 20)
+	w.run(5 * time.Second)
+	w.bad = func(g, z string) float64 {
+		if w.home[g] == "a" && z == "b" || w.home[g] == "b" && z == "a" {
+			return 1
+		}
+		return 0
+	}
+	w.run(3 * time.Second)
+	if w.v["a>b"].State != Out || w.v["b>a"].State != Out || len(w.v) != 2 {
+		t.Fatalf("%+v", w.v)
+	}
+	if _, ok := w.v.For("c", "b"); ok {
+		t.Error("c leaves b")
+	}
+}
+
+func TestSecondZone(t *testing.T) {
+	w := newWorld(4, 3, 2, 20)
+	w.run(5 * time.Second)
+	w.bad = func(_, z string) float64 { return map[bool]float64{true: 1, false: 0}[z != "a"] }
+	w.run(10 * time.Second)
+	if n := left(w.v, "a", w.zones); n != 1 {
+		t.Errorf("%d zones of three are out: %+v", n, w.v)
+	}
+}
+
+func TestFlapping(t *testing.T) {
+	w := newWorld(6, 3, 2, 20)
+	w.run(5 * time.Second)
+	for i := range 10 {
+		w.bad = ill("b")
+		w.run(2 * time.Second)
+		w.bad = ill("")
+		w.run(2 * time.Second)
+		_ = i
+	}
+	if w.leaves > 3 {
+		t.Errorf("%d leaves in 40 s", w.leaves)
+	}
+}
+
+func TestSmallFleets(t *testing.T) {
+	for zones := 1; zones <= 2; zones++ {
+		w := newWorld(7, zones, 1, 20)
+		w.run(5 * time.Second)
+		w.bad = ill("a")
+		w.run(5 * time.Second)
+		if _, out := w.v["a"]; out != (zones == 2) {
+			t.Errorf("%d zones of one gateway: %+v", zones, w.v)
+		}
+	}
+}
+
+// Whatever is seen, never are all zones out for anybody, nor more than may be for all.
+func TestNeverAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "each"), 10)
+		for range rapid.IntRange(1, 6).Draw(t, "spells") {
+			shares := map[string]float64{}
+			for _, g := range w.gateways {
+				for _, z := range w.zones {
+					shares[g+z] = rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(t, "bad")
+				}
+			}
+			w.bad = func(g, z string) float64 { return shares[g+z] }
+			for range rapid.IntRange(1, 20).Draw(t, "length") {
+				w.run(time.Second)
+				for _, from := range w.zones {
+					left, everywhere := 0, 0
+					for _, to := range w.zones {
+						if v, ok := w.v.For(from, to); ok && v.State != Returning {
+							left++
+						}
+						if v, ok := w.v[to]; ok && v.State != Returning {
+							everywhere++
+						}
+					}
+					if left >= len(w.zones) {
+						t.Fatalf("%s has no zone left: %+v", from, w.v)
+					}
+					if most := max(len(w.zones)/3, min(1, len(w.zones)-1)); everywhere > most {
+						t.Fatalf("%d zones out, %d at most: %+v", everywhere, most, w.v)
+					}
+				}
+			}
+		}
+	})
+}
