--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -51,6 +52,7 @@
 	Program       string `default:"bin/dewhitch" help:"The program, built (${default})."`
 	Seed          uint64 `default:"1" help:"Of all that is drawn (${default})."`
 	JSON          string `help:"Where to write what it came to; - for standard output."`
+	HTML          string `help:"Where to write a page with plots."`
 	Uncoordinated bool   `help:"Play it without the fleet view."`
 	Gateways      int    `help:"In each zone, in place of what the scenario says."`
 	Quiet         bool   `help:"Print no line a second."`
@@ -88,6 +90,15 @@
 			return err
 		}
 	}
+	if c.HTML != "" {
+		var b bytes.Buffer
+		if err := drill.Page(&b, r); err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.HTML, b.Bytes(), 0o644); err != nil {
+			return err
+		}
+	}
 	fmt.Fprintf(os.Stderr, "%s, seed %d: served %.4f, %.4f in the worst 5 s, of %d reqs; lost %d; CPU a req %.0f µs\n", r.Scenario, r.Seed,
 		r.Served, r.Worst, r.Reqs, r.Lost, r.CPU)
 	if f := r.Fleet; f != nil {
--- /dev/null
+++ b/internal/drill/page_test.go
@@ -0,0 +1,22 @@
+package drill
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestPage(t *testing.T) {
+	r := &Result{Scenario: "planted <b>", Seed: 3, Seconds: []float64{1, 0.5, 1}, ZoneSends: map[string][]int{"zone a": {1, 2, 3}},
+		ServerSends: map[string][]int{"server-a1": {1, 2, 3}}, Breaches: []string{"lost: one"},
+		Timeline: []Moment{{0.5, "silent(servers(\"a\"))"}, {1, "gateway-a1: zone hall-a out: all"}, {1, "plan 1.2 settled"}}}
+	var b bytes.Buffer
+	if err := Page(&b, r); err != nil {
+		t.Fatal(err)
+	}
+	text := b.String()
+	if strings.Count(text, "<svg") != 3 || strings.Contains(text, "planted <b>") || !strings.Contains(text, "lost: one") ||
+		strings.Contains(text, "src=") || strings.Contains(text, "href=\"http") {
+		t.Errorf("%d plots in\n%.600s", strings.Count(text, "<svg"), text)
+	}
+}
--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -258,21 +257,23 @@
 	return n, last
 }
 
-// busiest is the most that a server was sent in a second between two times.
-func (j *judge) busiest(server string, from, to time.Time) int {
+// sentBySecond counts what came to zones and servers in each of so many seconds.
+func (j *judge) sentBySecond(began time.Time, seconds int) (zones, servers map[string][]int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	times := j.sends[server]
-	sort.Slice(times, func(a, b int) bool { return times[a].Before(times[b]) })
-	most, low := 0, 0
-	for i, at := range times {
-		if at.Before(from) || !at.Before(to) {
-			continue
+	zones, servers = map[string][]int{}, map[string][]int{}
+	for name, times := range j.sends {
+		zone := "zone " + (&server{name: name}).zone()
+		if zones[zone] == nil {
+			zones[zone] = make([]int, seconds)
 		}
-		for low < i && (times[low].Before(from) || at.Sub(times[low]) >= time.Second) {
-			low++
+		servers[name] = make([]int, seconds)
+		for _, at := range times {
+			if s := int(at.Sub(began).Seconds()); s >= 0 && s < seconds {
+				zones[zone][s]++
+				servers[name][s]++
+			}
 		}
-		most = max(most, i-low+1)
 	}
-	return most
+	return zones, servers
 }
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -23,24 +23,26 @@
 
 // Result is what a drill came to.
 type Result struct {
-	Scenario    string         `json:"scenario"`
-	Seed        uint64         `json:"seed"`
-	Coordinated bool           `json:"coordinated"`
-	Processes   int            `json:"processes"`
-	Reqs        int            `json:"reqs"`
-	Served      float64        `json:"served"`   // of the worth asked
-	Worst       float64        `json:"worst_5s"` // the same, in the worst five seconds
-	Ends        map[string]int `json:"ends"`
-	Lost        int            `json:"lost"`
-	Rules       map[string]int `json:"rules"` // breaches by name
-	CPU         float64        `json:"cpu_us_per_req"`
-	FleetBytes  float64        `json:"fleet_bytes_per_s"` // a gateway, between gateways
-	Fleet       *FleetResult   `json:"fleet,omitempty"`
-	Troubles    []Trouble      `json:"troubles,omitempty"`
-	Seconds     []float64      `json:"served_by_second"`
-	Timeline    []Moment       `json:"timeline"`
-	Breaches    []string       `json:"breaches,omitempty"`
-	Fallen      []string       `json:"expectations_not_met,omitempty"`
+	Scenario    string           `json:"scenario"`
+	Seed        uint64           `json:"seed"`
+	Coordinated bool             `json:"coordinated"`
+	Processes   int              `json:"processes"`
+	Reqs        int              `json:"reqs"`
+	Served      float64          `json:"served"`   // of the worth asked
+	Worst       float64          `json:"worst_5s"` // the same, in the worst five seconds
+	Ends        map[string]int   `json:"ends"`
+	Lost        int              `json:"lost"`
+	Rules       map[string]int   `json:"rules"` // breaches by name
+	CPU         float64          `json:"cpu_us_per_req"`
+	FleetBytes  float64          `json:"fleet_bytes_per_s"` // a gateway, between gateways
+	Fleet       *FleetResult     `json:"fleet,omitempty"`
+	Troubles    []Trouble        `json:"troubles,omitempty"`
+	Seconds     []float64        `json:"served_by_second"`
+	ZoneSends   map[string][]int `json:"sent_by_second_to_zones"`
+	ServerSends map[string][]int `json:"-"`
+	Timeline    []Moment         `json:"timeline"`
+	Breaches    []string         `json:"breaches,omitempty"`
+	Fallen      []string         `json:"expectations_not_met,omitempty"`
 }
 
 // Trouble is what was sent to servers that the script made ill, from then on until they were well again.
@@ -234,6 +236,7 @@
 	for _, b := range breaches {
 		r.Breaches = append(r.Breaches, fmt.Sprintf("%s at %.1f s: %s", b.rule, b.at.Sub(w.began).Seconds(), b.text))
 	}
+	r.ZoneSends, r.ServerSends = w.judge.sentBySecond(w.began, len(r.Seconds))
 	w.troubles(r)
 	if w.coordinated() {
 		r.Fleet = w.fleet.result()
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -257,23 +257,48 @@
 	s.settles()
 }
 
-// Bytes a member do not grow with the fleet, but for the voters, who hear all.
-func TestBytesByFleet(t *testing.T) {
+// Bytes a member do not grow with the fleet, but for the voters, who hear all; and a change is soon known everywhere.
+func TestLargeFleets(t *testing.T) {
 	each := map[int]float64{}
-	for _, members := range []int{30, 300} {
+	for _, members := range []int{30, 300, 1000} {
 		s := newSim(t, 3, members, 3)
-		s.run(4 * time.Second)
-		before := map[string]int{}
+		s.run(6 * time.Second)
+		before, voters := map[string]int{}, 0.0
 		for _, m := range s.members {
 			before[m.cfg.Name] = m.sent
 		}
 		s.run(5 * time.Second)
-		for _, m := range s.members[3:] {
-			each[members] += float64(m.sent-before[m.cfg.Name]) / 5 / float64(members-3)
+		for i, m := range s.members {
+			bytes := float64(m.sent-before[m.cfg.Name]) / 5
+			if i < 3 {
+				voters = max(voters, bytes)
+			} else {
+				each[members] += bytes / float64(members-3)
+			}
+		}
+		s.ask(s.leader(), "known everywhere")
+		asked := s.now
+		known := func() bool {
+			for _, m := range s.members {
+				if m.n.plan.Epoch != s.newest || s.newest.Number < 3 {
+					return false
+				}
+				if f, ok := m.n.plan.Frozen(); !ok || f.Why != "known everywhere" {
+					return false
+				}
+			}
+			return true
+		}
+		for !known() && s.now-asked < 20*time.Second {
+			s.run(10 * time.Millisecond)
+		}
+		t.Logf("%d members: %.0f bytes a second each, %.0f the busiest voter; a change is known everywhere after %v", members, each[members],
+			voters, s.now-asked)
+		if s.now-asked > 3*time.Second {
+			t.Errorf("%d members: a change is known everywhere after %v", members, s.now-asked)
 		}
-		t.Logf("%d members: %.0f bytes a second each", members, each[members])
 	}
-	if each[300] > 1.3*each[30] {
+	if each[1000] > 1.3*each[30] {
 		t.Errorf("it grows with the fleet: %v", each)
 	}
 }
