Tell a process that another has its name, even where the two can't hear each other

Seen in reading: gossip keeps one address for a name, so the later of two processes gets no answers, and the earlier one never hears that it is not the one any more. Change: whoever hears a life that is over says so to that name; a fenced process leaves the gossip, so that the later one is found.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -83,15 +83,15 @@
 				g.log.Error("the fleet's verdicts can't be read: the last ones hold", zap.Error(err))
 				continue
 			}
-			if err := g.planner.Zones(uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name)); err != nil {
+			if err := g.planner.Zones(uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name, g.planner.Instant(time.Now()))); err != nil {
 				return nil
 			}
 		}
 	}
 }
 
-// uses is what verdicts say to one gateway.
-func uses(v zone.Verdicts, zones []string, own int, name string) map[int]core.Use {
+// uses is what verdicts say to one gateway. A start in its future, by a leader whose clock is ahead, is taken for now.
+func uses(v zone.Verdicts, zones []string, own int, name string, now dw.Instant) map[int]core.Use {
 	from := ""
 	if own < len(zones) {
 		from = zones[own]
@@ -102,7 +102,7 @@
 		if !ok {
 			continue
 		}
-		since := core.FromUnixMS(w.Since)
+		since := min(now, core.FromUnixMS(w.Since))
 		switch {
 		case w.State == zone.Returning, w.State == zone.Probing && slices.Contains(w.Probers, name):
 			uses[i] = core.Use{Since: since}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
@@ -51,6 +50,7 @@
 	members chan change
 	calls   chan func()
 	ended   chan struct{}
+	hush    func() // ends the gossip; of Run
 	tally   *Tally
 	judge   *zone.Judge
 	ailing  time.Time // since then the folder could not be written to; zero: it can
@@ -144,6 +144,7 @@
 	defer a.close()
 	defer close(a.ended)
 	talk, hush := context.WithCancel(context.Background())
+	a.hush = hush
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
@@ -224,6 +225,9 @@
 	}
 	for _, e := range said {
 		a.say(e)
+		if e.Kind == fleet.Fenced {
+			a.hush() // gossip keeps one address for a name: the later process is only found once this one has left
+		}
 	}
 }
 
@@ -329,7 +333,6 @@
 	Members        []MemberStatus `json:"members"`
 	PassedOver     uint64         `json:"passed_over"` // messages and reports that could not be used
 	Folder         string         `json:"folder"`      // kept, halted, or none
-	Pid            int            `json:"pid"`
 }
 
 // Status tells how things stand.
@@ -338,7 +341,7 @@
 		p, self := a.node.Plan(), a.node.Self()
 		leader, ago := a.node.Leader()
 		s = Status{Name: a.o.Gossip.Name, Fleet: a.o.Gossip.Fleet, Leader: leader, LeaderAge: ago.Milliseconds(), Quorum: self.Fresh,
-			Epoch: p.Epoch, Unacknowledged: a.node.Unacknowledged(p.Epoch), PassedOver: a.node.Drops(), Folder: "none", Pid: os.Getpid()}
+			Epoch: p.Epoch, Unacknowledged: a.node.Unacknowledged(p.Epoch), PassedOver: a.node.Drops(), Folder: "none"}
 		if a.vault != nil {
 			if s.Folder = "kept"; !a.ailing.IsZero() {
 				s.Folder = "halted"
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -42,7 +42,6 @@
 	Status       Status
 	Started      int64
 	Life         uint64
-	Granted      time.Duration // when the leader last granted it a lease; on the leader alone
 	seq          uint64
 	seen         seen
 	lastPlanSent time.Duration
@@ -365,18 +364,24 @@
 		return
 	}
 	if e.From == n.cfg.Name {
-		n.namesake(e)
+		n.namesake(life{e.Started, e.Life})
 		return
 	}
+	if e.Later != nil {
+		n.namesake(*e.Later)
+	}
 	p := n.peer(e.From)
 	if p == nil {
 		return
 	}
 	switch {
 	case e.Started < p.Started || e.Started == p.Started && e.Life < p.Life:
-		return // of a life that is over
+		// Of a life that is over, or goes on beside a later one: under one name gossip keeps one address, so that the two may
+		// never hear each other.
+		n.send(e.From, envelope{Later: &life{p.Started, p.Life}})
+		return
 	case e.Started != p.Started || e.Life != p.Life:
-		*p = Peer{Name: p.Name, Alive: p.Alive, Started: e.Started, Life: e.Life, Granted: p.Granted}
+		*p = Peer{Name: p.Name, Alive: p.Alive, Started: e.Started, Life: e.Life}
 	}
 	if n.fenced {
 		return
@@ -406,8 +411,8 @@
 }
 
 // namesake hears a process of the same name: the one that began later has it.
-func (n *Node) namesake(e *envelope) {
-	if e.Started < n.cfg.Started || e.Started == n.cfg.Started && e.Life <= n.cfg.Life || n.fenced {
+func (n *Node) namesake(o life) {
+	if o.Started < n.cfg.Started || o.Started == n.cfg.Started && o.Life <= n.cfg.Life || n.fenced {
 		return
 	}
 	n.fenced = true
@@ -438,7 +443,6 @@
 		n.send(p.Name, envelope{Status: &s}) // they will tell
 	}
 	if n.Leads() {
-		p.Granted = n.now
 		n.send(p.Name, envelope{Grant: &grant{e.Seq, n.plan.Epoch}})
 	}
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -66,6 +66,12 @@
 	Plan    *Plan  `cbor:"3,keyasint,omitempty"` // the newest that whoever promises knows
 }
 
+// life tells a process that another one has its name, and began later.
+type life struct {
+	Started int64  `cbor:"1,keyasint"`
+	Life    uint64 `cbor:"2,keyasint"`
+}
+
 // envelope is one message between members.
 type envelope struct {
 	Version int          `cbor:"1,keyasint"`
@@ -81,6 +87,7 @@
 	Ask     *ask         `cbor:"11,keyasint,omitempty"`
 	Told    *told        `cbor:"12,keyasint,omitempty"`
 	Found   *founding    `cbor:"13,keyasint,omitempty"`
+	Later   *life        `cbor:"14,keyasint,omitempty"`
 }
 
 var decoder = func() cbor.DecMode {
