--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 )
 
@@ -87,6 +88,18 @@
 	return nil
 }
 
+// What porcupine is told is judged: an ask that is settled under an older epoch than one that ended before it began is found.
+func TestPlantedOrder(t *testing.T) {
+	text := breaks(func(f *found) {
+		s := newSim(f, 1, 3, 3)
+		s.history = []porcupine.Operation{{Call: 0, Output: Epoch{1, 5}, Return: 10}, {Call: 20, Output: Epoch{1, 4}, Return: 30}}
+		s.linear()
+	})
+	if text == "" {
+		t.Error("it is not found")
+	}
+}
+
 func TestLeaderStallsAndWakes(t *testing.T) {
 	s := settledSim(t, 6, 3)
 	old := s.leader()
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -37,6 +38,7 @@
 	commits uint64 // the newest founding in which a leader settled something
 	forget  bool   // planted: a voter that lost its folder votes under its old identity
 	lives   int64
+	history []porcupine.Operation
 }
 
 type fataler interface {
@@ -293,12 +295,14 @@
 	if m.dead || s.now < m.stall {
 		return
 	}
+	began := s.now
 	m.n.Ask(s.now, s.unix(), "freeze", []byte(what), func(e Epoch, err error) {
 		if err != nil {
 			m.told = append(m.told, err)
 			return
 		}
 		m.epochs = append(m.epochs, e)
+		s.history = append(s.history, porcupine.Operation{ClientId: m.at, Input: what, Call: int64(began), Output: e, Return: int64(s.now)})
 	})
 	s.drive(m)
 }
@@ -402,6 +406,7 @@
 		s.run(4 * time.Second)
 		schedule(t, s)
 		s.settles()
+		s.linear()
 	})
 }
 
@@ -418,3 +423,20 @@
 		}
 	}
 }
+
+// ordered are histories of asks as porcupine judges them: each that is settled takes an epoch above all that were settled
+// before it began.
+var ordered = porcupine.Model{
+	Init: func() any { return Epoch{} },
+	Step: func(state, _, output any) (bool, any) {
+		e := output.(Epoch)
+		return state.(Epoch).Less(e), e
+	},
+}
+
+// linear checks the asks of a schedule. One that was told of no quorum may or may not have been settled, and is left out.
+func (s *sim) linear() {
+	if !porcupine.CheckOperations(ordered, s.history) {
+		s.t.Fatalf("asks were settled in no order: %+v", s.history)
+	}
+}
