Test the fleet's commands on the real program, and bound a scenario's memory

Need: the operators' calls were tested in one process only, and nothing showed that a process without a fleet file has no socket of a fleet. A scenario was bounded in steps, but a list added to itself doubles in one step. A scenario that takes more than 64 MB is ended.

--- /dev/null
+++ b/cmd/dewhitch/fleet_test.go
@@ -0,0 +1,123 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dewhitch/internal/standin"
+)
+
+// alone starts one gateway among stand-ins, in a fleet of its own or in none.
+func alone(t *testing.T, fleet bool) (p *standin.Process, show string) {
+	t.Helper()
+	backends, err := standin.NewBackends(1, false, standin.Always(standin.Step{}))
+	kept(t, backends, err)
+	counter := newCounter(t)
+	director := newDirector(t, standin.Members(standin.Member("s-00000001", backends.Nodes[0].Addr(), "up")), 1)
+	p = &standin.Process{Name: "n0", Dir: t.TempDir(), Listen: standin.OwnAddr(), Path: program}
+	show = standin.OwnAddr()
+	config, err := standin.Config{Name: "n0", Listen: p.Listen, Director: director.Addr(), Counter: counter.Addr(), Instances: 1,
+		Zones: []string{"hall-a", "hall-b"}, Plans: []standin.Plan{{Name: "basic", QuotaRate: 10, Depth: 10, Pays: 1}},
+		Classes: []standin.Class{{Name: "space-query", Effect: "safe", Aim: time.Second, Deadline: 2 * time.Second, Points: 1}}}.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Write(map[string]string{"config.json": config, "limits.toml": "listen = \"\"\n",
+		"operations.toml": fmt.Sprintf("[operator]\nlisten = %q\n", show),
+		"fleet.toml": fmt.Sprintf("[fleet]\nname = \"test\"\nlisten = %q\nvoters = [\"n0\"]\ndir = %q\n", standin.OwnAddr(),
+			p.File("fleet"))}); err != nil {
+		t.Fatal(err)
+	}
+	p.Args = []string{"--limits", p.File("limits.toml"), "--operations", p.File("operations.toml"), "serve"}
+	if fleet {
+		p.Args = append([]string{"--fleet", p.File("fleet.toml")}, p.Args...)
+	}
+	if err := p.Start(30 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	return p, show
+}
+
+func TestFleetCommands(t *testing.T) {
+	p, show := alone(t, true)
+	run := func(args ...string) (string, error) {
+		out, err := exec.Command(program, append([]string{"fleet", "--at", show}, args...)...).CombinedOutput()
+		return string(out), err
+	}
+	var status struct {
+		Quorum  bool
+		Leader  string
+		Folder  string
+		Members []struct{ Name, State string }
+	}
+	for end := time.Now().Add(30 * time.Second); !status.Quorum; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no quorum of one: %+v\n%s", status, p.Program().Log())
+		}
+		if text, err := run("status", "--json"); err == nil {
+			if err := json.Unmarshal([]byte(text), &status); err != nil {
+				t.Fatal(err, text)
+			}
+		}
+	}
+	if status.Leader != "n0" || status.Folder != "kept" || len(status.Members) != 1 {
+		t.Errorf("%+v", status)
+	}
+	for _, c := range []struct {
+		args []string
+		want string
+		good bool
+	}{
+		{[]string{"return", "hall-b", "--why", "so", "--by", "me"}, `NO zone: "hall-b" is not out`, false},
+		{[]string{"leave", "hall-b", "--why", "power work", "--by", "me", "--for", "30m"}, "YES ", true},
+		{[]string{"zones"}, "power work", true},
+		{[]string{"leave", "hall-b", "--why", "x", "--by", "me", "--for=-1s"}, "NO ", false},
+		{[]string{"leave", "hall-b"}, "missing flags: --why", false},
+		{[]string{"return", "hall-b", "--why", "done", "--by", "me"}, "YES ", true},
+		{[]string{"freeze", "--why", "night", "--by", "me"}, "YES ", true},
+		{[]string{"status"}, "frozen by me", true},
+		{[]string{"thaw", "--why", "day", "--by", "me"}, "YES ", true},
+	} {
+		if text, err := run(c.args...); (err == nil) != c.good || !strings.Contains(text, c.want) {
+			t.Errorf("%v: %v: %s; expected %s", c.args, err, text, c.want)
+		}
+	}
+}
+
+// Without a fleet file there is nothing of a fleet: no datagrams' socket, no operators' listener.
+func TestNoFleetNoSocket(t *testing.T) {
+	for _, fleet := range []bool{true, false} {
+		p, show := alone(t, fleet)
+		pid := p.Program().Cmd.Process.Pid
+		udp, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/udp", pid))
+		if err != nil {
+			t.Skip(err)
+		}
+		links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := 0
+		for _, l := range links {
+			to, _ := os.Readlink(l)
+			if inode, ok := strings.CutPrefix(to, "socket:["); ok && strings.Contains(string(udp), " "+strings.TrimSuffix(inode, "]")+" ") {
+				found++
+			}
+		}
+		if (found > 0) != fleet {
+			t.Errorf("a fleet %v: %d sockets for datagrams", fleet, found)
+		}
+		if c, err := standin.Dial(show, time.Second); (err == nil) != fleet {
+			t.Errorf("a fleet %v: the operators' listener: %v", fleet, err)
+		} else if err == nil {
+			c.Close()
+		}
+	}
+}
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"os"
 	"regexp"
+	"runtime/metrics"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"go.starlark.net/starlark"
@@ -18,6 +20,7 @@
 const (
 	mostSteps    = 1_000_000
 	mostText     = 256 << 10
+	mostMemory   = 64 << 20 // of a scenario's own values
 	mostEvents   = 2_000
 	mostProcs    = 60
 	mostServers  = 120
@@ -127,6 +130,7 @@
 	}
 	thread := &starlark.Thread{Name: name}
 	thread.SetMaxExecutionSteps(mostSteps)
+	defer watchMemory(thread)()
 	if _, err := starlark.ExecFileOptions(options, thread, name, text, b.words()); err != nil {
 		if e, ok := err.(*starlark.EvalError); ok {
 			for i := len(e.CallStack) - 1; i >= 0; i-- { // the file's line, not that of a word of ours
@@ -140,6 +144,30 @@
 	return b.done(name)
 }
 
+// watchMemory ends a scenario that takes too much memory: steps alone do not bound it, as a list that is added to itself
+// doubles in one. It returns what ends the watch.
+func watchMemory(thread *starlark.Thread) (stop func()) {
+	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(heap)
+	before, over := heap[0].Value.Uint64(), make(chan struct{})
+	go func() {
+		t := time.NewTicker(time.Millisecond)
+		defer t.Stop()
+		for {
+			select {
+			case <-over:
+				return
+			case <-t.C:
+			}
+			if metrics.Read(heap); heap[0].Value.Uint64() > before+mostMemory {
+				thread.Cancel(fmt.Sprintf("more than %d MB of memory", mostMemory>>20))
+				return
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(over) })
+}
+
 // loadWord is the fleet's load as a file has it: Starlark keeps the word for itself, and takes one of the same length.
 var loadWord = regexp.MustCompile(`\bload(\s*=[^=])`)
 
--- a/internal/drill/scenario_test.go
+++ b/internal/drill/scenario_test.go
@@ -40,6 +40,7 @@
 		{fleet + "expect(sent = 3)", "sent needs target, start and end"},
 		{fleet + "expect(served = 3)", "served = 3; expected 0 to 1"},
 		{"while True:\n  x = 1", "too many steps"},
+		{"x = [1, 2, 3]\nfor i in range(40):\n  x = x + x", "more than 64 MB of memory"},
 		{"x = \"a\" * 1000000000", "x.star:1:9: a text times a number is refused"},
 		{"silent(servers(\"b\"))", "expected the fleet first"},
 		{"load(\"other.star\", \"x\")", "x.star:1"},
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -13,7 +13,7 @@
 // The log's clock, in ticks.
 const (
 	electionTicks  = 6
-	heartbeatTicks = 1
+	heartbeatTicks = 2
 	keepEntries    = 256 // behind which the log is compacted
 )
 
