--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -11,34 +11,35 @@
 	"dewhitch/internal/standin"
 )
 
-// echo answers each line with itself.
-func echo(t *testing.T) string {
-	l, err := standin.Listen("", func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			line, err := r.ReadString('\n')
-			if err != nil {
-				return
-			}
-			fmt.Fprint(c, line)
-		}
-	})
+// before is a link before a listener that serves each connection so.
+func before(t *testing.T, serve func(net.Conn)) (*Net, *Link) {
+	s, err := standin.Listen("", serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.Close)
-	return l.Addr()
-}
-
-func open(t *testing.T) (*Net, *Link) {
+	t.Cleanup(s.Close)
 	n := NewNet(1)
-	l, err := n.Open("a", "b", standin.OwnAddr(), echo(t), false)
+	t.Cleanup(n.Close)
+	l, err := n.Open("a", "b", standin.OwnAddr(), s.Addr(), false)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(n.Close)
 	return n, l
 }
 
+// open is a link before one that answers each line with itself.
+func open(t *testing.T) (*Net, *Link) {
+	return before(t, func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, line)
+		}
+	})
+}
+
 // says sends a line and tells whether it comes back in time.
 func says(c net.Conn, patience time.Duration) bool {
 	c.SetDeadline(time.Now().Add(patience))
@@ -111,20 +112,10 @@
 // What a gateway has given up while a way was silent may not come to life when that heals.
 func TestGivenUpDoesNotArrive(t *testing.T) {
 	got := make(chan string, 1)
-	s, err := standin.Listen("", func(c net.Conn) {
+	n, l := before(t, func(c net.Conn) {
 		line, err := bufio.NewReader(c).ReadString('\n')
 		got <- fmt.Sprint(line, err != nil)
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
-	n := NewNet(1)
-	defer n.Close()
-	l, err := n.Open("a", "b", standin.OwnAddr(), s.Addr(), false)
-	if err != nil {
-		t.Fatal(err)
-	}
 	c, err := net.Dial("tcp", l.Addr())
 	if err != nil {
 		t.Fatal(err)
@@ -146,18 +137,8 @@
 func TestLeft(t *testing.T) {
 	seen := make(chan string, 1)
 	hold := make(chan struct{})
-	s, err := standin.Listen("", func(c net.Conn) { seen <- c.RemoteAddr().String(); <-hold })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
+	_, l := before(t, func(c net.Conn) { seen <- c.RemoteAddr().String(); <-hold })
 	defer close(hold)
-	n := NewNet(1)
-	defer n.Close()
-	l, err := n.Open("a", "b", standin.OwnAddr(), s.Addr(), false)
-	if err != nil {
-		t.Fatal(err)
-	}
 	c, err := net.Dial("tcp", l.Addr())
 	if err != nil {
 		t.Fatal(err)
