Share what a link and a voter did twice, and drop code of the fleet that nobody calls

Read once more: a link's listening stood in two places, a change of voters was applied by two copies (raft hands a single one over in its older form), and Node.Forget, the agent's own deciders and drill.Rules had no caller.

--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -314,9 +314,3 @@
 		}
 	}
 }
-
-// Rules are the names of all rules, for those who print a result.
-func Rules() []string {
-	return slices.Sorted(maps.Keys(map[string]bool{ruleLost: true, ruleAnswers: true, ruleTwoOut: true, ruleRepeat: true,
-		ruleDrain: true, ruleCeiling: true, rulePushed: true, ruleEnded: true}))
-}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -21,14 +21,13 @@
 
 // Options say how a process takes part in a fleet.
 type Options struct {
-	Gossip   gossip.Options // without what the agent sets
-	Voters   []string
-	Dir      string // where a voter keeps its log; empty: it is forgotten with the process
-	Lease    time.Duration
-	Status   time.Duration
-	Log      *zap.Logger
-	Follow   func(fleet.Plan, bool) // each plan that is acted on from now on, and whether the view is fresh; it may not block
-	Deciders map[string]fleet.Decider
+	Gossip gossip.Options // without what the agent sets
+	Voters []string
+	Dir    string // where a voter keeps its log; empty: it is forgotten with the process
+	Lease  time.Duration
+	Status time.Duration
+	Log    *zap.Logger
+	Follow func(fleet.Plan, bool) // each plan that is acted on from now on, and whether the view is fresh; it may not block
 }
 
 const (
@@ -73,9 +72,6 @@
 	c := fleet.Config{Fleet: g.Fleet, Name: g.Name, Zone: g.About.Zone, Region: g.About.Region, Voters: o.Voters,
 		Started: a.began.UnixNano(), Life: random(), Seed: random(), Tick: tick, Status: o.Status, Lease: o.Lease,
 		Deciders: map[string]fleet.Decider{}, Observe: a.observe, Lead: a.lead}
-	for verb, d := range o.Deciders {
-		c.Deciders[verb] = d
-	}
 	for verb, d := range fleet.Freezing() {
 		c.Deciders[verb] = d
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -283,14 +283,6 @@
 	}
 }
 
-// Forget drops a member that is gone for good.
-func (n *Node) Forget(name string) {
-	delete(n.peers, name)
-	if i, ok := slices.BinarySearch(n.names, name); ok {
-		n.names = slices.Delete(n.names, i, i+1)
-	}
-}
-
 func (n *Node) peer(name string) *Peer {
 	p := n.peers[name]
 	if p == nil && len(n.peers) < mostPeers {
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -248,16 +248,10 @@
 	switch e.GetType() {
 	case raftpb.EntryConfChangeV2:
 		var c raftpb.ConfChangeV2
-		if proto.Unmarshal(e.Data, &c) == nil {
-			v.conf = v.rn.ApplyConfChange(&c)
-			v.snapshot()
-		}
+		v.reshaped(&c, proto.Unmarshal(e.Data, &c))
 	case raftpb.EntryConfChange:
 		var c raftpb.ConfChange
-		if proto.Unmarshal(e.Data, &c) == nil {
-			v.conf = v.rn.ApplyConfChange(&c)
-			v.snapshot()
-		}
+		v.reshaped(&c, proto.Unmarshal(e.Data, &c))
 	default:
 		var c change
 		if len(e.Data) == 0 || cbor.Unmarshal(e.Data, &c) != nil {
@@ -269,6 +263,14 @@
 	}
 }
 
+// reshaped applies a change of the voters, unless it could not be read.
+func (v *voter) reshaped(c raftpb.ConfChangeI, err error) {
+	if err == nil {
+		v.conf = v.rn.ApplyConfChange(c)
+		v.snapshot()
+	}
+}
+
 // snapshot has what a voter that is far behind gets be of now. A new voter takes none that does not name it, so each change
 // of the voters makes one.
 func (v *voter) snapshot() {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -92,14 +92,13 @@
 	return l.byFar[far] != nil
 }
 
+// listen has it listen; l.mu is held, or nobody else has the link yet.
 func (l *Link) listen() error {
 	t, err := net.Listen("tcp", l.addr)
 	if err != nil {
 		return err
 	}
-	l.mu.Lock()
 	l.l = t.(*net.TCPListener)
-	l.mu.Unlock()
 	go l.accept(l.l)
 	return nil
 }
@@ -119,13 +118,8 @@
 		l.l.Close()
 		l.l = nil
 	}
-	if !refuse && l.l == nil {
-		t, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return // the next change tries again
-		}
-		l.l = t.(*net.TCPListener)
-		go l.accept(l.l)
+	if !refuse && l.l == nil && l.listen() != nil {
+		return // the next change tries again
 	}
 	switch {
 	case l.l == nil || hang == l.hung:
