Find members of a fleet by ephemeral nodes in a registry, as a hint beside seeds

Change: internal/fleet/find keeps a node for each member and tells gossip where others may be; internal/registry keeps and follows any nodes, planners among them, and says once that it is away, not at each try. A member that is alone asks five places at once, no longer all. Off unless fleet.registry names servers. Way not taken: taking a node that has gone for a member that has gone. Sessions lapse together while the registry is away, and a fleet would fall apart by it. A test lets all sessions lapse with four members: nobody is taken for gone.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -22,6 +22,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/agent"
+	"dewhitch/internal/fleet/find"
 	"dewhitch/internal/fleet/gossip"
 	"dewhitch/internal/fleet/zone"
 )
@@ -55,6 +56,13 @@
 	return nil
 }
 
+// findMembers has members find one another by the registry, where the fleet's file names one.
+func (g *gateway) findMembers(ctx context.Context) error {
+	r := g.f.Registry
+	return find.Run(ctx, find.Options{Servers: r.Servers, Path: r.Path, Session: r.Session, Name: g.n.Name, Address: g.f.Listen,
+		Log: g.log}, g.fleet.Found)
+}
+
 // watcher tells the fleet's tally of fetches.
 type watcher struct {
 	tally *agent.Tally
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -216,7 +216,7 @@
 		serving = append(serving, g.show)
 	}
 	if g.fleet != nil {
-		serving = append(serving, g.fleet.Run, g.followZones)
+		serving = append(serving, g.fleet.Run, g.followZones, g.findMembers)
 	}
 	for _, p := range serving {
 		group.Go(func() error { return p(work) })
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	Keyring, Dir         string
 	Lease, Status        time.Duration
 	Peers                map[string]string
+	Registry             Registry // where members are found; without servers they are found by seeds alone
 }
 
 // LoadFleet reads the fleet file and checks it against the published schema; an empty path is no fleet.
@@ -43,10 +45,12 @@
 			Keyring, Dir         string
 			LeaseMS              int `toml:"lease_ms"`
 			StatusMS             int `toml:"status_ms"`
+			Registry             registryFile
 		}
 		Peers map[string]string
 	}
 	f.Fleet.LeaseMS, f.Fleet.StatusMS = 2000, 200
+	f.Fleet.Registry.Path = defaultMembers
 	if err := toml.Unmarshal(text, &f); err != nil { // the schema has seen to that
 		return nil, fault(path, "%v", err)
 	}
@@ -84,6 +88,11 @@
 	if l.LeaseMS < 4*l.StatusMS {
 		return nil, fault("fleet.lease_ms", "%d; at least four times status_ms, as a status or its answer may be lost", l.LeaseMS)
 	}
-	return &Fleet{Name: l.Name, Listen: l.Listen, Region: l.Region, Voters: l.Voters, Seeds: l.Seeds, Keyring: l.Keyring, Dir: l.Dir,
+	reg, err := l.Registry.read("fleet.registry")
+	if err != nil {
+		return nil, err
+	}
+	reg.Path += "/" + url.PathEscape(l.Name)
+	return &Fleet{Registry: reg, Name: l.Name, Listen: l.Listen, Region: l.Region, Voters: l.Voters, Seeds: l.Seeds, Keyring: l.Keyring, Dir: l.Dir,
 		Lease: time.Duration(l.LeaseMS) * time.Millisecond, Status: time.Duration(l.StatusMS) * time.Millisecond, Peers: f.Peers}, nil
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -15,9 +15,9 @@
 	Forward  Forward
 }
 
-// Registry says where planners are registered.
+// Registry says where planners, or members of a fleet, are registered.
 type Registry struct {
-	Servers []string // none: planners are not registered
+	Servers []string // none: nobody is registered
 	Path    string
 	Session time.Duration
 }
@@ -33,20 +33,41 @@
 // The defaults, where the limits file leaves a key out.
 const (
 	defaultPath      = "/dewhitch/planners"
+	defaultMembers   = "/dewhitch/members"
 	defaultSessionMS = 4000
 	leastSessionMS   = 100
 )
 
+// registryFile is a registry as files have it.
+type registryFile struct {
+	Servers   []string
+	Path      string
+	SessionMS int `toml:"session_ms"`
+}
+
+// read checks it; key is where it stands.
+func (f registryFile) read(key string) (Registry, error) {
+	r := Registry{f.Servers, f.Path, time.Duration(or(f.SessionMS, defaultSessionMS)) * time.Millisecond}
+	for _, s := range r.Servers {
+		if err := address(key+".servers", s); err != nil {
+			return r, err
+		}
+	}
+	switch {
+	case !strings.HasPrefix(r.Path, "/") || strings.HasSuffix(r.Path, "/"):
+		return r, fault(key+".path", "%q is not a path such as %s", r.Path, defaultPath)
+	case r.Session < leastSessionMS*time.Millisecond:
+		return r, fault(key+".session_ms", "%d; it needs %d at least", f.SessionMS, leastSessionMS)
+	}
+	return r, nil
+}
+
 // LoadLimits reads and checks the limits file.
 func LoadLimits(path string) (*Limits, error) {
 	var f struct {
 		Listen   string
-		Registry struct {
-			Servers   []string
-			Path      string
-			SessionMS int `toml:"session_ms"`
-		}
-		Forward struct {
+		Registry registryFile
+		Forward  struct {
 			Listen            string
 			Gateways, Sockets int
 			MemoryMB          int `toml:"memory_mb"`
@@ -59,28 +80,20 @@
 		}
 		return nil, fault(path, "%v", err)
 	}
-	l := &Limits{Listen: f.Listen, Registry: Registry{f.Registry.Servers, f.Registry.Path,
-		time.Duration(or(f.Registry.SessionMS, defaultSessionMS)) * time.Millisecond},
-		Forward: Forward{f.Forward.Listen, f.Forward.Gateways, or(f.Forward.Sockets, defaultSockets),
-			or(f.Forward.MemoryMB, defaultMemoryMB)}}
-	if l.Registry.Path == "" {
-		l.Registry.Path = defaultPath
+	if f.Registry.Path == "" {
+		f.Registry.Path = defaultPath
 	}
+	l := &Limits{Listen: f.Listen, Forward: Forward{f.Forward.Listen, f.Forward.Gateways, or(f.Forward.Sockets, defaultSockets),
+		or(f.Forward.MemoryMB, defaultMemoryMB)}}
 	if l.Listen != "" {
 		if err := address("listen", l.Listen); err != nil {
 			return nil, err
 		}
 	}
-	for _, s := range l.Registry.Servers {
-		if err := address("registry.servers", s); err != nil {
-			return nil, err
-		}
-	}
-	switch {
-	case !strings.HasPrefix(l.Registry.Path, "/") || strings.HasSuffix(l.Registry.Path, "/"):
-		return nil, fault("registry.path", "%q is not a path such as %s", l.Registry.Path, defaultPath)
-	case l.Registry.Session < leastSessionMS*time.Millisecond:
-		return nil, fault("registry.session_ms", "%d; it needs %d at least", f.Registry.SessionMS, leastSessionMS)
+	var err error
+	l.Registry, err = f.Registry.read("registry")
+	if err != nil {
+		return nil, err
 	}
 	return l, nil
 }
--- a/internal/drill/actions.go
+++ b/internal/drill/actions.go
@@ -116,6 +116,13 @@
 		return act{text: "heal()", do: func(w *world) { w.net.Heal() }}, c.unpack()
 	})
 
+	add("lapse", func(c *call) (starlark.Value, error) {
+		if b.s.Found != "registry" {
+			return nil, fmt.Errorf("lapse(): expected fleet(found = \"registry\")")
+		}
+		return act{text: "lapse()", do: func(w *world) { w.lapse() }}, c.unpack()
+	})
+
 	// onGateways is an action on each gateway of a target, or on the leader.
 	onGateways := func(name, what string, least, most float64, needed bool, do func(w *world, g *gateway, d time.Duration, fresh bool)) {
 		add(name, func(c *call) (starlark.Value, error) {
--- a/internal/drill/fleetlog.go
+++ b/internal/drill/fleetlog.go
@@ -214,8 +214,19 @@
 		return "[" + strings.Join(q, ", ") + "]"
 	}
 	seeds := slices.DeleteFunc(w.voters(), func(n string) bool { return n == g.name })
-	fmt.Fprintf(&b, "[fleet]\nname = \"drill\"\nlisten = %q\nvoters = %s\nseeds = %s\ndir = %q\n\n[peers]\n", g.talk, quoted(w.voters()),
+	if w.registry != nil {
+		seeds = nil
+	}
+	fmt.Fprintf(&b, "[fleet]\nname = \"drill\"\nlisten = %q\nvoters = %s\nseeds = %s\ndir = %q\n\n", g.talk, quoted(w.voters()),
 		quoted(seeds), g.File("fleet"))
+	if w.registry != nil {
+		l, err := w.net.Open(g.name, "registry", standin.OwnAddr(), w.registry.Addr(), false)
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "[fleet.registry]\nservers = [%q]\n\n", l.Addr())
+	}
+	b.WriteString("[peers]\n")
 	for _, o := range w.gateways {
 		if o == g {
 			continue
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -41,6 +41,7 @@
 	Length      time.Duration
 	Coordinated bool
 	Class       string // mixed, safe, keyed or unsafe
+	Found       string // how members find one another: seeds or registry
 	Events      []Event
 	Expects     []Expect
 }
@@ -119,7 +120,7 @@
 		}
 	}
 	text = loadWord.ReplaceAll(text, []byte("Load$1"))
-	b := &builder{size: size, s: Scenario{Name: strings.TrimSuffix(name, ".star"), Length: 60 * time.Second, Class: "mixed"}}
+	b := &builder{size: size, s: Scenario{Name: strings.TrimSuffix(name, ".star"), Length: 60 * time.Second, Class: "mixed", Found: "seeds"}}
 	options := &syntax.FileOptions{TopLevelControl: true, GlobalReassign: true, While: true}
 	file, err := options.Parse(name, text, 0)
 	if err != nil {
@@ -214,7 +215,7 @@
 	for _, kind := range []string{"gateways", "servers", "zone", "gateway", "server"} {
 		add(kind, func(c *call) (starlark.Value, error) { return b.target(c, kind) })
 	}
-	for _, kind := range []string{"leader", "counter"} {
+	for _, kind := range []string{"leader", "counter", "registry"} {
 		add(kind, func(c *call) (starlark.Value, error) {
 			return target{text: kind + "()", kind: kind, scene: b}, c.unpack()
 		})
@@ -281,7 +282,8 @@
 	gateways, servers, hauliers, load, length, rate := 2, 4, 40, number(0.6), number(60), number(0)
 	s.Coordinated = true
 	if err := c.unpack("zones?", &zones, "gateways?", &gateways, "servers?", &servers, "hauliers?", &hauliers, "Load?", &load,
-		"length?", &length, "coordinated?", &s.Coordinated, "rate?", &rate, "cls?", &s.Class); err != nil {
+		"length?", &length, "coordinated?", &s.Coordinated, "rate?", &rate, "cls?", &s.Class,
+		"found?", &s.Found); err != nil {
 		return nil, err
 	}
 	if b.size.Gateways > 0 {
@@ -313,6 +315,9 @@
 	if !slices.Contains([]string{"mixed", "safe", "keyed", "unsafe"}, s.Class) {
 		return nil, fmt.Errorf("cls = %q; expected mixed, safe, keyed or unsafe", s.Class)
 	}
+	if !slices.Contains([]string{"seeds", "registry"}, s.Found) {
+		return nil, fmt.Errorf("found = %q; expected seeds or registry", s.Found)
+	}
 	return starlark.None, nil
 }
 
--- /dev/null
+++ b/internal/drill/scenarios/found.star
@@ -0,0 +1,11 @@
+# Members find one another in a registry alone; it is cut off, one process restarts meanwhile, then all its sessions lapse.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.4, length = 24, found = "registry")
+at(2, freeze(gateway("a", 2)))
+at(4, cut(gateways(), registry()))
+at(5, kill(gateway("b", 2), back = 1))
+at(9, thaw(gateway("c", 1)))
+at(11, heal())
+at(13, lapse())
+at(15, kill(gateway("c", 2), back = 1, fresh = True))
+at(20, freeze(gateway("c", 2)))
+expect(served = 0.9, lost = 0, plans = 4, seen = 1.0, leaves = 0)
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -12,6 +12,7 @@
 
 	"dewhitch/internal/standin"
 	"dewhitch/internal/standin/link"
+	"dewhitch/internal/standin/zookeeper"
 )
 
 const (
@@ -76,6 +77,7 @@
 	net      *link.Net
 	farm     *standin.Backends
 	counter  *standin.Counter
+	registry *zookeeper.Server // nil: members find one another by seeds
 	servers  []*server
 	byServer map[string]*server
 	gateways []*gateway
@@ -141,6 +143,11 @@
 	if w.counter, err = standin.NewCounter(); err != nil {
 		return err
 	}
+	if w.Found == "registry" {
+		if w.registry, err = zookeeper.New(); err != nil {
+			return err
+		}
+	}
 	for _, z := range w.Zones {
 		for i := range w.Gateways {
 			g := &gateway{name: gatewayName(z, i+1), zone: z, number: len(w.gateways), talk: standin.OwnAddr(), show: standin.OwnAddr()}
@@ -331,8 +338,8 @@
 		}
 		w.say("there is no leader")
 		return nil
-	case "counter":
-		return []string{"counter"}
+	case "counter", "registry":
+		return []string{t.kind}
 	}
 	gateways, servers := b.resolve(t)
 	return append(gateways, servers...)
@@ -407,6 +414,13 @@
 	})
 }
 
+// lapse ends all sessions at the registry, and with them what processes keep there.
+func (w *world) lapse() {
+	for _, g := range w.gateways {
+		w.registry.Expire(w.registry.Owner("/dewhitch/members/drill/" + g.name))
+	}
+}
+
 func (w *world) comesBack(g *gateway, back time.Duration, fresh bool, over func()) {
 	g.spent()
 	if back == 0 {
@@ -527,4 +541,7 @@
 	if w.counter != nil {
 		w.counter.Close()
 	}
+	if w.registry != nil {
+		w.registry.Close()
+	}
 }
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -127,6 +127,9 @@
 	return binary.BigEndian.Uint64(b[:]) >> 1
 }
 
+// Found tells where members may be; a hint.
+func (a *Agent) Found(at map[string]string) { a.gossip.Found(at) }
+
 // Tally is where what this process sees of servers is counted.
 func (a *Agent) Tally() *Tally { return a.tally }
 
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -19,12 +19,19 @@
 	"go.uber.org/zap"
 
 	"dewhitch/internal/fleet"
+	"dewhitch/internal/fleet/find"
 	"dewhitch/internal/fleet/gossip"
 	"dewhitch/internal/standin"
+	"dewhitch/internal/standin/zookeeper"
 )
 
 // start runs members that know one another, and gives what ends them.
 func start(t *testing.T, n int, dirs bool) (all []*Agent, stop func()) {
+	return startBy(t, n, dirs, nil)
+}
+
+// startBy has them find one another in a registry, if one is given, and tells them nothing else.
+func startBy(t *testing.T, n int, dirs bool, reg *zookeeper.Server) (all []*Agent, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -45,10 +52,19 @@
 		if dirs {
 			o.Dir = filepath.Join(t.TempDir(), name)
 		}
+		if reg != nil {
+			o.Gossip.Peers, o.Gossip.Seeds = nil, nil
+		}
 		a, err := Open(o)
 		if err != nil {
 			t.Fatal(err)
 		}
+		if reg != nil {
+			running.Go(func() {
+				_ = find.Run(ctx, find.Options{Servers: []string{reg.Addr()}, Path: "/members/test", Session: 4 * time.Second, Name: name,
+					Address: o.Gossip.Listen, Log: zap.NewNop()}, a.Found)
+			})
+		}
 		all = append(all, a)
 		running.Go(func() { _ = a.Run(ctx) })
 	}
@@ -80,6 +96,41 @@
 	}
 }
 
+func TestFoundByRegistry(t *testing.T) {
+	defer ended(t)
+	z, err := zookeeper.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer z.Close()
+	all, stop := startBy(t, 4, false, z)
+	defer stop()
+	fresh(t, all)
+	// All sessions lapse at once, as when the registry was away for long: nobody is gone by that, and the nodes come anew.
+	names, owners := []string{"g0", "g1", "g2", "g3"}, map[string]int64{}
+	for _, n := range names {
+		owners[n] = z.Owner("/members/test/" + n)
+		z.Expire(owners[n])
+	}
+	for _, n := range names {
+		until(t, "a new node of "+n, func() bool {
+			now := z.Owner("/members/test/" + n)
+			return now != 0 && now != owners[n]
+		})
+	}
+	for _, a := range all {
+		s, err := a.Status()
+		if err != nil || !s.Quorum || len(s.Members) != len(all) {
+			t.Errorf("%s after the registry's sessions lapsed: %+v %v", s.Name, s, err)
+		}
+		for _, m := range s.Members {
+			if m.State != "alive" {
+				t.Errorf("%s takes %s for %s", s.Name, m.Name, m.State)
+			}
+		}
+	}
+}
+
 func TestOperatorsCalls(t *testing.T) {
 	defer ended(t)
 	all, stop := start(t, 4, true)
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -58,6 +58,8 @@
 	rejoin    = time.Second // between two tries to find members that are gone, or all of them
 	probe     = time.Second
 	streamFor = 2 * time.Second // to open a connection
+	mostFound = 4096
+	askAtOnce = 5 // places where others may be, by a member that is alone
 )
 
 // Gossip is one member's part.
@@ -67,6 +69,7 @@
 	out   chan parcel
 	mu    sync.Mutex
 	known map[string]Member // all that ever were here, and are not forgotten
+	found map[string]string // addresses by name, where others say that members are
 }
 
 type parcel struct {
@@ -213,9 +216,32 @@
 	return memberlist.Address{Addr: m.Address, Name: name}, ok
 }
 
-// seeds are the places where members may be: those that are told, and those that are gone.
+// Found tells, by name, where members may be. It is a hint and no more: who is not named is not taken for gone, as a
+// registry that lost its sessions names nobody.
+func (g *Gossip) Found(at map[string]string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.found = map[string]string{}
+	for name, addr := range at {
+		if len(g.found) < mostFound && name != g.o.Name {
+			g.found[name] = addr
+		}
+	}
+}
+
+// seeds are the places where members may be: those that are told or found, and those that are gone.
 func (g *Gossip) seeds() (all []string, alone bool) {
 	alone = g.list.NumMembers() <= 1
+	g.mu.Lock()
+	for name, addr := range g.found {
+		if g.known[name].State != "alive" {
+			if own, ok := g.o.Peers[name]; ok {
+				addr = own
+			}
+			all = append(all, name+"/"+addr)
+		}
+	}
+	g.mu.Unlock()
 	for _, s := range g.o.Seeds {
 		name, addr, full := strings.Cut(s, "/")
 		if !full {
@@ -257,8 +283,12 @@
 	}
 	for ctx.Err() == nil {
 		if seeds, alone := g.seeds(); len(seeds) > 0 {
-			if !alone {
-				seeds = []string{seeds[rand.IntN(len(seeds))]}
+			rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+			if many := 1; len(seeds) > many {
+				if alone {
+					many = min(len(seeds), askAtOnce)
+				}
+				seeds = seeds[:many]
 			}
 			_, _ = g.list.Join(seeds) // one that is not there is asked again
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
-// Package registry keeps planners known to forwarders: each planner has an ephemeral node in ZooKeeper, with
-// its address and its gateway's number, and forwarders watch them.
+// Package registry keeps processes known to one another by ephemeral nodes in ZooKeeper: planners to forwarders, with
+// address and gateway's number, and members of a fleet among themselves.
 package registry
 
 import (
@@ -10,6 +10,7 @@
 	"path"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-zookeeper/zk"
@@ -27,9 +28,23 @@
 // Registry is a session with ZooKeeper. The client connects anew by itself; a session that has expired takes its
 // ephemeral nodes with it, and Register makes them again.
 type Registry struct {
-	conn *zk.Conn
-	path string
-	log  *zap.Logger
+	conn   *zk.Conn
+	path   string
+	log    *zap.Logger
+	ailing atomic.Bool // the last call failed, and that was said
+}
+
+// fails says once that the registry can't be used, until it could be.
+func (r *Registry) fails(what string, err error) {
+	if !r.ailing.Swap(true) {
+		r.log.Warn(what, zap.Error(err))
+	}
+}
+
+func (r *Registry) works() {
+	if r.ailing.Swap(false) {
+		r.log.Info("the registry answers again")
+	}
 }
 
 // printer passes the client's own lines on.
@@ -49,20 +64,26 @@
 // Close gives the session back.
 func (r *Registry) Close() { r.conn.Close() }
 
-// Register keeps a node for p until the context ends. It is made anew whenever it has gone, as after the
-// expiry of the session.
+// Register keeps a node for p until the context ends.
 func (r *Registry) Register(ctx context.Context, p Planner) error {
 	data, err := json.Marshal(p)
 	if err != nil {
 		return err
 	}
+	return r.Keep(ctx, "gateway-"+strconv.Itoa(p.Gateway), data)
+}
+
+// Keep keeps a node with data until the context ends. It is made anew whenever it has gone, as after the expiry of the
+// session.
+func (r *Registry) Keep(ctx context.Context, node string, data []byte) error {
 	for ctx.Err() == nil {
-		gone, err := r.hold(ctx, data, p)
+		gone, err := r.hold(ctx, path.Join(r.path, node), data)
 		if err != nil {
-			r.log.Warn("the planner is not registered", zap.Error(err))
+			r.fails("this process is not registered", err)
 			wait(ctx, nil, pause)
 			continue
 		}
+		r.works()
 		wait(ctx, gone, 0)
 	}
 	return nil
@@ -82,14 +103,13 @@
 }
 
 // hold makes the node if it is not this session's already, and returns a watch on it.
-func (r *Registry) hold(ctx context.Context, data []byte, p Planner) (<-chan zk.Event, error) {
+func (r *Registry) hold(ctx context.Context, name string, data []byte) (<-chan zk.Event, error) {
 	if err := r.parents(); err != nil {
 		return nil, err
 	}
-	name := path.Join(r.path, "gateway-"+strconv.Itoa(p.Gateway))
 	_, err := r.conn.Create(name, data, zk.FlagEphemeral, zk.WorldACL(zk.PermAll))
 	if err == nil {
-		r.log.Info("the planner is registered", zap.String("node", name), zap.String("address", p.Address))
+		r.log.Info("registered", zap.String("node", name), zap.ByteString("data", data))
 	} else if !errors.Is(err, zk.ErrNodeExists) {
 		return nil, err
 	}
@@ -101,9 +121,9 @@
 		return gone, nil
 	}
 	if string(held) != string(data) {
-		return nil, fmt.Errorf("%s is held by another planner: %.200s", name, held)
+		return nil, fmt.Errorf("%s is held by another process: %.200s", name, held)
 	}
-	// An earlier life of this planner left it; it would go with that session, and this one be unknown.
+	// An earlier life of this process left it; it would go with that session, and this one be unknown.
 	if err := r.conn.Delete(name, stat.Version); err != nil && !errors.Is(err, zk.ErrNoNode) {
 		return nil, err
 	}
@@ -125,24 +145,42 @@
 // Watch tells changed of the planners by gateway number, at once and at every change, until the context ends.
 // While the registry is away, the planners last told stand.
 func (r *Registry) Watch(ctx context.Context, changed func(map[int]string)) error {
+	return r.Follow(ctx, func(nodes map[string][]byte) {
+		planners := map[int]string{}
+		for name, data := range nodes {
+			var p Planner
+			if err := json.Unmarshal(data, &p); err != nil || p.Address == "" || p.Gateway < 0 {
+				r.log.Warn("a node is no planner's", zap.String("node", name), zap.ByteString("data", data))
+				continue
+			}
+			planners[p.Gateway] = p.Address
+		}
+		changed(planners)
+	})
+}
+
+// Follow tells changed of the data of all nodes by name, at once and at every change, until the context ends. While the
+// registry is away, what was told last stands.
+func (r *Registry) Follow(ctx context.Context, changed func(map[string][]byte)) error {
 	for ctx.Err() == nil {
-		planners, event, err := r.read()
+		nodes, event, err := r.read()
 		if err != nil {
-			r.log.Warn("the planners could not be read", zap.Error(err))
+			r.fails("the registry could not be read", err)
 			wait(ctx, nil, pause)
 			continue
 		}
-		changed(planners)
+		r.works()
+		changed(nodes)
 		wait(ctx, event, 0)
 	}
 	return nil
 }
 
-// read returns the planners, and a watch on the names of their nodes. The data of a node never changes while
-// it lives: a planner that moves makes a new one.
-func (r *Registry) read() (map[int]string, <-chan zk.Event, error) {
+// read returns the nodes' data, and a watch on their names. The data of a node never changes while it lives: a process
+// that moves makes a new one.
+func (r *Registry) read() (map[string][]byte, <-chan zk.Event, error) {
 	names, _, event, err := r.conn.ChildrenW(r.path)
-	if errors.Is(err, zk.ErrNoNode) { // no planner has ever come
+	if errors.Is(err, zk.ErrNoNode) { // nobody has ever come
 		if err := r.parents(); err != nil {
 			return nil, nil, err
 		}
@@ -151,7 +189,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	planners := map[int]string{}
+	nodes := map[string][]byte{}
 	for _, name := range names {
 		data, _, err := r.conn.Get(path.Join(r.path, name))
 		if errors.Is(err, zk.ErrNoNode) {
@@ -160,12 +198,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		var p Planner
-		if err := json.Unmarshal(data, &p); err != nil || p.Address == "" || p.Gateway < 0 {
-			r.log.Warn("a node is no planner's", zap.String("node", name), zap.ByteString("data", data))
-			continue
-		}
-		planners[p.Gateway] = p.Address
+		nodes[name] = data
 	}
-	return planners, event, nil
+	return nodes, event, nil
 }
