Have a fleet's member wake and send less, and measure a hundred processes at rest

A profile of six processes under load: the member's goroutine 9 % (statuses with all servers encoded five times a second and decoded by the leader, an answer of the leader to each, wakes for ticks and statuses apart), gossip's rounds. Change: servers go with every third status, the leader renews leases a fifth of them apart, a voter's statuses go out with a tick, the library gossips twice a second. bin/drill rest measures N processes without links; a metric of bytes sent. Ruled out: the watcher's lock and the tally (not in the profile's first hundred lines).

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -21,6 +22,27 @@
 	List  listCmd  `cmd:"" help:"List the scenarios of the library."`
 	Check checkCmd `cmd:"" help:"Read a scenario and say what is wrong with it; play nothing."`
 	Run   runCmd   `cmd:"" help:"Play a scenario. It ends with 0: all held; 1: a check fell; 2: it could not run."`
+	Rest  restCmd  `cmd:"" help:"Measure what a fleet of many processes costs while nothing happens."`
+}
+
+type restCmd struct {
+	Program       string        `default:"bin/dewhitch" help:"The program, built (${default})."`
+	Processes     int           `default:"100" help:"How many (${default})."`
+	Length        time.Duration `default:"20s" help:"Of the measurement (${default})."`
+	Uncoordinated bool          `help:"Without the fleet view."`
+}
+
+func (c restCmd) Run(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "drill")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := drill.Rest{Program: c.Program, Dir: dir, Processes: c.Processes, Length: c.Length, Uncoordinated: c.Uncoordinated}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(r)
 }
 
 type listCmd struct{}
--- a/internal/fleet/agent/show.go
+++ b/internal/fleet/agent/show.go
@@ -101,12 +101,13 @@
 	epoch    = desc("epoch_number", "The plan's epoch within its founding.")
 	waiting  = desc("unacknowledged", "Living members that have not acknowledged the plan.")
 	passed   = desc("passed_over_total", "Messages and reports that could not be used.")
+	sent     = desc("sent_bytes_total", "Bytes sent to other members.")
 	halted   = desc("folder_halted", "1 if the folder can't be written to.")
 )
 
 // Describe implements prometheus.Collector.
 func (a *Agent) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{members, quorum, founding, epoch, waiting, passed, halted} {
+	for _, d := range []*prometheus.Desc{members, quorum, founding, epoch, waiting, passed, sent, halted} {
 		ch <- d
 	}
 }
@@ -140,4 +141,5 @@
 	gauge(epoch, float64(s.Epoch.Number))
 	gauge(waiting, float64(len(s.Unacknowledged)))
 	ch <- prometheus.MustNewConstMetric(passed, prometheus.CounterValue, float64(s.PassedOver))
+	ch <- prometheus.MustNewConstMetric(sent, prometheus.CounterValue, float64(a.gossip.Sent()))
 }
--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -137,8 +138,8 @@
 	return max(leastMark, time.Duration(markTimes*t.usual*float64(time.Second)))
 }
 
-// report is the next one.
-func (t *Tally) report() *fleet.Report {
+// report is the next one, with servers where it is whole.
+func (t *Tally) report(whole bool) *fleet.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, mark := t.now(), t.mark()
@@ -151,10 +152,11 @@
 	if len(t.zones) == 0 {
 		return nil
 	}
-	r := &fleet.Report{Zones: map[string]fleet.Count{}, Servers: map[uint32]fleet.Server{}}
-	for zone, c := range t.zones {
-		r.Zones[zone] = c
+	r := &fleet.Report{Zones: maps.Clone(t.zones)}
+	if !whole {
+		return r
 	}
+	r.Servers = map[uint32]fleet.Server{}
 	n := min(len(t.changed), fleet.MostServers)
 	for _, id := range t.changed[:n] {
 		s := t.servers[id]
--- a/internal/fleet/agent/tally_test.go
+++ b/internal/fleet/agent/tally_test.go
@@ -19,16 +19,16 @@
 	y.Began(Ref{"late", 0}, "b", 2)
 	y.Began(Ref{"gone", 0}, "b", 2)
 	y.Ended(Ref{"gone", 0}, Nothing, 0, 0)
-	if r := y.report(); r.Zones["b"].Tries != 0 || r.Zones["a"].Served != 10 || r.Servers[1].Queue != 3 {
+	if r := y.report(true); r.Zones["b"].Tries != 0 || r.Zones["a"].Served != 10 || r.Servers[1].Queue != 3 {
 		t.Errorf("%+v", r)
 	}
 	now = now.Add(leastMark + time.Millisecond)
-	if r := y.report(); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1}) || len(r.Servers) != 1 {
+	if r := y.report(true); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1}) || len(r.Servers) != 1 {
 		t.Errorf("a fetch that is late is silent now: %+v", r)
 	}
 	y.Ended(Ref{"late", 0}, Served, 0, 0)
 	y.Ended(Ref{"late", 0}, Served, 0, 0)
-	if r := y.report(); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1}) {
+	if r := y.report(true); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1}) {
 		t.Errorf("it is counted once: %+v", r)
 	}
 }
@@ -43,7 +43,7 @@
 	}
 	seen := map[uint32]bool{}
 	for range 4 {
-		r := y.report()
+		r := y.report(true)
 		if len(r.Servers) > fleet.MostServers {
 			t.Fatalf("%d servers in a report", len(r.Servers))
 		}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -57,7 +57,8 @@
 	senders   = 4
 	rejoin    = time.Second // between two tries to find members that are gone, or all of them
 	probe     = time.Second
-	streamFor = 2 * time.Second // to open a connection
+	spread    = 500 * time.Millisecond // between two rounds of the library's gossip: of members only, whose news may take seconds
+	streamFor = 2 * time.Second        // to open a connection
 	mostFound = 4096
 	askAtOnce = 5 // places where others may be, by a member that is alone
 )
@@ -66,6 +67,7 @@
 type Gossip struct {
 	o     Options
 	list  *memberlist.Memberlist
+	net   *transport
 	out   chan parcel
 	mu    sync.Mutex
 	known map[string]Member // all that ever were here, and are not forgotten
@@ -102,11 +104,11 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gossip{o: o, out: make(chan parcel, reliable), known: map[string]Member{}}
+	g := &Gossip{o: o, net: network, out: make(chan parcel, reliable), known: map[string]Member{}}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = o.Name, o.Fleet, host, port, host, port
 	c.Transport, c.Keyring, c.Logger = network, ring, logger
-	c.TCPTimeout, c.ProbeInterval = streamFor, probe
+	c.TCPTimeout, c.ProbeInterval, c.GossipInterval = streamFor, probe, spread
 	c.DeadNodeReclaimTime, c.EnableCompression, c.RequireNodeNames = 10*time.Second, false, true
 	c.Delegate, c.Events = &delegate{g}, &delegate{g}
 	if g.list, err = memberlist.Create(c); err != nil {
@@ -190,6 +192,9 @@
 	return all
 }
 
+// Sent is how many bytes this member has sent to others.
+func (g *Gossip) Sent() uint64 { return g.net.sent.Load() }
+
 // Send carries a message to a member, or not: whoever sends can bear its loss. It does not block.
 func (g *Gossip) Send(name string, b []byte) {
 	a, ok := g.address(name)
--- a/internal/fleet/gossip/transport.go
+++ b/internal/fleet/gossip/transport.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -24,6 +25,19 @@
 	over    chan struct{}
 	once    sync.Once
 	running sync.WaitGroup
+	sent    atomic.Uint64 // bytes
+}
+
+// counted counts what is written to a connection.
+type counted struct {
+	net.Conn
+	sent *atomic.Uint64
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(uint64(n))
+	return n, err
 }
 
 const waiting = 256 // packets and streams that the library has not taken; more are lost, as on the wire
@@ -80,7 +94,7 @@
 			continue
 		}
 		select {
-		case t.streams <- c:
+		case t.streams <- counted{c, &t.sent}:
 		default:
 			c.Close()
 		}
@@ -107,13 +121,18 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	_, err = t.udp.WriteTo(b, to)
+	n, err := t.udp.WriteTo(b, to)
+	t.sent.Add(uint64(n))
 	return time.Now(), err
 }
 
 // DialTimeout implements memberlist.Transport.
 func (t *transport) DialTimeout(addr string, patience time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", addr, patience)
+	c, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, &t.sent}, nil
 }
 
 func (t *transport) own(a memberlist.Address) string {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -46,6 +46,7 @@
 	seen         seen
 	lastPlanSent time.Duration
 	plannedEpoch Epoch
+	granted      time.Duration
 }
 
 const (
@@ -61,6 +62,8 @@
 	pushTo      = 32 // members, by the leader
 	ring        = 64 // statuses whose times are kept
 	replan      = 400 * time.Millisecond
+	// grantsALease is how often a member's lease is renewed within it: a few may be lost.
+	grantsALease = 5
 )
 
 // Node is one member. None of its methods may be called at once with another.
@@ -108,7 +111,7 @@
 	asks     map[string]*asked
 	numbers  uint64
 
-	report func() *Report
+	report func(whole bool) *Report
 	own    seen
 	sends  []Send
 	events []Event
@@ -150,8 +153,8 @@
 	return n, nil
 }
 
-// Reports has each status carry what f tells.
-func (n *Node) Reports(f func() *Report) { n.report = f }
+// Reports has each status carry what f tells: of zones, and of servers too where it is whole.
+func (n *Node) Reports(f func(whole bool) *Report) { n.report = f }
 
 // blank makes the voter one that has never voted, under a new identity.
 func (n *Node) blank(promised uint64) {
@@ -249,6 +252,9 @@
 	n.askOn()
 	if n.now >= n.nextStatus {
 		n.nextStatus = n.now + max(n.cfg.Status, time.Duration(len(n.peers))*time.Millisecond)
+		if n.voter != nil { // with a tick of the log that is due about then, as each time to wake up costs
+			n.nextStatus = n.lastLog + (n.nextStatus-n.lastLog+n.cfg.Tick/2)/n.cfg.Tick*n.cfg.Tick
+		}
 		n.status()
 	}
 	if fresh := n.Fresh(); fresh != n.wasFresh {
@@ -297,15 +303,17 @@
 // status tells the voters, and one other member.
 func (n *Node) status() {
 	s := n.self()
+	n.statuses++
+	// The leader hears each; the other voters a third of them, unless there is no leader.
+	all := n.statuses%3 == 0 || !n.Fresh()
 	if n.report != nil {
-		s.Report = n.report()
+		s.Report = n.report(all)                             // servers are the most of it, and no decision on them takes less than a second
 		if r := s.Report; r != nil && n.cfg.Observe != nil { // its own evidence counts as anybody's
 			if delta, err := n.own.take(r); err == nil {
 				n.cfg.Observe(n.now, Peer{Name: n.cfg.Name, Status: s}, delta)
 			}
 		}
 	}
-	n.statuses++
 	n.seq++ // of this status, whoever it goes to: they are alike
 	n.sentAt[n.seq%ring].seq, n.sentAt[n.seq%ring].at = n.seq, n.now
 	e := envelope{Version: wireVersion, Fleet: n.cfg.Fleet, From: n.cfg.Name, Started: n.cfg.Started, Life: n.cfg.Life, Seq: n.seq,
@@ -314,8 +322,6 @@
 	if n.fenced {
 		return
 	}
-	// The leader hears each; the other voters a third of them, unless there is no leader.
-	all := n.statuses%3 == 0 || !n.Fresh()
 	for _, v := range n.cfg.Voters {
 		if v != n.cfg.Name && n.peers[v] != nil && (all || v == n.leader) {
 			n.sends = append(n.sends, Send{v, b})
@@ -434,7 +440,8 @@
 		s := n.self()
 		n.send(p.Name, envelope{Status: &s}) // they will tell
 	}
-	if n.Leads() {
+	if n.Leads() && (!e.Status.Fresh || n.now-p.granted >= n.cfg.Lease/grantsALease) {
+		p.granted = n.now
 		n.send(p.Name, envelope{Grant: &grant{e.Seq, n.plan.Epoch}})
 	}
 }
