--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"os/signal"
 	"syscall"
@@ -132,6 +133,17 @@
 		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs after %.1f to %.1f s\n", t.What,
 			t.At, t.Until, t.Sent, t.Last, first, last)
 	}
+	if n := len(r.Returns); n > 0 {
+		worst, slack, full := 0.0, 0.0, 0.0
+		for _, b := range r.Returns {
+			worst, slack = max(worst, b.Worst), max(slack, b.Slack)
+			if full = max(full, b.Full); b.Full == 0 {
+				full = math.Inf(1)
+			}
+		}
+		fmt.Fprintf(os.Stderr, "%d servers came back cold: sent %.2f of what one could do in its worst second (%.2f of that and three roots); full share after %.1f s\n",
+			n, worst, slack, full)
+	}
 	for _, b := range append(r.Breaches, r.Fallen...) {
 		fmt.Fprintln(os.Stderr, "FELL:", b)
 	}
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -36,6 +36,7 @@
 	CPU         float64          `json:"cpu_us_per_req"`
 	FleetBytes  float64          `json:"fleet_bytes_per_s"` // a gateway, between gateways
 	Fleet       *FleetResult     `json:"fleet,omitempty"`
+	Returns     []Return         `json:"returns,omitempty"`
 	Troubles    []Trouble        `json:"troubles,omitempty"`
 	Seconds     []float64        `json:"served_by_second"`
 	ZoneSends   map[string][]int `json:"sent_by_second_to_zones"`
@@ -238,6 +239,7 @@
 	}
 	r.ZoneSends, r.ServerSends = w.judge.sentBySecond(w.began, len(r.Seconds))
 	w.troubles(r)
+	r.Returns = w.returned()
 	if w.coordinated() {
 		r.Fleet = w.fleet.result()
 	}
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -92,6 +92,7 @@
 	draining map[string]bool
 	revision int
 	timeline []Moment
+	restarts []restart // servers that came back cold
 	rng      *rand.Rand // of the farm's draws, under its lock
 	all      sync.WaitGroup
 	stop     context.CancelFunc
@@ -304,7 +305,11 @@
 		s.set(func(m *machine) { m.mode, m.slow = well, 1 })
 		return
 	}
-	s.set(func(m *machine) { m.restart(time.Now()); s.off = false })
+	at := time.Now()
+	s.set(func(m *machine) { m.restart(at); s.off = false })
+	s.w.mu.Lock()
+	s.w.restarts = append(s.w.restarts, restart{s, at})
+	s.w.mu.Unlock()
 	if err := s.w.farm.Up(s.at); err != nil {
 		s.w.judge.Fault(time.Now(), ruleEnded, "%s could not come back: %v", s.name, err)
 	}
