Feed cold and returning servers by budgets that all gateways share, on lease

Change: internal/fleet/ramp (pure) sets what each cold server may be sent and shares it out by demand; shares go with the answers to statuses and hold for a lease; what may still be spent is taken off first; a new leader gives nothing for 1.5 leases. A failed probe puts the next one off by half as long again, a failed return threefold; servers that began anew are looked at at once.

--- a/api.go
+++ b/api.go
@@ -272,8 +272,20 @@
 	Since            Instant // last start; 0: long ago
 	Rating           float64
 	State            ServerState
+	Feed             float64 // attempts a second that this gateway may send it while it is cold; 0: by its own guess
+	Look             Look
 }
 
+// Look says that a server is looked at, to see whether it is well: what goes there goes there first, as its budget allows.
+type Look int
+
+// The looks.
+const (
+	NoLook    Look = iota
+	LookSpare      // by what may be repeated alone
+	LookAny
+)
+
 // The events.
 type (
 	// ServerList brings news of the servers.
--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -20,10 +20,10 @@
 	dw "dewhitch"
 	"dewhitch/internal/config"
 	"dewhitch/internal/core"
-	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/fleet/find"
 	"dewhitch/internal/fleet/gossip"
+	"dewhitch/internal/fleet/ramp"
 	"dewhitch/internal/fleet/zone"
 )
 
@@ -36,15 +36,16 @@
 	if z := g.n.Settings.Zone; z < len(g.n.Words.Zones) {
 		zone = g.n.Words.Zones[z]
 	}
-	g.plans = make(chan fleet.Plan, 1)
-	follow := func(p fleet.Plan, _ bool) {
+	g.acts = make(chan agent.Acts, 1)
+	follow := func(a agent.Acts) {
 		select {
-		case <-g.plans: // an older one that was not taken yet
+		case <-g.acts: // older ones that were not taken yet
 		default:
 		}
-		g.plans <- p
+		g.acts <- a
 	}
-	a, err := agent.Open(agent.Options{Follow: follow, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
+	cold := ramp.Config{Start: g.n.Settings.StartCapacity, Span: time.Duration(g.n.Settings.ColdSpan)}
+	a, err := agent.Open(agent.Options{Follow: follow, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
 		Gossip: gossip.Options{Fleet: g.f.Name, Name: g.n.Name, Listen: g.f.Listen, Peers: g.f.Peers, Seeds: g.f.Seeds,
 			Keyring: g.f.Keyring, About: gossip.About{Zone: zone, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
 				Role: "gateway"}}})
@@ -52,7 +53,7 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	g.fleet = a
-	g.planner.Watch(&watcher{tally: a.Tally(), zones: g.n.Words.Zones})
+	g.planner.Watch(&watcher{agent: a, zones: g.n.Words.Zones})
 	return nil
 }
 
@@ -63,35 +64,52 @@
 		Log: g.log}, g.fleet.Found)
 }
 
-// watcher tells the fleet's tally of fetches.
+// watcher tells the fleet's member of reqs, fetches and the list.
 type watcher struct {
-	tally *agent.Tally
+	agent *agent.Agent
 	zones []string
 }
 
+func (w *watcher) Asked() { w.agent.Tally().Asked() }
+
+func (w *watcher) Listed(entries []dw.ServerEntry) {
+	var servers []ramp.Server
+	for _, e := range entries {
+		if e.State == dw.Ready && e.Zone < len(w.zones) {
+			servers = append(servers, ramp.Server{ID: uint32(e.ID), Zone: w.zones[e.Zone], Since: int64(e.Since) / 1e6})
+		}
+	}
+	w.agent.Listed(servers)
+}
+
 func (w *watcher) Began(f core.FetchRef, server dw.ServerID, zone int) {
 	if zone < len(w.zones) {
-		w.tally.Began(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, w.zones[zone], uint32(server))
+		w.agent.Tally().Began(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, w.zones[zone], uint32(server))
 	}
 }
 
 func (w *watcher) Ended(f core.FetchRef, e core.FetchEnd) {
-	w.tally.Ended(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, outcomes[e.Outcome], uint32(e.Load.Queue), uint32(e.Load.Inflight))
+	w.agent.Tally().Ended(agent.Ref{Req: string(f.Req), Attempt: f.Attempt}, outcomes[e.Outcome], uint32(e.Load.Queue), uint32(e.Load.Inflight))
 }
 
-// followZones has the planner use zones as the plan says. With an old view the last plan holds.
-func (g *gateway) followZones(ctx context.Context) error {
+// followFleet has the planner use servers as the fleet says. With an old view the last plan holds, and cold servers get nothing.
+func (g *gateway) followFleet(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case p := <-g.plans:
+		case a := <-g.acts:
 			v := zone.Verdicts{}
-			if _, err := p.Section(zone.Section, &v); err != nil {
+			if _, err := a.Plan.Section(zone.Section, &v); err != nil {
 				g.log.Error("the fleet's verdicts can't be read: the last ones hold", zap.Error(err))
 				continue
 			}
-			if err := g.planner.Zones(uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name, g.planner.Instant(time.Now()))); err != nil {
+			f := core.Fleet{Zones: uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name, g.planner.Instant(time.Now())), Fed: true,
+				Feeds: map[dw.ServerID]float64{}}
+			for id, rate := range a.Feed.Rates {
+				f.Feeds[dw.ServerID(id)] = rate
+			}
+			if err := g.planner.Together(f); err != nil {
 				return nil
 			}
 		}
@@ -112,8 +130,13 @@
 		}
 		since := min(now, core.FromUnixMS(w.Since))
 		switch {
-		case w.State == zone.Returning, w.State == zone.Probing && slices.Contains(w.Probers, name):
+		case w.State == zone.Returning:
 			uses[i] = core.Use{Since: since}
+		case w.State == zone.Probing && slices.Contains(w.Probers, name):
+			uses[i] = core.Use{Since: since, Look: dw.LookSpare}
+			if w.Any {
+				uses[i] = core.Use{Since: since, Look: dw.LookAny}
+			}
 		default:
 			uses[i] = core.Use{Avoid: true}
 		}
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -17,7 +17,6 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/counter"
 	"dewhitch/internal/director"
-	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
@@ -66,7 +65,7 @@
 
 	// The fleet.
 	fleet *agent.Agent    // nil: none
-	plans chan fleet.Plan // the newest, for who follows it
+	acts  chan agent.Acts // the newest, for who follows them
 
 	// Operators.
 	operated *operated
@@ -216,7 +215,7 @@
 		serving = append(serving, g.show)
 	}
 	if g.fleet != nil {
-		serving = append(serving, g.fleet.Run, g.followZones, g.findMembers)
+		serving = append(serving, g.fleet.Run, g.followFleet, g.findMembers)
 	}
 	for _, p := range serving {
 		group.Go(func() error { return p(work) })
--- a/gateway.go
+++ b/gateway.go
@@ -132,32 +132,31 @@
 
 // Gateway is one instance of the module.
 type Gateway struct {
-	set               Settings
-	rng               *rand.Rand
-	now               Instant
-	acts              []Action
-	servers           []*server // in order of rank
-	byID              map[ServerID]*server
-	requests          map[RequestID]*request
-	customers         map[CustomerID]*customer
-	timers            map[TimerID]func()
-	lastTimer         int64
-	pushes            []*customer // those with something to push or to ask
-	started           bool
-	startAt           Instant
-	calls             *pace.Pacer // of the counter, which all gateways share
-	names             map[string]*customer
-	budget            float64
-	latency           float64 // smoothed, over all servers
-	measured          Instant // when an answer last told a latency
-	idle              float64 // the least latency of late: that of servers at ease
-	sent, tried, good float64 // of late: attempts, requests that were to go on, attempts in time; they leak
-	wanted            float64 // requests that asked for a server; it leaks, too
-	leaked            Instant
-	cut               map[int]float64 // by zone: share of attempts there that speak against it, of late
-	sizes             []float64       // by class: its latency against the mean of all
-	worth             float64         // mean points of what arrives, for its work
-	minAim            Span
+	set                       Settings
+	rng                       *rand.Rand
+	now                       Instant
+	acts                      []Action
+	servers                   []*server // in order of rank
+	byID                      map[ServerID]*server
+	requests                  map[RequestID]*request
+	customers                 map[CustomerID]*customer
+	timers                    map[TimerID]func()
+	lastTimer                 int64
+	pushes                    []*customer // those with something to push or to ask
+	started                   bool
+	startAt                   Instant
+	calls                     *pace.Pacer // of the counter, which all gateways share
+	names                     map[string]*customer
+	budget                    float64
+	latency                   float64 // smoothed, over all servers
+	measured                  Instant // when an answer last told a latency
+	idle                      float64 // the least latency of late: that of servers at ease
+	sent, wanted, tried, good float64 // leaking: attempts, wishes for a server, to go on, attempts in time
+	leaked                    Instant
+	cut                       map[int]float64 // by zone: share of attempts there that speak against it, of late
+	sizes                     []float64       // by class: its latency against the mean of all
+	worth                     float64         // mean points of what arrives, for its work
+	minAim                    Span
 }
 
 // New makes a gateway that knows nothing yet.
@@ -168,14 +167,13 @@
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, customers: map[CustomerID]*customer{}, timers: map[TimerID]func(){},
 		names: map[string]*customer{}, cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
-		calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
+		worth: max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
 		g.sizes = append(g.sizes, 1)
 		g.minAim = min(g.minAim, c.Aim)
 	}
 	g.latency = startLatency * seconds(g.minAim)
 	g.idle = g.latency
-	g.worth = max(s.Classes[0].Points, minPoints)
 	return g, nil
 }
 
@@ -1007,19 +1005,21 @@
 	least, soonest := math.Inf(1), 0.0
 	most := g.aperture()
 	for _, s := range g.servers {
-		if s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) {
+		if most <= 0 && s.Feed == 0 || s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) ||
+			s.Look == LookSpare && r.class.Effect == Unsafe {
 			continue
 		}
 		// Rule 4; budgets start at a random level, so that gateways do not come in step. Danger: fed by what was
 		// sent alone, cold servers get the less the more is refused for want of them, and stay so.
 		if g.warmth(s) < 1 {
 			fed := coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(ready, g.aperture()))
-			if s.budget.fill(g.now, g.warmth(s)*fed, 1); s.budget.level < 1 {
+			// What all gateways together have settled goes before this one's guess.
+			if s.budget.fill(g.now, cmp.Or(s.Feed, g.warmth(s)*fed), 1); s.budget.level < 1 {
 				continue
 			}
 		}
-		if most--; most < 0 {
-			break
+		if most--; s.Look != NoLook { // by as few as its budget allows
+			return s, 0
 		}
 		// Danger: the estimate of a server that is seen seldom is of an older load, and among many there is always
 		// one that looks idle. The less is seen of it, the more the latency of all speaks against it.
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -75,14 +75,28 @@
 	}
 }
 
-// overlay is an entry as the module is told it: an excluded server drains, with its own start time, so that its cold
-// return is judged by the module's rules once it is put back.
+// overlay is an entry as the module is told it, which is kept: an excluded server drains, with its own start time, so that
+// its cold return is judged by the module's rules once it is put back.
 func (p *Planner) overlay(e dw.ServerEntry) dw.ServerEntry {
-	use := p.uses[e.Zone]
+	e = p.overlaid(e)
+	p.told[e.ID] = e
+	return e
+}
+
+func (p *Planner) overlaid(e dw.ServerEntry) dw.ServerEntry {
+	use := p.fleet.Zones[e.Zone]
 	if (p.excluded[e.ID] || use.Avoid) && e.State == dw.Ready {
 		e.State = dw.Draining
 	}
-	e.Since = max(e.Since, use.Since)
+	e.Since, e.Look = max(e.Since, use.Since), use.Look
+	if e.State != dw.Ready || !p.fleet.Fed || !p.begins(e.Since) {
+		return e
+	}
+	// Danger: a fleet that has just begun, or whose leader has, gives nothing for a while. Where most servers are cold that
+	// would be an outage, and the module's guess is better than none.
+	if e.Feed = p.fleet.Feeds[e.ID]; e.Feed <= 0 && !p.fewWarm {
+		e.State = dw.Draining
+	}
 	return e
 }
 
@@ -99,7 +113,7 @@
 	p.counts = now + dw.Instant(countEvery)
 	disabled := p.gate.Avoided(now)
 	for _, e := range p.listed {
-		if p.overlay(e).State != dw.Ready {
+		if p.told[e.ID].State != dw.Ready {
 			disabled++
 		}
 	}
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -68,8 +68,11 @@
 	counts     dw.Instant // when the figures are told next
 	figures    Figures
 	excludedTo func([]dw.ServerID)
-	watcher    Watcher      // nil: nobody asks
-	uses       map[int]Use  // of zones, by their index
+	watcher    Watcher                        // nil: nobody asks
+	fleet      Fleet                          // as told last
+	told       map[dw.ServerID]dw.ServerEntry // of the listed, as the module was told
+	fewWarm    bool
+	coldSpan   dw.Span
 	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
 }
 
@@ -88,7 +91,7 @@
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, log: log, inbox: make(chan message, inboxSize),
 		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
 		control: make(chan message, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
-		excluded: map[dw.ServerID]bool{}}, nil
+		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan}, nil
 }
 
 // Attempts bounds the fetches of reqs taken from now on, below what the module's settings allow.
@@ -149,6 +152,9 @@
 func (p *Planner) fire() {
 	now := p.Instant(time.Now())
 	if now >= p.counts {
+		if p.fleet.Fed { // what was cold may be warm by now
+			p.retell()
+		}
 		p.counted()
 	}
 	for len(p.timers) > 0 && p.timers[0].At <= now {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"maps"
+	"slices"
+
 	dw "dewhitch"
 )
 
@@ -44,19 +47,30 @@
 	}
 	if l.Kind != dw.ListDelta {
 		clear(p.listed)
+		clear(p.told)
 	}
 	p.version = l.Version
 	told := dw.ServerList{Kind: l.Kind, Version: l.Version, Servers: make([]dw.ServerEntry, len(l.Servers))}
-	for i, e := range l.Servers {
+	for _, e := range l.Servers {
 		if e.State == dw.Gone {
 			delete(p.listed, e.ID)
+			delete(p.told, e.ID)
 		} else {
 			p.listed[e.ID] = e
 		}
 		if len(p.known) < mostKnown {
 			p.known[e.ID] = true
 		}
-		told.Servers[i] = p.overlay(e)
+	}
+	p.fewWarm = p.cold()
+	for i, e := range l.Servers {
+		told.Servers[i] = e
+		if e.State != dw.Gone {
+			told.Servers[i] = p.overlay(e)
+		}
+	}
+	if p.watcher != nil {
+		p.watcher.Listed(slices.Collect(maps.Values(p.listed)))
 	}
 	p.counted()
 	return told
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -55,6 +55,9 @@
 		p.open[name] = true
 	}
 	p.reqs[t.id] = t
+	if p.watcher != nil {
+		p.watcher.Asked()
+	}
 	p.admit(t)
 }
 
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -92,7 +92,7 @@
 	draining map[string]bool
 	revision int
 	timeline []Moment
-	restarts []restart // servers that came back cold
+	restarts []restart  // servers that came back cold
 	rng      *rand.Rand // of the farm's draws, under its lock
 	all      sync.WaitGroup
 	stop     context.CancelFunc
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -9,12 +9,14 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/gossip"
+	"dewhitch/internal/fleet/ramp"
 	"dewhitch/internal/fleet/vault"
 	"dewhitch/internal/fleet/zone"
 )
@@ -27,7 +29,14 @@
 	Lease  time.Duration
 	Status time.Duration
 	Log    *zap.Logger
-	Follow func(fleet.Plan, bool) // each plan that is acted on from now on, and whether the view is fresh; it may not block
+	Cold   ramp.Config // the settings' words on cold servers, without the lease
+	Follow func(Acts)  // what is acted on from now on; it may not block
+}
+
+// Acts is what a member acts on.
+type Acts struct {
+	Plan fleet.Plan
+	Feed ramp.Feed // of cold servers; empty where its lease is over
 }
 
 const (
@@ -52,7 +61,9 @@
 	hush    func() // ends the gossip; of Run
 	tally   *Tally
 	judge   *zone.Judge
-	ailing  time.Time // since then the folder could not be written to; zero: it can
+	feeder  *ramp.Feeder
+	servers atomic.Pointer[[]ramp.Server] // the list, as this process has it
+	ailing  time.Time                     // since then the folder could not be written to; zero: it can
 	said    time.Time
 }
 
@@ -68,10 +79,12 @@
 func Open(o Options) (*Agent, error) {
 	a := &Agent{o: o, began: time.Now(), inbox: make(chan []byte, inbox), members: make(chan change, inbox),
 		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally(time.Now), judge: zone.New(zone.Standard)}
+	o.Cold.Lease = o.Lease
+	a.feeder = ramp.New(o.Cold)
 	g := o.Gossip
 	c := fleet.Config{Fleet: g.Fleet, Name: g.Name, Zone: g.About.Zone, Region: g.About.Region, Voters: o.Voters,
 		Started: a.began.UnixNano(), Life: random(), Seed: random(), Tick: tick, Status: o.Status, Lease: o.Lease,
-		Deciders: map[string]fleet.Decider{}, Observe: a.observe, Lead: a.lead}
+		Deciders: map[string]fleet.Decider{}, Observe: a.observe, Lead: a.lead, Feed: a.feed}
 	for verb, d := range fleet.Freezing() {
 		c.Deciders[verb] = d
 	}
@@ -171,6 +184,8 @@
 		case f := <-a.calls:
 			f()
 		}
+		now, _ = a.now()
+		a.feeder.Leads(now, a.node.Reign())
 		a.drive()
 	}
 }
@@ -178,6 +193,48 @@
 // observe has the judge see what a member reports.
 func (a *Agent) observe(now time.Duration, from fleet.Peer, delta fleet.Report) {
 	a.judge.Seen(now, from.Name, from.Status.Zone, delta)
+	a.feeder.Seen(now, from.Name, from.Status.Acts, delta)
+}
+
+// Listed tells of the servers that are listed and ready, at each change. It does not block.
+func (a *Agent) Listed(servers []ramp.Server) { a.servers.Store(&servers) }
+
+func (a *Agent) listed() []ramp.Server {
+	if p := a.servers.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// feed is what the leader lets a member send to cold servers, and to those of zones that are returned to or probed.
+func (a *Agent) feed(now time.Duration, to fleet.Peer, seq uint64) []byte {
+	p, v := a.node.Plan(), zone.Verdicts{}
+	if _, err := p.Section(zone.Section, &v); err != nil {
+		return nil
+	}
+	unix := time.Now().UnixMilli()
+	servers, zones := slices.Clone(a.listed()), map[uint32]string{}
+	for i, s := range servers {
+		if w, ok := v[s.Zone]; ok && !w.Hold {
+			s.Use, s.Since = ramp.None, max(s.Since, w.Since)
+			switch w.State {
+			case zone.Returning:
+				s.Use = ramp.All
+			case zone.Probing:
+				s.Use = ramp.Probe
+			}
+		}
+		servers[i], zones[s.ID] = s, s.Zone
+	}
+	budgets := a.feeder.Budgets(now, unix, servers)
+	if len(budgets) == 0 {
+		return nil
+	}
+	return a.feeder.Grant(now, to.Name, seq, budgets, func(gateway string, server uint32) bool {
+		home, _ := a.judge.Home(gateway)
+		w, ok := v.For(home, zones[server])
+		return !ok || w.State == zone.Returning || w.State == zone.Probing && slices.Contains(w.Probers, gateway)
+	}).Encode()
 }
 
 // lead has the leader settle what the judge says of the zones.
@@ -190,6 +247,11 @@
 	if _, err := p.Section(zone.Section, &v); err != nil {
 		return
 	}
+	starts := map[string]int64{}
+	for _, s := range a.listed() {
+		starts[s.Zone] = max(starts[s.Zone], s.Since)
+	}
+	a.judge.Starts(starts)
 	next, moved := a.judge.Judge(now, unix, v, func(name string) bool {
 		q, ok := n.Peer(name)
 		return name == a.o.Gossip.Name || ok && now-q.Heard < a.o.Lease
@@ -197,7 +259,11 @@
 	if moved && n.Settle(zone.Set(next)) {
 		for key, w := range next {
 			if old, ok := v[key]; !ok || old.State != w.State {
-				a.o.Log.Info("fleet: zone "+key+" "+string(w.State), zap.String("why", w.Why), zap.Int("fails", w.Fails),
+				state := string(w.State)
+				if w.State == zone.Out && old.State == zone.Probing {
+					state = "is not well yet"
+				}
+				a.o.Log.Info("fleet: zone "+key+" "+state, zap.String("why", w.Why), zap.Int("fails", w.Fails),
 					zap.Strings("probers", w.Probers), zap.Stringer("on_epoch", p.Epoch))
 			}
 		}
@@ -259,13 +325,18 @@
 	switch e.Kind {
 	case fleet.Fenced, fleet.Trouble:
 		a.o.Log.Warn("fleet: "+e.Text, zap.Stringer("epoch", p.Epoch))
+	case fleet.FeedChanged: // several times a second while something is fed
 	case fleet.PlanChanged:
 		a.o.Log.Info("fleet: "+e.Text, zap.Stringer("epoch", e.Plan.Epoch), zap.String("digest", fmt.Sprintf("%016x", e.Plan.Digest())))
 	default:
 		a.o.Log.Info("fleet: "+e.Text, zap.Stringer("epoch", p.Epoch))
 	}
-	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FreshChanged || e.Kind == fleet.Fenced) {
-		a.o.Follow(p, a.node.Fresh())
+	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FeedChanged || e.Kind == fleet.Fenced) {
+		acts := Acts{Plan: p}
+		if b, live := a.node.Feed(); live && len(b) > 0 {
+			acts.Feed, _ = ramp.Read(b)
+		}
+		a.o.Follow(acts)
 	}
 }
 
--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -38,6 +38,7 @@
 	servers map[uint32]*server
 	changed []uint32 // in the order in which they first changed since they were told
 	open    map[Ref]*open
+	asked   uint64  // reqs that were taken in
 	usual   float64 // seconds that a served fetch takes, smoothed
 }
 
@@ -65,6 +66,13 @@
 	return &Tally{now: now, zones: map[string]fleet.Count{}, servers: map[uint32]*server{}, open: map[Ref]*open{}}
 }
 
+// Asked counts a req that was taken in.
+func (t *Tally) Asked() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked++
+}
+
 // Began counts a fetch that is out.
 func (t *Tally) Began(f Ref, zone string, id uint32) {
 	t.mu.Lock()
@@ -149,10 +157,10 @@
 			t.add(v.zone, v.id, fleet.Count{Tries: 1, Silent: 1})
 		}
 	}
-	if len(t.zones) == 0 {
+	if len(t.zones) == 0 && t.asked == 0 {
 		return nil
 	}
-	r := &fleet.Report{Zones: maps.Clone(t.zones)}
+	r := &fleet.Report{Zones: maps.Clone(t.zones), Asked: t.asked}
 	if !whole {
 		return r
 	}
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -18,6 +18,7 @@
 type Report struct {
 	Zones   map[string]Count  `cbor:"1,keyasint" json:"zones,omitempty"`
 	Servers map[uint32]Server `cbor:"2,keyasint" json:"servers,omitempty"` // those that changed last, in turns
+	Asked   uint64            `cbor:"3,keyasint" json:"asked,omitempty"`   // reqs that were to be sent on, whether one was or not
 }
 
 // Server is what a member saw of one server, with the load that it last reported.
@@ -86,6 +87,7 @@
 type seen struct {
 	zones   map[string]Count
 	servers map[uint32]Server
+	asked   uint64
 }
 
 // mostSeen bounds the servers that are kept of one member.
@@ -96,7 +98,10 @@
 	if err := r.check(); err != nil {
 		return delta, err
 	}
-	delta = Report{Zones: map[string]Count{}, Servers: map[uint32]Server{}}
+	if r.Asked < s.asked || r.Asked > absurd {
+		return Report{}, errAbsurd
+	}
+	delta = Report{Zones: map[string]Count{}, Servers: map[uint32]Server{}, Asked: r.Asked - s.asked}
 	for zone, c := range r.Zones {
 		d, ok := c.since(s.zones[zone])
 		if !ok {
@@ -117,6 +122,7 @@
 	if s.zones == nil || len(s.servers) > mostSeen {
 		s.zones, s.servers = map[string]Count{}, map[uint32]Server{}
 	}
+	s.asked = r.Asked
 	for zone, c := range r.Zones {
 		s.zones[zone] = c
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -27,6 +28,8 @@
 	Deciders                  map[string]Decider
 	Observe                   func(now time.Duration, from Peer, delta Report) // of each report; may be nil
 	Lead                      func(now time.Duration, unix int64, n *Node)     // called on the leader now and then; may be nil
+	// Feed is what the leader gives a member with its answer to a status, itself among them; may be nil.
+	Feed func(now time.Duration, to Peer, seq uint64) []byte
 }
 
 // Decider turns what an operator asks for into sections of the next plan: none if the plan says so already. It is called
@@ -86,6 +89,10 @@
 	freshUntil time.Duration
 	wasFresh   bool
 	fenced     bool
+	feed       []byte // that the leader gave last
+	acts       uint64 // the status that it came for
+	feedUntil  time.Duration
+	lapsed     bool // and that was said
 
 	seq      uint64
 	statuses uint64
@@ -257,6 +264,10 @@
 		}
 		n.status()
 	}
+	if n.acts > 0 && n.now >= n.feedUntil && !n.lapsed {
+		n.events = append(n.events, Event{At: n.now, Kind: FeedChanged})
+	}
+	n.lapsed = n.now >= n.feedUntil
 	if fresh := n.Fresh(); fresh != n.wasFresh {
 		n.wasFresh = fresh
 		if fresh {
@@ -322,6 +333,9 @@
 	if n.fenced {
 		return
 	}
+	if n.Leads() { // it answers itself
+		n.fed(n.feeds(Peer{Name: n.cfg.Name, Status: s}, n.seq), n.seq, n.now)
+	}
 	for _, v := range n.cfg.Voters {
 		if v != n.cfg.Name && n.peers[v] != nil && (all || v == n.leader) {
 			n.sends = append(n.sends, Send{v, b})
@@ -335,7 +349,7 @@
 }
 
 func (n *Node) self() Status {
-	s := Status{Zone: n.cfg.Zone, Region: n.cfg.Region, Epoch: n.plan.Epoch, Fresh: n.Fresh(), Leader: n.leader}
+	s := Status{Zone: n.cfg.Zone, Region: n.cfg.Region, Epoch: n.plan.Epoch, Fresh: n.Fresh(), Leader: n.leader, Acts: n.acts}
 	if n.saved != nil && n.whole == nil {
 		s.Identity, s.Founding, s.Promised, s.Term = n.saved.Identity, n.saved.Founding, n.saved.Promised, n.voter.term
 		s.In, s.Out = n.voter.conf.GetVoters(), n.voter.conf.GetVotersOutgoing()
@@ -353,6 +367,14 @@
 		n.voter.rn.BasicStatus().RaftState == raft.StateLeader
 }
 
+// Reign numbers the time in which this member leads: another one each time; 0: it does not.
+func (n *Node) Reign() uint64 {
+	if !n.Leads() {
+		return 0
+	}
+	return n.voter.term
+}
+
 // Heard takes a message of another member.
 func (n *Node) Heard(now time.Duration, unix int64, b []byte) {
 	n.at(now, unix)
@@ -442,10 +464,34 @@
 	}
 	if n.Leads() && (!e.Status.Fresh || n.now-p.granted >= n.cfg.Lease/grantsALease) {
 		p.granted = n.now
-		n.send(p.Name, envelope{Grant: &grant{e.Seq, n.plan.Epoch}})
+		n.send(p.Name, envelope{Grant: &grant{e.Seq, n.plan.Epoch, n.feeds(*p, e.Seq)}})
+	}
+}
+
+func (n *Node) feeds(to Peer, seq uint64) []byte {
+	if n.cfg.Feed == nil {
+		return nil
+	}
+	return n.cfg.Feed(n.now, to, seq)
+}
+
+// fed takes what the leader gave for a status that was sent at a time.
+func (n *Node) fed(feed []byte, seq uint64, sent time.Duration) {
+	if seq <= n.acts {
+		return // late, or doubled
+	}
+	changed := !bytes.Equal(feed, n.feed) || n.now >= n.feedUntil
+	n.feed, n.acts, n.feedUntil = feed, seq, sent+n.cfg.Lease
+	if changed {
+		n.events = append(n.events, Event{At: n.now, Kind: FeedChanged})
 	}
 }
 
+// Feed is what this member may do by the leader's word, until its lease is over; false: it has none.
+func (n *Node) Feed() ([]byte, bool) {
+	return n.feed, n.acts > 0 && n.now < n.feedUntil && !n.fenced
+}
+
 // tellPlan sends a member the plan, unless it was sent just now.
 func (n *Node) tellPlan(p *Peer) {
 	if p.plannedEpoch == n.plan.Epoch && n.now-p.lastPlanSent < replan {
@@ -462,6 +508,7 @@
 	}
 	// Danger: from the time of sending, not of hearing: an answer may have been under way, or lain in a stalled process.
 	n.freshUntil = max(n.freshUntil, sent.at+n.cfg.Lease)
+	n.fed(e.Grant.Feed, e.Grant.Seq, sent.at)
 	n.lead(e.From)
 }
 
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -30,12 +30,14 @@
 	Report   *Report  `cbor:"10,keyasint,omitempty"`
 	In       []uint64 `cbor:"11,keyasint,omitempty"` // identities that vote in the log that it holds
 	Out      []uint64 `cbor:"12,keyasint,omitempty"` // and those that did before a change which is under way
+	Acts     uint64   `cbor:"13,keyasint,omitempty"` // the status of its whose answer it acts on
 }
 
 // grant is the leader's answer to a status: what it says was true at some time after the status was sent.
 type grant struct {
 	Seq   uint64 `cbor:"1,keyasint"`
 	Epoch Epoch  `cbor:"2,keyasint"`
+	Feed  []byte `cbor:"3,keyasint,omitempty"` // what the member may do for a lease; opaque here
 }
 
 // ask is what an operator wants settled.
@@ -143,6 +145,7 @@
 	PlanChanged EventKind = iota
 	LeaderChanged
 	FreshChanged
+	FeedChanged
 	Founded
 	Promised
 	Fenced // another process has this name, and began later: this one says and hears nothing more
--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -7,10 +7,13 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dewhitch/internal/fleet"
 )
 
@@ -28,12 +31,14 @@
 type Verdict struct {
 	State   State    `cbor:"1,keyasint" json:"state"`
 	Since   int64    `cbor:"2,keyasint" json:"since"` // of this state, Unix ms by the leader's clock
-	Fails   int      `cbor:"3,keyasint" json:"fails"` // returns and probes that failed, one after the other
+	Fails   int      `cbor:"3,keyasint" json:"fails"` // returns that failed, one after the other
 	Why     string   `cbor:"4,keyasint" json:"why"`
 	Probers []string `cbor:"5,keyasint,omitempty" json:"probers,omitempty"`
-	By      string   `cbor:"6,keyasint,omitempty" json:"by,omitempty"`    // an operator; empty: the fleet itself
-	Until   int64    `cbor:"7,keyasint,omitempty" json:"until,omitempty"` // of an operator's leave, Unix ms; 0: until return
-	Hold    bool     `cbor:"8,keyasint,omitempty" json:"hold,omitempty"`  // an operator's: not left by the fleet
+	By      string   `cbor:"6,keyasint,omitempty" json:"by,omitempty"`     // an operator; empty: the fleet itself
+	Until   int64    `cbor:"7,keyasint,omitempty" json:"until,omitempty"`  // of an operator's leave, Unix ms; 0: until return
+	Hold    bool     `cbor:"8,keyasint,omitempty" json:"hold,omitempty"`   // an operator's: not left by the fleet
+	Probes  int      `cbor:"9,keyasint,omitempty" json:"probes,omitempty"` // that failed since the zone was left, or returned to last
+	Any     bool     `cbor:"10,keyasint,omitempty" json:"any,omitempty"`   // probes take any class: no other came to the prober
 }
 
 // Verdicts are all that is settled, by the zone of the servers, or "FROM>TO" for the gateways of one zone alone.
@@ -56,7 +61,7 @@
 	Windows   []time.Duration // of the evidence, the shortest first; any one that is clear is enough
 	MostOut   int             // zones that may be out at once; 0: a third of them, one at least where there are two
 	Again     time.Duration   // between leaving and the first probe
-	MostAgain time.Duration   // the same after probes that failed
+	MostAgain time.Duration   // the same after probes and returns that failed
 	Ramp      time.Duration   // of a return
 	Patience  time.Duration   // of a probe, for evidence
 }
@@ -75,6 +80,7 @@
 	illRest   = 0.25 // of the fetches to the other zones, at most
 	wellNeeds = 3    // fetches that a probe has to see served
 	forget    = 30 * time.Second
+	anew      = 300 * time.Millisecond // out for so long, before servers that began anew are looked at
 )
 
 // way is from the zone of a gateway to the zone of servers.
@@ -94,7 +100,8 @@
 	heard   map[string]time.Duration
 	seen    map[way][]sample
 	zones   map[string]bool
-	changed time.Duration // when the verdicts last changed: what was seen before counts no more
+	changed time.Duration    // when the verdicts last changed: what was seen before counts no more
+	starts  map[string]int64 // by zone, when one of its servers began last, Unix ms
 }
 
 // New makes a judge without evidence.
@@ -136,6 +143,16 @@
 	}
 }
 
+// Starts tells when the last of a zone's servers began, Unix ms. Servers that began after their zone was left are the best
+// reason to look at it: whatever it was may be over.
+func (j *Judge) Starts(starts map[string]int64) { j.starts = starts }
+
+// Home is the zone of a gateway that told of late.
+func (j *Judge) Home(gateway string) (zone string, ok bool) {
+	zone, ok = j.homes[gateway]
+	return zone, ok
+}
+
 // sum is what some gateways saw of a zone since a time.
 type sum struct {
 	good, bad       uint64
@@ -211,7 +228,7 @@
 }
 
 func equal(a, b Verdict) bool {
-	return a.State == b.State && a.Since == b.Since && a.Fails == b.Fails && a.Why == b.Why && a.By == b.By && a.Until == b.Until &&
+	return a.State == b.State && a.Since == b.Since && a.Fails == b.Fails && a.Probes == b.Probes && a.Any == b.Any && a.Why == b.Why && a.By == b.By && a.Until == b.Until &&
 		a.Hold == b.Hold && slices.Equal(a.Probers, b.Probers)
 }
 
@@ -238,10 +255,10 @@
 		case Out:
 			switch {
 			case v.By != "" && (v.Until == 0 || unix < v.Until):
-			case v.By == "" && age < j.wait(v.Fails):
+			case v.By == "" && age < j.wait(key, v) && !(j.starts[zone] > v.Since && age >= anew):
 			default:
-				if p := j.probers(zone, here, alive, v.Fails); len(p) > 0 {
-					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Why: v.Why, Probers: p}
+				if p := j.probers(zone, here, alive, v.Fails+v.Probes); len(p) > 0 {
+					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Probes: v.Probes, Why: v.Why, Probers: p}
 				}
 			}
 		case Probing:
@@ -250,10 +267,12 @@
 			case s.good >= wellNeeds && s.good >= 4*s.bad, age > j.cfg.Patience && s.good > 0 && s.bad == 0:
 				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Why: "a probe: " + s.String()}
 			case s.bad >= 2:
-				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails + 1, Why: "a probe: " + s.String()}
+				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails, Probes: v.Probes + 1, Why: "a probe: " + s.String()}
 			case age > j.cfg.Patience || !slices.ContainsFunc(v.Probers, alive):
 				if p := j.probers(zone, here, alive, int(unix/1000)); len(p) > 0 { // they see too little, or are gone
-					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Why: v.Why, Probers: p}
+					// Danger: where nothing may be repeated, a zone that is probed by what may be would never be seen again.
+					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Probes: v.Probes, Why: v.Why, Probers: p,
+						Any: v.Any || age > j.cfg.Patience}
 				}
 			}
 		case Returning:
@@ -268,13 +287,13 @@
 	}
 }
 
-// wait is how long a zone is left alone before it is probed, after so many failures.
-func (j *Judge) wait(fails int) time.Duration {
-	again := j.cfg.Again
-	for range min(fails, 6) {
-		again *= 3
-	}
-	return min(j.cfg.MostAgain, again)
+// wait is how long a zone is left alone before it is probed. A probe that failed cost two fetches, a return many: so it
+// grows by half after the one, and threefold after the other; jittered, so that zones that were lost together are not
+// looked at together.
+func (j *Judge) wait(key string, v Verdict) time.Duration {
+	again := float64(j.cfg.Again) * math.Pow(3, float64(min(v.Fails, 6))) * math.Pow(1.5, float64(min(v.Probes, 12)))
+	jitter := float64(xxhash.Sum64String(fmt.Sprint(key, v.Since))%1000) / 1000 // the same, whoever asks
+	return time.Duration(min(float64(j.cfg.MostAgain), again) * (1 + 0.2*jitter))
 }
 
 func (j *Judge) count(who func(string) bool) (n int) {
