Judge zones and share budgets without a look at all gateways for each pair

Cause: at 1,000 gateways in 12 zones a judgement (and the reports before it) took 47 ms of virtual fleet's time, five times a second: each report looked through all gateways for those to forget, and each pair of zones through all for those of one. The feeder's grants would each have added up all members. Change: gateways are gathered once a judgement and kept by zone; the feeder reckons in rounds, five a second.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -40,11 +40,13 @@
 }
 
 const (
-	tick     = 100 * time.Millisecond // of the log's clock
-	least    = 5 * time.Millisecond   // between two looks at the time
-	inbox    = 2048                   // messages that wait; those beyond are lost, as on the wire
-	calls    = 16
-	sayAgain = 10 * time.Second // about a folder that can't be written to
+	tick  = 100 * time.Millisecond // of the log's clock
+	least = 5 * time.Millisecond   // between two looks at the time
+	inbox = 2048                   // messages that wait; those beyond are lost, as on the wire
+	calls = 16
+
+	roundEvery = 200 * time.Millisecond
+	sayAgain   = 10 * time.Second // about a folder that can't be written to
 )
 
 // Agent is a running member.
@@ -62,6 +64,8 @@
 	tally   *Tally
 	judge   *zone.Judge
 	feeder  *ramp.Feeder
+	rounds  time.Duration                 // when the feeder reckons next
+	fed     bool                          // it feeds any server
 	servers atomic.Pointer[[]ramp.Server] // the list, as this process has it
 	ailing  time.Time                     // since then the folder could not be written to; zero: it can
 	said    time.Time
@@ -208,12 +212,23 @@
 
 // feed is what the leader lets a member send to cold servers, and to those of zones that are returned to or probed.
 func (a *Agent) feed(now time.Duration, to fleet.Peer, seq uint64) []byte {
+	if now >= a.rounds {
+		a.rounds = now + roundEvery
+		a.fed = a.round(now)
+	}
+	if !a.fed {
+		return nil
+	}
+	return a.feeder.Grant(now, to.Name, seq).Encode()
+}
+
+// round has the feeder reckon anew, by the plan and the list.
+func (a *Agent) round(now time.Duration) bool {
 	p, v := a.node.Plan(), zone.Verdicts{}
 	if _, err := p.Section(zone.Section, &v); err != nil {
-		return nil
+		return false
 	}
-	unix := time.Now().UnixMilli()
-	servers, zones := slices.Clone(a.listed()), map[uint32]string{}
+	servers := slices.Clone(a.listed())
 	for i, s := range servers {
 		if w, ok := v[s.Zone]; ok && !w.Hold {
 			s.Use, s.Since = ramp.None, max(s.Since, w.Since)
@@ -223,18 +238,28 @@
 			case zone.Probing:
 				s.Use = ramp.Probe
 			}
+			servers[i] = s
 		}
-		servers[i], zones[s.ID] = s, s.Zone
 	}
-	budgets := a.feeder.Budgets(now, unix, servers)
-	if len(budgets) == 0 {
-		return nil
+	zones := map[uint32]string{}
+	for _, s := range servers {
+		zones[s.ID] = s.Zone
 	}
-	return a.feeder.Grant(now, to.Name, seq, budgets, func(gateway string, server uint32) bool {
+	type way struct{ from, to string }
+	known := map[way]func(gateway string) bool{}
+	return a.feeder.Round(now, time.Now().UnixMilli(), servers, func(gateway string, server uint32) bool {
 		home, _ := a.judge.Home(gateway)
-		w, ok := v.For(home, zones[server])
-		return !ok || w.State == zone.Returning || w.State == zone.Probing && slices.Contains(w.Probers, gateway)
-	}).Encode()
+		k := way{home, zones[server]}
+		may := known[k]
+		if may == nil {
+			w, ok := v.For(k.from, k.to)
+			may = func(gateway string) bool {
+				return !ok || w.State == zone.Returning || w.State == zone.Probing && slices.Contains(w.Probers, gateway)
+			}
+			known[k] = may
+		}
+		return may(gateway)
+	})
 }
 
 // lead has the leader settle what the judge says of the zones.
--- a/internal/fleet/ramp/ramp.go
+++ b/internal/fleet/ramp/ramp.go
@@ -104,6 +104,13 @@
 	stepped   time.Duration
 }
 
+// round is what holds of a fed server until the next round.
+type round struct {
+	budget float64 // of all together, fetches a second
+	asks   float64 // the demand of those that may send there
+	held   float64 // what may still be spent of what was given; too much rather than too little
+}
+
 // Feeder is the leader's part. Every voter's is fed with evidence, so that the next leader knows the demand.
 type Feeder struct {
 	cfg     Config
@@ -111,12 +118,15 @@
 	reign   uint64        // in which it does; 0: it does not
 	members map[string]*member
 	health  map[uint32]*health
+	round   map[uint32]*round
+	may     func(gateway string, server uint32) bool
 	mean    float64 // microseconds of a served fetch, smoothed
 }
 
 // New makes one that knows nobody.
 func New(cfg Config) *Feeder {
-	return &Feeder{cfg: cfg, members: map[string]*member{}, health: map[uint32]*health{}}
+	return &Feeder{cfg: cfg, members: map[string]*member{}, health: map[uint32]*health{},
+		round: map[uint32]*round{}}
 }
 
 func (f *Feeder) member(name string) *member {
@@ -238,31 +248,39 @@
 	return h.part
 }
 
-// Grant is what a gateway may send from now on, for a lease, in answer to its status seq. eligible tells who may send to a
-// server at all.
+// Round reckons anew what servers may be sent, several times a second; may tells who may send to one at all. It tells
+// whether any is fed. Danger: reckoned at each grant, the leader's cost would grow with the square of the fleet.
+func (f *Feeder) Round(now time.Duration, unix int64, servers []Server, may func(gateway string, server uint32) bool) bool {
+	f.may, f.round = may, map[uint32]*round{}
+	for id, budget := range f.Budgets(now, unix, servers) {
+		r := &round{budget: budget}
+		for name, m := range f.members {
+			if may(name, id) {
+				r.asks += m.demand
+			}
+			r.held += m.held(now, id)
+		}
+		f.round[id] = r
+	}
+	return len(f.round) > 0
+}
+
+// Grant is what a gateway may send from now on, for a lease, in answer to its status seq.
 //
 // Danger: what was given to others, and may still be spent, is taken off first: shares that shift must never add up to more
 // than the budget, and a gateway that is lost or stalled keeps its share until its lease is over.
-func (f *Feeder) Grant(now time.Duration, gateway string, seq uint64, budgets map[uint32]float64,
-	eligible func(gateway string, server uint32) bool) Feed {
+func (f *Feeder) Grant(now time.Duration, gateway string, seq uint64) Feed {
 	m := f.member(gateway)
 	feed := Feed{Rates: map[uint32]float64{}}
 	if f.reign != 0 && now-f.began >= time.Duration(silence*float64(f.cfg.Lease)) {
-		for id, budget := range budgets {
-			if !eligible(gateway, id) {
+		for id, r := range f.round {
+			if !f.may(gateway, id) {
 				continue
 			}
-			all, held := 0.0, 0.0
-			for name, o := range f.members {
-				if eligible(name, id) {
-					all += o.demand
-				}
-				if o != m {
-					held += o.held(now, id)
-				}
-			}
-			if share := min(budget*m.demand/max(all, 1e-9), budget-held); share > 0 {
+			own := m.held(now, id)
+			if share := min(r.budget*m.demand/max(r.asks, 1e-9), r.budget-max(0, r.held-own)); share > 0 {
 				feed.Rates[id] = share
+				r.held += max(0, share-own)
 			}
 		}
 	}
--- a/internal/fleet/ramp/ramp_test.go
+++ b/internal/fleet/ramp/ramp_test.go
@@ -58,13 +58,14 @@
 	servers         []Server
 	most            map[uint32]float64 // budgets of this step, the highest
 	unix            int64
-	seqs            map[[2]int]uint64 // the newest status that one heard of another
-	counts          map[[2]int]uint64 // and what it said
+	seqs            map[[2]int]uint64     // the newest status that one heard of another
+	rounds          map[int]time.Duration // when a leader reckoned last
+	counts          map[[2]int]uint64     // and what it said
 }
 
 func newWorld(seed uint64, gateways, servers int) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), unix: 1_700_000_000_000, old: -1, seqs: map[[2]int]uint64{},
-		counts: map[[2]int]uint64{}}
+		counts: map[[2]int]uint64{}, rounds: map[int]time.Duration{}}
 	for i := range gateways {
 		w.all = append(w.all, &gateway{name: fmt.Sprint("g", i), demand: 1 + 300*math.Pow(w.rng.Float64(), 3)})
 		w.feeders = append(w.feeders, New(cold))
@@ -172,7 +173,11 @@
 	for id, b := range budgets {
 		w.most[id] = max(w.most[id], b)
 	}
-	feed := f.Grant(w.now, from.name, m.seq, budgets, everyone)
+	if w.now-w.rounds[m.to] >= 200*time.Millisecond {
+		w.rounds[m.to] = w.now
+		f.Round(w.now, w.unix, w.servers, everyone)
+	}
+	feed := f.Grant(w.now, from.name, m.seq)
 	w.send(msg{sent: m.sent, from: m.to, to: m.from, seq: m.seq, feed: &feed})
 }
 
--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -100,8 +100,10 @@
 	heard   map[string]time.Duration
 	seen    map[way][]sample
 	zones   map[string]bool
-	changed time.Duration    // when the verdicts last changed: what was seen before counts no more
-	starts  map[string]int64 // by zone, when one of its servers began last, Unix ms
+	changed time.Duration       // when the verdicts last changed: what was seen before counts no more
+	starts  map[string]int64    // by zone, when one of its servers began last, Unix ms
+	all     []string            // gateways, as of this judgement
+	at      map[string][]string // the same by their zones
 }
 
 // New makes a judge without evidence.
@@ -134,12 +136,25 @@
 		}
 		j.seen[w] = list
 	}
-	for g, at := range j.heard {
-		if now-at > forget {
+}
+
+// gather forgets the gateways that have told nothing for long, and lists the others. Danger: with a look at all of them for
+// each report, and for each pair of zones, the leader's cost grows with the square of the fleet.
+func (j *Judge) gather(now time.Duration) {
+	j.all, j.at = nil, map[string][]string{}
+	gone := map[string]bool{}
+	for _, g := range slices.Sorted(maps.Keys(j.homes)) {
+		if now-j.heard[g] > forget {
 			delete(j.heard, g)
 			delete(j.homes, g)
-			maps.DeleteFunc(j.seen, func(w way, _ []sample) bool { return w.gateway == g })
+			gone[g] = true
+			continue
 		}
+		j.all = append(j.all, g)
+		j.at[j.homes[g]] = append(j.at[j.homes[g]], g)
+	}
+	if len(gone) > 0 {
+		maps.DeleteFunc(j.seen, func(w way, _ []sample) bool { return gone[w.gateway] })
 	}
 }
 
@@ -159,17 +174,13 @@
 	illFor, wellFor int // gateways
 }
 
-func (j *Judge) sum(zone string, since time.Duration, who func(gateway string) bool) (s sum) {
-	for g := range j.homes {
-		if !who(g) {
-			continue
-		}
+func (j *Judge) sum(zone string, since time.Duration, who []string) (s sum) {
+	for _, g := range who {
 		good, bad := uint64(0), uint64(0)
-		for _, x := range j.seen[way{g, zone}] {
-			if x.at >= since {
-				good += x.good
-				bad += x.bad
-			}
+		list := j.seen[way{g, zone}]
+		for i := len(list) - 1; i >= 0 && list[i].at >= since; i-- {
+			good += list[i].good
+			bad += list[i].bad
 		}
 		s.good += good
 		s.bad += bad
@@ -185,8 +196,8 @@
 
 // ill tells whether some gateways see a zone ill, in one of the windows, by what they saw since a time. In a short one what
 // was well before the trouble is soon past; in a long one thin traffic adds up.
-func (j *Judge) ill(zone string, now, since time.Duration, who func(string) bool) (s sum, from time.Duration, bad bool) {
-	n := j.count(who)
+func (j *Judge) ill(zone string, now, since time.Duration, who []string) (s sum, from time.Duration, bad bool) {
+	n := len(who)
 	for _, w := range j.cfg.Windows {
 		from = max(now-w, since)
 		if s = j.sum(zone, from, who); s.ill(n) {
@@ -214,6 +225,7 @@
 		next = Verdicts{}
 	}
 	zones := slices.Sorted(maps.Keys(j.zones))
+	j.gather(now)
 	j.settle(now, unix, next, alive)
 	j.leave(now, unix, next, zones)
 	for _, from := range zones { // what is left for all may have been the last that the ways from a zone had left it
@@ -248,7 +260,10 @@
 			continue
 		}
 		from, zone := split(key)
-		here := func(g string) bool { return from == "" || j.homes[g] == from }
+		here := j.all
+		if from != "" {
+			here = j.at[from]
+		}
 		age := time.Duration(unix-v.Since) * time.Millisecond
 		since := max(0, now-max(0, age)) // on the evidence's clock
 		switch v.State {
@@ -262,7 +277,7 @@
 				}
 			}
 		case Probing:
-			s := j.sum(zone, since+bucket, func(g string) bool { return slices.Contains(v.Probers, g) })
+			s := j.sum(zone, since+bucket, v.Probers)
 			switch {
 			case s.good >= wellNeeds && s.good >= 4*s.bad, age > j.cfg.Patience && s.good > 0 && s.bad == 0:
 				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Why: "a probe: " + s.String()}
@@ -296,20 +311,11 @@
 	return time.Duration(min(float64(j.cfg.MostAgain), again) * (1 + 0.2*jitter))
 }
 
-func (j *Judge) count(who func(string) bool) (n int) {
-	for g := range j.homes {
-		if who(g) {
-			n++
-		}
-	}
-	return n
-}
-
 // probers chooses one gateway to look, in turns: one of the zone itself if it has any, as that has the shortest way.
-func (j *Judge) probers(zone string, here, alive func(string) bool, turn int) []string {
+func (j *Judge) probers(zone string, here []string, alive func(string) bool, turn int) []string {
 	var all []string
-	for g := range j.homes {
-		if here(g) && alive(g) {
+	for _, g := range here {
+		if alive(g) {
 			all = append(all, g)
 		}
 	}
@@ -341,7 +347,6 @@
 
 // leave finds zones that are ill, for all or for the gateways of one zone.
 func (j *Judge) leave(now time.Duration, unix int64, next Verdicts, zones []string) {
-	everyone := func(string) bool { return true }
 	most := j.cfg.MostOut
 	if most == 0 {
 		most = max(len(zones)/3, min(1, len(zones)-1))
@@ -352,7 +357,7 @@
 			out++
 			continue
 		}
-		if s, since, bad := j.ill(z, now, j.changed, everyone); bad && !next[z].Hold {
+		if s, since, bad := j.ill(z, now, j.changed, j.all); bad && !next[z].Hold {
 			ill[z], from[z] = s, since
 		}
 	}
@@ -360,7 +365,7 @@
 		if out >= most {
 			break // the best of the bad is used
 		}
-		if !j.restIsWell(zones, next, "", from[z], everyone, func(z string) bool { _, bad := ill[z]; return bad }) {
+		if !j.restIsWell(zones, next, "", from[z], j.all, func(z string) bool { _, bad := ill[z]; return bad }) {
 			continue
 		}
 		next[z] = Verdict{State: Out, Since: unix, Why: ill[z].String()}
@@ -369,8 +374,8 @@
 	}
 	// The way from one zone to another, where others see that the servers there are well.
 	for _, from := range zones {
-		here := func(g string) bool { return j.homes[g] == from }
-		n := j.count(here)
+		here := j.at[from]
+		n := len(here)
 		gone := left(next, from, zones)
 		for _, to := range zones {
 			if _, ok := next.For(from, to); ok || from == to || n < 2 || next[to].Hold || gone >= len(zones)-1 {
@@ -380,7 +385,7 @@
 			if !bad {
 				continue
 			}
-			others := j.sum(to, since, func(g string) bool { return !here(g) })
+			others := j.sum(to, since, slices.DeleteFunc(slices.Clone(j.all), func(g string) bool { return j.homes[g] == from }))
 			if float64(s.bad) >= illWay*float64(s.bad+s.good) && others.good > 2*others.bad && j.restIsWell(zones, next, from, since, here, func(z string) bool { return z == to }) {
 				next[from+">"+to] = Verdict{State: Out, Since: unix, Why: "the way from " + from + ": " + s.String()}
 				gone++
@@ -393,7 +398,7 @@
 //
 // Danger: where all zones are ill it is something that they share, and to leave one would help nobody and load the others;
 // so they have to be well, and not only a little less ill.
-func (j *Judge) restIsWell(zones []string, v Verdicts, from string, since time.Duration, who func(string) bool,
+func (j *Judge) restIsWell(zones []string, v Verdicts, from string, since time.Duration, who []string,
 	but func(zone string) bool) bool {
 	var rest sum
 	for _, z := range zones {
