Leave a zone that has become much slower, and give cold servers the time they need

Cause: fetches late beyond 2.5 times the usual counted as silent and their time was lost, so that a zone five times slower showed little but a few silent ones before the module had moved its traffic: two of three ways left after 5 to 8 s. And a zone whose servers had just begun, cold, was put off again by answers that took as long as cold ones do. Change: late answers are told with their time; the judge learns how long fetches usually take on each way, and takes a gateway's fetches for ill where its answers take 3.5 times that, unless the zones that remain are slow themselves (1.8). Of a zone whose servers began within the ramp, late answers count as served. Ruled out on the way: a threshold without 100 answers behind it left ways in the first five seconds.

--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -97,6 +97,9 @@
 			s.Queue, s.InFlight = queue, inflight
 		}
 	}
+	if v.late && o == Served { // how slow a zone is shows in those most of all
+		t.add(v.zone, v.id, fleet.Count{Late: 1, Micros: uint64(took.Microseconds())})
+	}
 	if v.late || o == Nothing {
 		return
 	}
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -4,13 +4,14 @@
 
 // Count is what a member saw of a zone or a server, since its process began; it only grows.
 type Count struct {
-	Tries   uint64 `cbor:"1,keyasint" json:"tries"`   // fetches that ended
-	Served  uint64 `cbor:"2,keyasint" json:"served"`  // of these, well
-	Refused uint64 `cbor:"3,keyasint" json:"refused"` // could not connect
-	Silent  uint64 `cbor:"4,keyasint" json:"silent"`  // timed out
-	Failed  uint64 `cbor:"5,keyasint" json:"failed"`  // errors and resets
-	Turned  uint64 `cbor:"6,keyasint" json:"turned"`  // turned away: the queue was full
-	Micros  uint64 `cbor:"7,keyasint" json:"micros"`  // that the served ones took, all together
+	Tries   uint64 `cbor:"1,keyasint" json:"tries"`                    // fetches that ended
+	Served  uint64 `cbor:"2,keyasint" json:"served"`                   // of these, well
+	Refused uint64 `cbor:"3,keyasint" json:"refused"`                  // could not connect
+	Silent  uint64 `cbor:"4,keyasint" json:"silent"`                   // timed out
+	Failed  uint64 `cbor:"5,keyasint" json:"failed"`                   // errors and resets
+	Turned  uint64 `cbor:"6,keyasint" json:"turned"`                   // turned away: the queue was full
+	Micros  uint64 `cbor:"7,keyasint" json:"micros"`                   // that the served ones took, all together, and the late ones
+	Late    uint64 `cbor:"8,keyasint,omitempty" json:"late,omitempty"` // served after they were counted as silent
 }
 
 // Report is what a member tells of what it sees, in counters since its process began, so that late, doubled and lost
@@ -41,17 +42,17 @@
 
 func (c Count) sane() bool {
 	return c.Tries < absurd && c.Micros < absurd*1000 && c.Served <= c.Tries && c.Refused <= c.Tries && c.Silent <= c.Tries &&
-		c.Failed <= c.Tries && c.Turned <= c.Tries
+		c.Failed <= c.Tries && c.Turned <= c.Tries && c.Late <= c.Silent
 }
 
 // since is what came between two counts of one life; false: the later one is less, which no honest one can be.
 func (c Count) since(o Count) (Count, bool) {
 	if c.Tries < o.Tries || c.Served < o.Served || c.Refused < o.Refused || c.Silent < o.Silent || c.Failed < o.Failed ||
-		c.Turned < o.Turned || c.Micros < o.Micros {
+		c.Turned < o.Turned || c.Micros < o.Micros || c.Late < o.Late {
 		return Count{}, false
 	}
 	return Count{c.Tries - o.Tries, c.Served - o.Served, c.Refused - o.Refused, c.Silent - o.Silent, c.Failed - o.Failed,
-		c.Turned - o.Turned, c.Micros - o.Micros}, true
+		c.Turned - o.Turned, c.Micros - o.Micros, c.Late - o.Late}, true
 }
 
 // Add adds o to c.
@@ -63,6 +64,7 @@
 	c.Failed += o.Failed
 	c.Turned += o.Turned
 	c.Micros += o.Micros
+	c.Late += o.Late
 }
 
 // check refuses what no honest process could say.
@@ -107,7 +109,7 @@
 		if !ok {
 			return Report{}, errAbsurd
 		}
-		if d.Tries > 0 {
+		if d.Tries > 0 || d.Late > 0 {
 			delta.Zones[zone] = d
 		}
 	}
--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -79,8 +79,18 @@
 	illVoters = 0.7  // of the gateways that saw any
 	illRest   = 0.25 // of the fetches to the other zones, at most
 	wellNeeds = 3    // fetches that a probe has to see served
+	slowTimes = 3.5  // the usual time: the servers there are as good as ill
+	restTimes = 1.8  // the same of the zones that would be left with: they must not be slow themselves
+	leastSlow = 10   // fetches, of a zone that is judged by their time
 	forget    = 30 * time.Second
-	anew      = 300 * time.Millisecond // out for so long, before servers that began anew are looked at
+
+	learnSpan  = time.Second
+	learnNeeds = 5                      // answers in that
+	learnFirst = 100                    // answers, before a zone may be judged by their time
+	learnPart  = 0.02                   // of a second's mean in what is usual, five times a second
+	learnTimes = 1.5                    // the usual time: more is no example of it, or only in the long run
+	lateTime   = 800 * time.Millisecond // what a cold server may take
+	anew       = 300 * time.Millisecond // out for so long, before servers that began anew are looked at
 )
 
 // way is from the zone of a gateway to the zone of servers.
@@ -90,6 +100,9 @@
 type sample struct {
 	at        time.Duration
 	good, bad uint64
+	late      uint64  // of the bad ones, here or before, that were served after all
+	answered  uint64  // in whatever time
+	took      float64 // seconds that those took together
 }
 
 // Judge holds the evidence of a few seconds. Only the leader's is asked, but every voter's is fed, so that the next leader
@@ -104,12 +117,21 @@
 	starts  map[string]int64    // by zone, when one of its servers began last, Unix ms
 	all     []string            // gateways, as of this judgement
 	at      map[string][]string // the same by their zones
+	usual   map[way]*usual      // from one zone to another
+	cold    map[string]bool     // zones with servers that have just begun
+	now     time.Duration       // of this judgement
+}
+
+// usual is how long fetches take over the last while.
+type usual struct {
+	mean float64 // seconds
+	n    uint64  // answers that it is made of, up to learnFirst
 }
 
 // New makes a judge without evidence.
 func New(cfg Config) *Judge {
 	return &Judge{cfg: cfg, homes: map[string]string{}, heard: map[string]time.Duration{}, seen: map[way][]sample{},
-		zones: map[string]bool{}}
+		zones: map[string]bool{}, usual: map[way]*usual{}, cold: map[string]bool{}}
 }
 
 // Seen takes what a gateway saw since it last told.
@@ -119,18 +141,18 @@
 	for z, c := range delta.Zones {
 		j.zones[z] = true
 		bad := c.Refused + c.Silent + c.Failed
-		if bad == 0 && c.Served == 0 {
+		if bad == 0 && c.Served == 0 && c.Late == 0 {
 			continue
 		}
 		w := way{gateway, z}
 		list := j.seen[w]
 		at := now / bucket * bucket
-		if n := len(list); n > 0 && list[n-1].at == at {
-			list[n-1].good += c.Served
-			list[n-1].bad += bad
-		} else {
-			list = append(list, sample{at, c.Served, bad})
+		if n := len(list); n == 0 || list[n-1].at != at {
+			list = append(list, sample{at: at})
 		}
+		s := &list[len(list)-1]
+		s.good, s.bad, s.late = s.good+c.Served, s.bad+bad, s.late+c.Late
+		s.answered, s.took = s.answered+c.Served+c.Late, s.took+float64(c.Micros)/1e6
 		for len(list) > 0 && now-list[0].at > j.cfg.Patience {
 			list = list[1:]
 		}
@@ -158,6 +180,44 @@
 	}
 }
 
+// learn follows how long fetches usually take from one zone to another: quickly while that changes little, so that a zone's
+// hours are no trouble of its; slowly where it has changed much, so that what lasts becomes usual.
+func (j *Judge) learn(now time.Duration, v Verdicts, zones []string) {
+	for from, here := range j.at {
+		for _, to := range zones {
+			w := way{from, to}
+			if _, ok := v.For(from, to); ok {
+				continue // what comes from there now is no example
+			}
+			answered, took := uint64(0), 0.0
+			for _, g := range here {
+				list := j.seen[way{g, to}]
+				for i := len(list) - 1; i >= 0 && list[i].at >= now-learnSpan; i-- {
+					answered += list[i].answered
+					took += list[i].took
+				}
+			}
+			if answered < learnNeeds {
+				continue
+			}
+			u := j.usual[w]
+			if u == nil {
+				u = &usual{}
+				j.usual[w] = u
+			}
+			mean, part := took/float64(answered), learnPart
+			switch {
+			case u.n < learnFirst:
+				u.n += max(1, answered/5) // each is in five judgements
+				part = float64(max(1, answered/5)) / float64(u.n)
+			case mean > learnTimes*u.mean:
+				part = learnPart / 20
+			}
+			u.mean += part * (mean - u.mean)
+		}
+	}
+}
+
 // Starts tells when the last of a zone's servers began, Unix ms. Servers that began after their zone was left are the best
 // reason to look at it: whatever it was may be over.
 func (j *Judge) Starts(starts map[string]int64) { j.starts = starts }
@@ -172,15 +232,29 @@
 type sum struct {
 	good, bad       uint64
 	illFor, wellFor int // gateways
+	slow            int // of these, gateways that saw it answer much more slowly than it did
 }
 
-func (j *Judge) sum(zone string, since time.Duration, who []string) (s sum) {
+// One whose answers take so many times as long as usual is as good as ill.
+func (j *Judge) sum(zone string, since time.Duration, times float64, who []string) (s sum) {
+	cold := j.cold[zone]
 	for _, g := range who {
-		good, bad := uint64(0), uint64(0)
+		good, bad, late, answered, took := uint64(0), uint64(0), uint64(0), uint64(0), 0.0
 		list := j.seen[way{g, zone}]
 		for i := len(list) - 1; i >= 0 && list[i].at >= since; i-- {
 			good += list[i].good
-			bad += list[i].bad
+			if !cold || list[i].at <= j.now-lateTime {
+				bad += list[i].bad
+			}
+			late += list[i].late
+			answered += list[i].answered
+			took += list[i].took
+		}
+		switch u := j.usual[way{j.homes[g], zone}]; {
+		case cold: // what comes late comes, and nothing there is as quick as it will be
+			good, bad = good+min(late, bad), bad-min(late, bad)
+		case answered > 0 && u != nil && u.n >= learnFirst && took/float64(answered) > times*u.mean:
+			good, bad, s.slow = 0, good+bad, s.slow+1
 		}
 		s.good += good
 		s.bad += bad
@@ -200,7 +274,7 @@
 	n := len(who)
 	for _, w := range j.cfg.Windows {
 		from = max(now-w, since)
-		if s = j.sum(zone, from, who); s.ill(n) {
+		if s = j.sum(zone, from, slowTimes, who); s.ill(n) {
 			return s, from, true
 		}
 	}
@@ -210,12 +284,19 @@
 // ill tells whether what several gateways saw speaks against a zone: enough of it, by most of them, and by two at least
 // unless there is but one that could see it.
 func (s sum) ill(gateways int) bool {
+	if s.slow > 0 && s.bad < leastSlow {
+		return false // a few answers that take long are chance
+	}
 	return s.bad >= leastBad && float64(s.bad) >= illShare*float64(s.bad+s.good) && s.illFor >= min(2, gateways) &&
 		float64(s.illFor) >= illVoters*float64(s.illFor+s.wellFor)
 }
 
 func (s sum) String() string {
-	return fmt.Sprintf("%d of %d fetches ill, by %d of %d gateways", s.bad, s.bad+s.good, s.illFor, s.illFor+s.wellFor)
+	text := fmt.Sprintf("%d of %d fetches ill, by %d of %d gateways", s.bad, s.bad+s.good, s.illFor, s.illFor+s.wellFor)
+	if s.slow > 0 {
+		text += fmt.Sprintf(", slow for %d", s.slow)
+	}
+	return text
 }
 
 // Judge says what should hold, given what does. moved: it differs.
@@ -226,6 +307,11 @@
 	}
 	zones := slices.Sorted(maps.Keys(j.zones))
 	j.gather(now)
+	j.now, j.cold = now, map[string]bool{}
+	for z, at := range j.starts {
+		j.cold[z] = at > 0 && time.Duration(unix-at)*time.Millisecond < j.cfg.Ramp
+	}
+	j.learn(now, next, zones)
 	j.settle(now, unix, next, alive)
 	j.leave(now, unix, next, zones)
 	for _, from := range zones { // what is left for all may have been the last that the ways from a zone had left it
@@ -277,7 +363,7 @@
 				}
 			}
 		case Probing:
-			s := j.sum(zone, since+bucket, v.Probers)
+			s := j.sum(zone, since+bucket, slowTimes, v.Probers)
 			switch {
 			case s.good >= wellNeeds && s.good >= 4*s.bad, age > j.cfg.Patience && s.good > 0 && s.bad == 0:
 				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Why: "a probe: " + s.String()}
@@ -385,7 +471,7 @@
 			if !bad {
 				continue
 			}
-			others := j.sum(to, since, slices.DeleteFunc(slices.Clone(j.all), func(g string) bool { return j.homes[g] == from }))
+			others := j.sum(to, since, slowTimes, slices.DeleteFunc(slices.Clone(j.all), func(g string) bool { return j.homes[g] == from }))
 			if float64(s.bad) >= illWay*float64(s.bad+s.good) && others.good > 2*others.bad && j.restIsWell(zones, next, from, since, here, func(z string) bool { return z == to }) {
 				next[from+">"+to] = Verdict{State: Out, Since: unix, Why: "the way from " + from + ": " + s.String()}
 				gone++
@@ -406,7 +492,7 @@
 		if but(z) || ok && w.State != Returning {
 			continue
 		}
-		s := j.sum(z, since, who)
+		s := j.sum(z, since, restTimes, who)
 		rest.good += s.good
 		rest.bad += s.bad
 	}
--- a/internal/fleet/zone/zone_test.go
+++ b/internal/fleet/zone/zone_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	home     map[string]string
 	rate     float64                            // fetches a second of a gateway, to each zone
 	bad      func(gateway, zone string) float64 // share of the fetches that go ill
+	slow     func(zone string) float64          // times as long as usual
 	dead     map[string]bool
 	v        Verdicts
 	leaves   int
@@ -30,7 +32,7 @@
 
 func newWorld(seed uint64, zones, each int, rate float64) *world {
 	w := &world{j: New(Standard), rng: rand.New(rand.NewPCG(seed, 1)), rate: rate, home: map[string]string{}, v: Verdicts{},
-		bad: func(string, string) float64 { return 0 }, dead: map[string]bool{}, sent: map[string]int{}}
+		bad: func(string, string) float64 { return 0 }, slow: func(string) float64 { return 1 }, dead: map[string]bool{}, sent: map[string]int{}}
 	for z := range zones {
 		w.zones = append(w.zones, string(rune('a'+z)))
 		for i := range each {
@@ -65,6 +67,7 @@
 						c.Silent++
 					} else {
 						c.Served++
+						c.Micros += uint64(60_000 * w.slow(z) * w.rng.ExpFloat64())
 					}
 				}
 				delta.Zones[z] = c
@@ -172,6 +175,67 @@
 	}
 }
 
+// A zone that has become five times slower is left; one of twice, or all together, or one that has long been so, is not.
+func TestSlowZone(t *testing.T) {
+	for _, c := range []struct {
+		zones string
+		times float64
+		long  bool
+		left  int
+	}{{"b", 5, false, 1}, {"b", 2, false, 0}, {"abc", 4, false, 0}, {"b", 6, true, 0}} {
+		w := newWorld(8, 3, 2, 24)
+		slow := func(z string) float64 {
+			if strings.Contains(c.zones, z) {
+				return c.times
+			}
+			return 1
+		}
+		if c.long {
+			w.slow = slow
+		}
+		w.run(30 * time.Second)
+		w.slow = slow
+		w.run(2 * time.Second)
+		if w.leaves != c.left {
+			t.Errorf("%q %v times slower (long: %v): %d leaves, expected %d; %+v", c.zones, c.times, c.long, w.leaves, c.left, w.v)
+		}
+		if c.left == 0 {
+			continue
+		}
+		w.run(10 * time.Second)
+		if v := w.v["b"]; v.State == Returning {
+			t.Errorf("returned to while it is slow: %+v", v)
+		}
+		w.slow = func(string) float64 { return 1 }
+		w.run(40 * time.Second)
+		if len(w.v) != 0 {
+			t.Errorf("not in again 40 s after it was as ever: %+v", w.v)
+		}
+	}
+}
+
+// Servers that began anew are looked at at once, and being slow as cold ones are is nothing against them.
+func TestColdZoneReturns(t *testing.T) {
+	w := newWorld(9, 3, 2, 24)
+	w.run(10 * time.Second)
+	w.bad = ill("b")
+	w.run(20 * time.Second)
+	if v := w.v["b"]; v.State != Out && v.State != Probing {
+		t.Fatalf("%+v", w.v)
+	}
+	w.bad, w.slow = ill(""), func(z string) float64 {
+		if z == "b" {
+			return 4.5
+		}
+		return 1
+	}
+	w.j.Starts(map[string]int64{"b": w.unix()})
+	w.run(5 * time.Second)
+	if v := w.v["b"]; v.State != Returning {
+		t.Errorf("5 s after its servers began: %+v", v)
+	}
+}
+
 func TestFlapping(t *testing.T) {
 	w := newWorld(6, 3, 2, 20)
 	w.run(5 * time.Second)
