Leave a region as one, and keep a slow zone that the rest can not replace

A zone that is slow still serves: with the others full, staying away refuses what it could do. A region that is lost whole was left a zone at a time, and beyond a third not at all. Change: a zone that serves in part is not left where the rest turns reqs away (5 % of what they serve, in 2.4 s), and is returned to by its ramp once they do; a silent one is left all the same. The rest's slowness counts only against a zone that is judged by its time: the load that moves from a silent one makes the others slow, and it would not have been left.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -32,9 +32,9 @@
 	if g.f == nil {
 		return nil
 	}
-	zone := ""
+	own := ""
 	if z := g.n.Settings.Zone; z < len(g.n.Words.Zones) {
-		zone = g.n.Words.Zones[z]
+		own = g.n.Words.Zones[z]
 	}
 	g.acts = make(chan agent.Acts, 1)
 	follow := func(a agent.Acts) {
@@ -45,9 +45,11 @@
 		g.acts <- a
 	}
 	cold := ramp.Config{Start: g.n.Settings.StartCapacity, Span: time.Duration(g.n.Settings.ColdSpan)}
-	a, err := agent.Open(agent.Options{Follow: follow, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
+	judge := zone.Standard
+	judge.MostOut = g.f.MostZones
+	a, err := agent.Open(agent.Options{Follow: follow, Zones: judge, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
 		Gossip: gossip.Options{Fleet: g.f.Name, Name: g.n.Name, Listen: g.f.Listen, Peers: g.f.Peers, Seeds: g.f.Seeds,
-			Keyring: g.f.Keyring, About: gossip.About{Zone: zone, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
+			Keyring: g.f.Keyring, About: gossip.About{Zone: own, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
 				Role: "gateway"}}})
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -77,6 +77,7 @@
 	JSON          string `help:"Where to write what it came to; - for standard output."`
 	HTML          string `help:"Where to write a page with plots."`
 	Uncoordinated bool   `help:"Play it without the fleet view."`
+	Told          bool   `help:"Play it without the fleet view, with directors that tell of servers' troubles as they begin and end: the most that can be had."`
 	Gateways      int    `help:"In each zone, in place of what the scenario says."`
 	Quiet         bool   `help:"Print no line a second."`
 }
@@ -94,7 +95,7 @@
 	if c.Quiet {
 		lines = nil
 	}
-	r, err := drill.Run(ctx, s, drill.Options{Program: c.Program, Dir: dir, Seed: c.Seed, Uncoordinated: c.Uncoordinated, Lines: lines})
+	r, err := drill.Run(ctx, s, drill.Options{Program: c.Program, Dir: dir, Seed: c.Seed, Uncoordinated: c.Uncoordinated, Told: c.Told, Lines: lines})
 	if err != nil && !errors.Is(err, drill.ErrFell) {
 		return fmt.Errorf("%w (the processes' files are in %s)", err, dir)
 	}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -19,6 +19,7 @@
 	Keyring, Dir         string
 	Lease, Status        time.Duration
 	Peers                map[string]string
+	MostZones            int      // that the fleet may have out at once of its own accord; 0: a third
 	Registry             Registry // where members are found; without servers they are found by seeds alone
 }
 
@@ -45,6 +46,7 @@
 			Keyring, Dir         string
 			LeaseMS              int `toml:"lease_ms"`
 			StatusMS             int `toml:"status_ms"`
+			MostZones            int `toml:"most_zones_out"`
 			Registry             registryFile
 		}
 		Peers map[string]string
@@ -93,6 +95,6 @@
 		return nil, err
 	}
 	reg.Path += "/" + url.PathEscape(l.Name)
-	return &Fleet{Registry: reg, Name: l.Name, Listen: l.Listen, Region: l.Region, Voters: l.Voters, Seeds: l.Seeds, Keyring: l.Keyring, Dir: l.Dir,
+	return &Fleet{MostZones: l.MostZones, Registry: reg, Name: l.Name, Listen: l.Listen, Region: l.Region, Voters: l.Voters, Seeds: l.Seeds, Keyring: l.Keyring, Dir: l.Dir,
 		Lease: time.Duration(l.LeaseMS) * time.Millisecond, Status: time.Duration(l.StatusMS) * time.Millisecond, Peers: f.Peers}, nil
 }
--- a/internal/drill/actions.go
+++ b/internal/drill/actions.go
@@ -35,6 +35,9 @@
 			return act{c.text(), func(w *world) {
 				for _, s := range servers {
 					do(w, s, float64(v))
+					if w.Told && name != "drain" && name != "undrain" {
+						w.drain(s, name != "well")
+					}
 				}
 			}, servers}, nil
 		})
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -18,6 +18,7 @@
 	Dir           string // for the processes' files; it must be empty
 	Seed          uint64
 	Uncoordinated bool
+	Told          bool      // without the fleet view, but the directors tell of servers' troubles as they begin and end
 	Lines         io.Writer // a line a second; nil: none
 }
 
@@ -208,7 +209,7 @@
 
 func (w *world) result() *Result {
 	all := w.load.sum(0, len(w.load.secs))
-	r := &Result{Scenario: w.Name, Seed: w.Seed, Coordinated: w.Coordinated && !w.Uncoordinated, Processes: len(w.gateways),
+	r := &Result{Scenario: w.Name, Seed: w.Seed, Coordinated: w.coordinated(), Processes: len(w.gateways),
 		Served: all.share(), Worst: 1, Ends: map[string]int{}, Lost: all.n[lost], Timeline: w.timeline}
 	for o := range outcomes {
 		r.Ends[outcomeNames[o]] = all.n[o]
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -181,7 +181,7 @@
 }
 
 // coordinated tells whether the processes form a fleet.
-func (w *world) coordinated() bool { return w.Coordinated && !w.Uncoordinated }
+func (w *world) coordinated() bool { return w.Coordinated && !w.Uncoordinated && !w.Told }
 
 // equip makes a gateway's links and files.
 func (w *world) equip(g *gateway) error {
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -29,6 +29,7 @@
 	Lease  time.Duration
 	Status time.Duration
 	Log    *zap.Logger
+	Zones  zone.Config // zone.Standard, or with what operators have of their own
 	Cold   ramp.Config // the settings' words on cold servers, without the lease
 	Follow func(Acts)  // what is acted on from now on; it may not block
 }
@@ -82,7 +83,7 @@
 // Open opens a member; Run runs it.
 func Open(o Options) (*Agent, error) {
 	a := &Agent{o: o, began: time.Now(), inbox: make(chan []byte, inbox), members: make(chan change, inbox),
-		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally(time.Now), judge: zone.New(zone.Standard)}
+		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally(time.Now), judge: zone.New(o.Zones)}
 	o.Cold.Lease = o.Lease
 	a.feeder = ramp.New(o.Cold)
 	g := o.Gossip
@@ -196,7 +197,7 @@
 
 // observe has the judge see what a member reports.
 func (a *Agent) observe(now time.Duration, from fleet.Peer, delta fleet.Report) {
-	a.judge.Seen(now, from.Name, from.Status.Zone, delta)
+	a.judge.Seen(now, from.Name, from.Status.Zone, from.Status.Region, delta)
 	a.feeder.Seen(now, from.Name, from.Status.Acts, delta)
 }
 
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -21,6 +21,7 @@
 	"dewhitch/internal/fleet"
 	"dewhitch/internal/fleet/find"
 	"dewhitch/internal/fleet/gossip"
+	"dewhitch/internal/fleet/zone"
 	"dewhitch/internal/standin"
 	"dewhitch/internal/standin/zookeeper"
 )
@@ -46,7 +47,7 @@
 	}
 	for i := range n {
 		name := fmt.Sprintf("g%d", i)
-		o := Options{Voters: voters, Lease: 2 * time.Second, Status: 200 * time.Millisecond, Log: zap.NewNop(),
+		o := Options{Zones: zone.Standard, Voters: voters, Lease: 2 * time.Second, Status: 200 * time.Millisecond, Log: zap.NewNop(),
 			Gossip: gossip.Options{Fleet: "test", Name: name, Listen: peers[name], Peers: peers, Seeds: []string{"g0"},
 				About: gossip.About{Zone: "a", Role: "gateway"}}}
 		if dirs {
--- a/internal/fleet/agent/tally_test.go
+++ b/internal/fleet/agent/tally_test.go
@@ -28,8 +28,9 @@
 	}
 	y.Ended(Ref{"late", 0}, Served, 0, 0)
 	y.Ended(Ref{"late", 0}, Served, 0, 0)
-	if r := y.report(true); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1}) {
-		t.Errorf("it is counted once: %+v", r)
+	took := uint64((leastMark + time.Millisecond).Microseconds())
+	if r := y.report(true); r.Zones["b"] != (fleet.Count{Tries: 1, Silent: 1, Late: 1, Micros: took}) {
+		t.Errorf("it is counted once, and that it was served after all, with its time: %+v", r)
 	}
 }
 
--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -34,11 +34,12 @@
 	Fails   int      `cbor:"3,keyasint" json:"fails"` // returns that failed, one after the other
 	Why     string   `cbor:"4,keyasint" json:"why"`
 	Probers []string `cbor:"5,keyasint,omitempty" json:"probers,omitempty"`
-	By      string   `cbor:"6,keyasint,omitempty" json:"by,omitempty"`     // an operator; empty: the fleet itself
-	Until   int64    `cbor:"7,keyasint,omitempty" json:"until,omitempty"`  // of an operator's leave, Unix ms; 0: until return
-	Hold    bool     `cbor:"8,keyasint,omitempty" json:"hold,omitempty"`   // an operator's: not left by the fleet
-	Probes  int      `cbor:"9,keyasint,omitempty" json:"probes,omitempty"` // that failed since the zone was left, or returned to last
-	Any     bool     `cbor:"10,keyasint,omitempty" json:"any,omitempty"`   // probes take any class: no other came to the prober
+	By      string   `cbor:"6,keyasint,omitempty" json:"by,omitempty"`       // an operator; empty: the fleet itself
+	Until   int64    `cbor:"7,keyasint,omitempty" json:"until,omitempty"`    // of an operator's leave, Unix ms; 0: until return
+	Hold    bool     `cbor:"8,keyasint,omitempty" json:"hold,omitempty"`     // an operator's: not left by the fleet
+	Probes  int      `cbor:"9,keyasint,omitempty" json:"probes,omitempty"`   // that failed since the zone was left, or returned to last
+	Partial bool     `cbor:"11,keyasint,omitempty" json:"partial,omitempty"` // it served some when it was left: better than nothing
+	Any     bool     `cbor:"10,keyasint,omitempty" json:"any,omitempty"`     // probes take any class: no other came to the prober
 }
 
 // Verdicts are all that is settled, by the zone of the servers, or "FROM>TO" for the gateways of one zone alone.
@@ -80,6 +81,9 @@
 	illRest   = 0.25 // of the fetches to the other zones, at most
 	wellNeeds = 3    // fetches that a probe has to see served
 	slowTimes = 3.5  // the usual time: the servers there are as good as ill
+	never     = 1e9  // an answer that takes so many times as long as usual: none is judged by its time
+	fullNeeds = 5    // reqs turned away by servers, in the longest window
+	fullShare = 0.05 // of what they served
 	restTimes = 1.8  // the same of the zones that would be left with: they must not be slow themselves
 	leastSlow = 10   // fetches, of a zone that is judged by their time
 	forget    = 30 * time.Second
@@ -100,6 +104,7 @@
 type sample struct {
 	at        time.Duration
 	good, bad uint64
+	turned    uint64  // away, by servers that were full
 	late      uint64  // of the bad ones, here or before, that were served after all
 	answered  uint64  // in whatever time
 	took      float64 // seconds that those took together
@@ -110,6 +115,7 @@
 type Judge struct {
 	cfg     Config
 	homes   map[string]string // zone of each gateway that ever told
+	regions map[string]string // of the zones of gateways that name one
 	heard   map[string]time.Duration
 	seen    map[way][]sample
 	zones   map[string]bool
@@ -131,17 +137,20 @@
 // New makes a judge without evidence.
 func New(cfg Config) *Judge {
 	return &Judge{cfg: cfg, homes: map[string]string{}, heard: map[string]time.Duration{}, seen: map[way][]sample{},
-		zones: map[string]bool{}, usual: map[way]*usual{}, cold: map[string]bool{}}
+		zones: map[string]bool{}, usual: map[way]*usual{}, regions: map[string]string{}, cold: map[string]bool{}}
 }
 
 // Seen takes what a gateway saw since it last told.
-func (j *Judge) Seen(now time.Duration, gateway, home string, delta fleet.Report) {
+func (j *Judge) Seen(now time.Duration, gateway, home, region string, delta fleet.Report) {
 	j.homes[gateway], j.heard[gateway] = home, now
 	j.zones[home] = true
+	if region != "" {
+		j.regions[home] = region
+	}
 	for z, c := range delta.Zones {
 		j.zones[z] = true
 		bad := c.Refused + c.Silent + c.Failed
-		if bad == 0 && c.Served == 0 && c.Late == 0 {
+		if bad == 0 && c.Served == 0 && c.Late == 0 && c.Turned == 0 {
 			continue
 		}
 		w := way{gateway, z}
@@ -152,6 +161,7 @@
 		}
 		s := &list[len(list)-1]
 		s.good, s.bad, s.late = s.good+c.Served, s.bad+bad, s.late+c.Late
+		s.turned += c.Turned
 		s.answered, s.took = s.answered+c.Served+c.Late, s.took+float64(c.Micros)/1e6
 		for len(list) > 0 && now-list[0].at > j.cfg.Patience {
 			list = list[1:]
@@ -232,6 +242,7 @@
 type sum struct {
 	good, bad       uint64
 	illFor, wellFor int // gateways
+	turned          uint64
 	slow            int // of these, gateways that saw it answer much more slowly than it did
 }
 
@@ -247,6 +258,7 @@
 				bad += list[i].bad
 			}
 			late += list[i].late
+			s.turned += list[i].turned
 			answered += list[i].answered
 			took += list[i].took
 		}
@@ -291,6 +303,21 @@
 		float64(s.illFor) >= illVoters*float64(s.illFor+s.wellFor)
 }
 
+// partial tells whether a zone that is ill still serves some.
+func (s sum) partial() bool { return s.slow > 0 || 2*s.good >= s.bad }
+
+// full tells whether the zones that some gateways send to turn reqs away.
+func (j *Judge) full(zones []string, v Verdicts, from string, now time.Duration, who []string) (rest sum, full bool) {
+	for _, z := range zones {
+		if w, ok := v.For(from, z); ok && w.State != Returning {
+			continue
+		}
+		s := j.sum(z, now-j.cfg.Windows[len(j.cfg.Windows)-1], never, who)
+		rest.good, rest.turned = rest.good+s.good, rest.turned+s.turned
+	}
+	return rest, rest.turned >= fullNeeds && float64(rest.turned) >= fullShare*float64(rest.turned+rest.good)
+}
+
 func (s sum) String() string {
 	text := fmt.Sprintf("%d of %d fetches ill, by %d of %d gateways", s.bad, s.bad+s.good, s.illFor, s.illFor+s.wellFor)
 	if s.slow > 0 {
@@ -312,7 +339,7 @@
 		j.cold[z] = at > 0 && time.Duration(unix-at)*time.Millisecond < j.cfg.Ramp
 	}
 	j.learn(now, next, zones)
-	j.settle(now, unix, next, alive)
+	j.settle(now, unix, next, zones, alive)
 	j.leave(now, unix, next, zones)
 	for _, from := range zones { // what is left for all may have been the last that the ways from a zone had left it
 		if left(next, from, zones) == len(zones) {
@@ -326,7 +353,7 @@
 }
 
 func equal(a, b Verdict) bool {
-	return a.State == b.State && a.Since == b.Since && a.Fails == b.Fails && a.Probes == b.Probes && a.Any == b.Any && a.Why == b.Why && a.By == b.By && a.Until == b.Until &&
+	return a.State == b.State && a.Since == b.Since && a.Fails == b.Fails && a.Probes == b.Probes && a.Any == b.Any && a.Partial == b.Partial && a.Why == b.Why && a.By == b.By && a.Until == b.Until &&
 		a.Hold == b.Hold && slices.Equal(a.Probers, b.Probers)
 }
 
@@ -339,7 +366,7 @@
 }
 
 // settle moves on what is out, probed or returning.
-func (j *Judge) settle(now time.Duration, unix int64, next Verdicts, alive func(string) bool) {
+func (j *Judge) settle(now time.Duration, unix int64, next Verdicts, zones []string, alive func(string) bool) {
 	for _, key := range slices.Sorted(maps.Keys(next)) {
 		v := next[key]
 		if v.Hold {
@@ -352,6 +379,16 @@
 		}
 		age := time.Duration(unix-v.Since) * time.Millisecond
 		since := max(0, now-max(0, age)) // on the evidence's clock
+		if v.Partial && v.By == "" {
+			// Danger: a zone that is slow still serves; with the others full, staying away from it refuses what it could do.
+			if rest, full := j.full(zones, next, from, now, here); full && v.State != Returning {
+				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Partial: true,
+					Why: fmt.Sprintf("the rest can't bear it: %d of %d turned away", rest.turned, rest.turned+rest.good)}
+				continue
+			} else if full {
+				continue
+			}
+		}
 		switch v.State {
 		case Out:
 			switch {
@@ -359,28 +396,28 @@
 			case v.By == "" && age < j.wait(key, v) && !(j.starts[zone] > v.Since && age >= anew):
 			default:
 				if p := j.probers(zone, here, alive, v.Fails+v.Probes); len(p) > 0 {
-					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Probes: v.Probes, Why: v.Why, Probers: p}
+					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Probes: v.Probes, Why: v.Why, Probers: p, Partial: v.Partial}
 				}
 			}
 		case Probing:
 			s := j.sum(zone, since+bucket, slowTimes, v.Probers)
 			switch {
 			case s.good >= wellNeeds && s.good >= 4*s.bad, age > j.cfg.Patience && s.good > 0 && s.bad == 0:
-				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Why: "a probe: " + s.String()}
+				next[key] = Verdict{State: Returning, Since: unix, Fails: v.Fails, Partial: v.Partial, Why: "a probe: " + s.String()}
 			case s.bad >= 2:
-				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails, Probes: v.Probes + 1, Why: "a probe: " + s.String()}
+				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails, Probes: v.Probes + 1, Why: "a probe: " + s.String(), Partial: v.Partial}
 			case age > j.cfg.Patience || !slices.ContainsFunc(v.Probers, alive):
 				if p := j.probers(zone, here, alive, int(unix/1000)); len(p) > 0 { // they see too little, or are gone
 					// Danger: where nothing may be repeated, a zone that is probed by what may be would never be seen again.
 					next[key] = Verdict{State: Probing, Since: unix, Fails: v.Fails, Probes: v.Probes, Why: v.Why, Probers: p,
-						Any: v.Any || age > j.cfg.Patience}
+						Any: v.Any || age > j.cfg.Patience, Partial: v.Partial}
 				}
 			}
 		case Returning:
 			s, _, bad := j.ill(zone, now, since+bucket, here)
 			switch {
 			case bad:
-				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails + 1, Why: "ill on its return: " + s.String()}
+				next[key] = Verdict{State: Out, Since: unix, Fails: v.Fails + 1, Why: "ill on its return: " + s.String(), Partial: s.partial()}
 			case age > 2*j.cfg.Ramp:
 				delete(next, key)
 			}
@@ -431,6 +468,19 @@
 	return n
 }
 
+// together tells whether a zone's region is lost as one, of which all zones are, and that are half of all at most.
+func (j *Judge) together(zone string, zones []string, lost func(string) bool) bool {
+	region, same := j.regions[zone], 0
+	for _, o := range zones {
+		if region != "" && j.regions[o] == region {
+			if same++; !lost(o) {
+				return false
+			}
+		}
+	}
+	return same > 1 && 2*same <= len(zones)
+}
+
 // leave finds zones that are ill, for all or for the gateways of one zone.
 func (j *Judge) leave(now time.Duration, unix int64, next Verdicts, zones []string) {
 	most := j.cfg.MostOut
@@ -448,13 +498,17 @@
 		}
 	}
 	for _, z := range slices.Sorted(maps.Keys(ill)) {
-		if out >= most {
-			break // the best of the bad is used
+		lost := func(o string) bool { _, bad := ill[o]; return bad || next[o].State == Out || next[o].State == Probing }
+		if out >= most && !(out < len(zones)/2 && j.together(z, zones, lost)) {
+			continue // the best of the bad is used
 		}
-		if !j.restIsWell(zones, next, "", from[z], j.all, func(z string) bool { _, bad := ill[z]; return bad }) {
+		if !j.restIsWell(zones, next, "", from[z], j.all, ill[z], func(z string) bool { _, bad := ill[z]; return bad }) {
 			continue
 		}
-		next[z] = Verdict{State: Out, Since: unix, Why: ill[z].String()}
+		if _, full := j.full(zones, next, "", now, j.all); full && ill[z].partial() {
+			continue // it bears what the others can't
+		}
+		next[z] = Verdict{State: Out, Since: unix, Why: ill[z].String(), Partial: ill[z].partial()}
 		maps.DeleteFunc(next, func(key string, _ Verdict) bool { from, to := split(key); return from != "" && to == z })
 		out++
 	}
@@ -472,8 +526,8 @@
 				continue
 			}
 			others := j.sum(to, since, slowTimes, slices.DeleteFunc(slices.Clone(j.all), func(g string) bool { return j.homes[g] == from }))
-			if float64(s.bad) >= illWay*float64(s.bad+s.good) && others.good > 2*others.bad && j.restIsWell(zones, next, from, since, here, func(z string) bool { return z == to }) {
-				next[from+">"+to] = Verdict{State: Out, Since: unix, Why: "the way from " + from + ": " + s.String()}
+			if float64(s.bad) >= illWay*float64(s.bad+s.good) && others.good > 2*others.bad && j.restIsWell(zones, next, from, since, here, s, func(z string) bool { return z == to }) {
+				next[from+">"+to] = Verdict{State: Out, Since: unix, Partial: s.partial(), Why: "the way from " + from + ": " + s.String()}
 				gone++
 			}
 		}
@@ -485,14 +539,18 @@
 // Danger: where all zones are ill it is something that they share, and to leave one would help nobody and load the others;
 // so they have to be well, and not only a little less ill.
 func (j *Judge) restIsWell(zones []string, v Verdicts, from string, since time.Duration, who []string,
-	but func(zone string) bool) bool {
+	ill sum, but func(zone string) bool) bool {
+	times := restTimes // of a zone that answers nothing, the load that moved makes the others slow
+	if ill.slow == 0 {
+		times = never
+	}
 	var rest sum
 	for _, z := range zones {
 		w, ok := v.For(from, z)
 		if but(z) || ok && w.State != Returning {
 			continue
 		}
-		s := j.sum(z, since, restTimes, who)
+		s := j.sum(z, since, times, who)
 		rest.good += s.good
 		rest.bad += s.bad
 	}
--- a/internal/fleet/zone/zone_test.go
+++ b/internal/fleet/zone/zone_test.go
@@ -21,9 +21,11 @@
 	zones    []string
 	gateways []string
 	home     map[string]string
+	region   map[string]string                  // by zone
 	rate     float64                            // fetches a second of a gateway, to each zone
 	bad      func(gateway, zone string) float64 // share of the fetches that go ill
 	slow     func(zone string) float64          // times as long as usual
+	turned   func(zone string) float64          // share that servers turn away
 	dead     map[string]bool
 	v        Verdicts
 	leaves   int
@@ -32,7 +34,8 @@
 
 func newWorld(seed uint64, zones, each int, rate float64) *world {
 	w := &world{j: New(Standard), rng: rand.New(rand.NewPCG(seed, 1)), rate: rate, home: map[string]string{}, v: Verdicts{},
-		bad: func(string, string) float64 { return 0 }, slow: func(string) float64 { return 1 }, dead: map[string]bool{}, sent: map[string]int{}}
+		bad: func(string, string) float64 { return 0 }, slow: func(string) float64 { return 1 },
+		turned: func(string) float64 { return 0 }, dead: map[string]bool{}, sent: map[string]int{}}
 	for z := range zones {
 		w.zones = append(w.zones, string(rune('a'+z)))
 		for i := range each {
@@ -63,7 +66,9 @@
 				for ; n > 0 && w.rng.Float64() < n; n-- {
 					c.Tries++
 					w.sent[z]++
-					if w.rng.Float64() < w.bad(g, z) {
+					if w.rng.Float64() < w.turned(z) {
+						c.Turned++
+					} else if w.rng.Float64() < w.bad(g, z) {
 						c.Silent++
 					} else {
 						c.Served++
@@ -72,7 +77,7 @@
 				}
 				delta.Zones[z] = c
 			}
-			w.j.Seen(w.now, g, w.home[g], delta)
+			w.j.Seen(w.now, g, w.home[g], w.region[w.home[g]], delta)
 		}
 		next, moved := w.j.Judge(w.now, w.unix(), w.v, func(g string) bool { return !w.dead[g] })
 		if moved {
@@ -194,9 +199,12 @@
 			w.slow = slow
 		}
 		w.run(30 * time.Second)
+		if w.leaves > 0 {
+			t.Fatalf("%q %v times slower (long: %v): %d leaves before any trouble", c.zones, c.times, c.long, w.leaves)
+		}
 		w.slow = slow
 		w.run(2 * time.Second)
-		if w.leaves != c.left {
+		if n := len(w.v); n != c.left { // a way to it may have been left a moment before
 			t.Errorf("%q %v times slower (long: %v): %d leaves, expected %d; %+v", c.zones, c.times, c.long, w.leaves, c.left, w.v)
 		}
 		if c.left == 0 {
@@ -298,3 +306,77 @@
 		}
 	})
 }
+
+// A slow zone is not left, or is returned to, where the others turn reqs away; a silent one is left all the same.
+func TestTheRestIsFull(t *testing.T) {
+	for _, c := range []struct {
+		silent bool
+		full   time.Duration // of the trouble, when the others are full
+		want   State
+	}{{false, 0, ""}, {false, 5 * time.Second, Returning}, {true, 0, Out}, {true, 5 * time.Second, Out}} {
+		w := newWorld(10, 3, 2, 24)
+		w.run(30 * time.Second)
+		full := func() {
+			w.turned = func(z string) float64 {
+				if z == "b" && w.v["b"].State == Out {
+					return 0
+				}
+				return 0.2
+			}
+		}
+		if c.full == 0 {
+			full()
+			w.run(3 * time.Second)
+		}
+		if c.silent {
+			w.bad = ill("b")
+		} else {
+			w.slow = func(z string) float64 {
+				if z == "b" {
+					return 6
+				}
+				return 1
+			}
+		}
+		w.run(2500 * time.Millisecond)
+		if c.full > 0 {
+			if v := w.v["b"]; v.State != Out {
+				t.Fatalf("%+v: not left: %+v", c, v)
+			}
+			full()
+			w.run(time.Second)
+		}
+		if v := w.v["b"]; v.State != c.want {
+			t.Errorf("%+v: %+v", c, v)
+		}
+	}
+}
+
+// A region that is lost whole is left as one, though it is more zones than may be out; half of one is not.
+func TestRegion(t *testing.T) {
+	for _, c := range []struct {
+		lost string
+		want int
+	}{{"bc", 2}, {"bd", 1}, {"bcd", 2}, {"b", 1}} {
+		w := newWorld(12, 6, 2, 20)
+		w.j.cfg.MostOut = 1
+		w.region = map[string]string{"a": "north", "b": "south", "c": "south", "d": "west", "e": "west", "f": "north"}
+		w.run(10 * time.Second)
+		w.bad = func(_, z string) float64 {
+			if strings.Contains(c.lost, z) {
+				return 1
+			}
+			return 0.01
+		}
+		w.run(3 * time.Second)
+		n := 0
+		for _, z := range w.zones {
+			if v, ok := w.v[z]; ok && v.State != Returning {
+				n++
+			}
+		}
+		if n != c.want {
+			t.Errorf("%s lost: %d zones are out, expected %d: %+v", c.lost, n, c.want, w.v)
+		}
+	}
+}
