--- a/internal/drill/fleetlog.go
+++ b/internal/drill/fleetlog.go
@@ -217,8 +217,8 @@
 	if w.registry != nil {
 		seeds = nil
 	}
-	fmt.Fprintf(&b, "[fleet]\nname = \"drill\"\nlisten = %q\nvoters = %s\nseeds = %s\ndir = %q\n\n", g.talk, quoted(w.voters()),
-		quoted(seeds), g.File("fleet"))
+	fmt.Fprintf(&b, "[fleet]\nname = \"drill\"\nlisten = %q\nregion = %q\nvoters = %s\nseeds = %s\ndir = %q\n\n", g.talk, w.Regions[g.zone],
+		quoted(w.voters()), quoted(seeds), g.File("fleet"))
 	if w.registry != nil {
 		l, err := w.net.Open(g.name, "registry", standin.OwnAddr(), w.registry.Addr(), false)
 		if err != nil {
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -40,8 +40,9 @@
 	Rate        float64 // reqs a second; 0: by Load
 	Length      time.Duration
 	Coordinated bool
-	Class       string // mixed, safe, keyed or unsafe
-	Found       string // how members find one another: seeds or registry
+	Class       string            // mixed, safe, keyed or unsafe
+	Regions     map[string]string // by zone
+	Found       string            // how members find one another: seeds or registry
 	Events      []Event
 	Expects     []Expect
 }
@@ -280,10 +281,11 @@
 	b.fleet = true
 	zones := starlark.NewList([]starlark.Value{starlark.String("a"), starlark.String("b"), starlark.String("c")})
 	gateways, servers, hauliers, load, length, rate := 2, 4, 40, number(0.6), number(60), number(0)
+	regions := starlark.NewDict(0)
 	s.Coordinated = true
 	if err := c.unpack("zones?", &zones, "gateways?", &gateways, "servers?", &servers, "hauliers?", &hauliers, "Load?", &load,
 		"length?", &length, "coordinated?", &s.Coordinated, "rate?", &rate, "cls?", &s.Class,
-		"found?", &s.Found); err != nil {
+		"found?", &s.Found, "regions?", &regions); err != nil {
 		return nil, err
 	}
 	if b.size.Gateways > 0 {
@@ -315,6 +317,21 @@
 	if !slices.Contains([]string{"mixed", "safe", "keyed", "unsafe"}, s.Class) {
 		return nil, fmt.Errorf("cls = %q; expected mixed, safe, keyed or unsafe", s.Class)
 	}
+	s.Regions = map[string]string{}
+	for _, pair := range regions.Items() {
+		region, ok := starlark.AsString(pair[0])
+		list, isList := pair[1].(*starlark.List)
+		if !ok || !isList || region == "" {
+			return nil, fmt.Errorf("regions: %v; expected {\"north\": [\"a\", \"b\"]}", regions)
+		}
+		for i := range list.Len() {
+			z, _ := starlark.AsString(list.Index(i))
+			if !slices.Contains(s.Zones, z) || s.Regions[z] != "" {
+				return nil, fmt.Errorf("regions: %v; expected zones of %q, each once", list.Index(i), s.Zones)
+			}
+			s.Regions[z] = region
+		}
+	}
 	if !slices.Contains([]string{"seeds", "registry"}, s.Found) {
 		return nil, fmt.Errorf("found = %q; expected seeds or registry", s.Found)
 	}
