--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -131,7 +131,7 @@
 	}
 	for _, t := range r.Troubles {
 		first, last := t.Left()
-		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs after %.1f to %.1f s\n", t.What,
+		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs before any probe after %.2f to %.2f s\n", t.What,
 			t.At, t.Until, t.Sent, t.Last, first, last)
 	}
 	if n := len(r.Returns); n > 0 {
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -55,11 +55,15 @@
 	Sent    int                `json:"sent"`
 	Last    int                `json:"sent_in_last_5s"`
 	LastReq map[string]float64 `json:"last_req_after"` // by gateway, seconds after the beginning
+	// The same of those before the first probe could be, by which it is seen how the gateways left.
+	Leaving map[string]float64 `json:"last_req_before_probes"`
 }
 
-// Left is when the first and the last gateway sent their last req there, in seconds after the beginning.
+const beforeProbes = 2500 * time.Millisecond
+
+// Left is when the first and the last gateway sent their last req there before any probe, in seconds after the beginning.
 func (t Trouble) Left() (first, last float64) {
-	at := slices.Sorted(maps.Values(t.LastReq))
+	at := slices.Sorted(maps.Values(t.Leaving))
 	if len(at) == 0 {
 		return 0, 0
 	}
@@ -267,13 +271,18 @@
 			servers[s] = true
 		}
 		from, to := w.began.Add(e.At), w.began.Add(until)
-		t := Trouble{What: e.Text, At: e.At.Seconds(), Until: until.Seconds(), LastReq: map[string]float64{}}
+		t := Trouble{What: e.Text, At: e.At.Seconds(), Until: until.Seconds(), LastReq: map[string]float64{},
+			Leaving: map[string]float64{}}
 		var last map[string]time.Time
 		t.Sent, last = w.judge.sentTo(servers, from, to)
 		t.Last, _ = w.judge.sentTo(servers, to.Add(-5*time.Second), to)
 		for g, at := range last {
 			t.LastReq[g] = at.Sub(from).Seconds()
 		}
+		_, last = w.judge.sentTo(servers, from, from.Add(min(beforeProbes, to.Sub(from))))
+		for g, at := range last {
+			t.Leaving[g] = at.Sub(from).Seconds()
+		}
 		r.Troubles = append(r.Troubles, t)
 	}
 }
@@ -295,6 +304,14 @@
 		if e.hasEx && r.Ends["excused"] > e.Excused {
 			fell(e, "excused %d, expected %d", r.Ends["excused"], e.Excused)
 		}
+		for _, b := range r.Returns {
+			if e.Fed > 0 && b.Slack > e.Fed {
+				fell(e, "%s was sent %.2f of what it bears, with three roots of it, in a second; expected %v", b.Server, b.Slack, e.Fed)
+			}
+			if e.Full > 0 && r.Fleet != nil && (b.Full == 0 || b.Full > e.Full) {
+				fell(e, "%s had its full share after %.1f s (0: never), expected %v", b.Server, b.Full, e.Full)
+			}
+		}
 		if f := r.Fleet; f != nil {
 			if e.Leaves >= 0 && f.Leaves > e.Leaves {
 				fell(e, "the fleet left zones %d times, expected %d", f.Leaves, e.Leaves)
--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -81,7 +81,7 @@
 // The fleet's own drills, whole: one leader after another, partitions, restarts. What is settled is seen by all within a
 // second, no epoch goes back, and nothing is lost.
 func TestFleetDrills(t *testing.T) {
-	for _, name := range []string{"leader", "parted", "restarted"} {
+	for _, name := range []string{"leader", "parted", "restarted", "found"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p, err := program()
@@ -108,6 +108,11 @@
 at(4, silent(servers("b")))
 at(14, well(servers("b")))
 expect(served = 0.95, lost = 0, sent = 10, target = servers("b"), start = 8, end = 13)
+`,
+		"cold": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.4, length = 34)
+at(4, down(servers("b")))
+at(7, well(servers("b")))
+expect(served = 0.95, lost = 0, fed = 1.1, full = 26)
 `,
 		"oneill": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.3, length = 14)
 at(3, cut(gateway("a", 2), servers("b")))
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -71,6 +71,8 @@
 	Excused        int     // at most
 	Leaves         int     // of zones by the fleet, at most; below 0: any
 	Plans          int     // settled, at least
+	Fed            float64 // what a server that came back cold was sent in a second, of what it bears and three roots of it, at most; 0: any
+	Full           float64 // seconds until such a server had its full share, at most; 0: any
 	Seen           float64 // seconds until all act on a plan, at most; 0: no bound
 	hasLost, hasEx bool
 }
@@ -360,17 +362,18 @@
 
 func (b *builder) addExpect(c *call) (starlark.Value, error) {
 	e := Expect{Pos: c.pos()}
-	seen := number(0)
+	seen, fed, full := number(0), number(0), number(0)
 	e.Leaves = -1
 	served, worst, from, to := number(0), number(0), number(0), number(0)
 	lost, sent, excused := -1, -1, -1
 	var to0 starlark.Value
 	if err := c.unpack("served?", &served, "lost?", &lost, "worst_5s?", &worst, "sent?", &sent, "target?", &to0, "start?", &from,
-		"end?", &to, "excused?", &excused, "leaves?", &e.Leaves, "plans?", &e.Plans, "seen?", &seen); err != nil {
+		"end?", &to, "excused?", &excused, "leaves?", &e.Leaves, "plans?", &e.Plans, "seen?", &seen,
+		"fed?", &fed, "full?", &full); err != nil {
 		return nil, err
 	}
 	e.Served, e.Worst, e.Lost, e.hasLost, e.Sent = float64(served), float64(worst), lost, lost >= 0, sent
-	e.Seen = float64(seen)
+	e.Seen, e.Fed, e.Full = float64(seen), float64(fed), float64(full)
 	e.Excused, e.hasEx, e.From, e.To = excused, excused >= 0, seconds(from), seconds(to)
 	for what, v := range map[string]float64{"served": e.Served, "worst_5s": e.Worst} {
 		if err := within(what, v, 0, 1); err != nil {
