Have a gateway that is cut off send its clients away, and drop what waited at a cut link

A connection that stood in the link's listener queue as the way fell silent, was given up there, and came in whole at the healing; ruled out: the gateway (its fetch was over 7 s before) and the way's buffers (those are dropped). The link now closes its listener at the healing; the new test fails without that.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -29,9 +29,10 @@
 	Lease  time.Duration
 	Status time.Duration
 	Log    *zap.Logger
-	Zones  zone.Config // zone.Standard, or with what operators have of their own
-	Cold   ramp.Config // the settings' words on cold servers, without the lease
-	Follow func(Acts)  // what is acted on from now on; it may not block
+	Zones  zone.Config   // zone.Standard, or with what operators have of their own
+	Cold   ramp.Config   // the settings' words on cold servers, without the lease
+	Drain  func(on bool) // this gateway should send its clients away, or not any more; it may not block
+	Follow func(Acts)    // what is acted on from now on; it may not block
 }
 
 // Acts is what a member acts on.
@@ -65,6 +66,10 @@
 	tally   *Tally
 	judge   *zone.Judge
 	feeder  *ramp.Feeder
+	own     zone.Own
+	drained bool                          // by itself
+	turn    int                           // its place among the gateways of its zone
+	left    bool                          // the fleet has left its zone
 	rounds  time.Duration                 // when the feeder reckons next
 	fed     bool                          // it feeds any server
 	servers atomic.Pointer[[]ramp.Server] // the list, as this process has it
@@ -181,6 +186,7 @@
 			return nil
 		case <-t.C:
 			a.node.Tick(a.now())
+			a.stand(now)
 		case b := <-a.inbox:
 			now, unix := a.now()
 			a.node.Heard(now, unix, b)
@@ -199,6 +205,36 @@
 func (a *Agent) observe(now time.Duration, from fleet.Peer, delta fleet.Report) {
 	a.judge.Seen(now, from.Name, from.Status.Zone, from.Status.Region, delta)
 	a.feeder.Seen(now, from.Name, from.Status.Acts, delta)
+	if from.Name == a.o.Gossip.Name {
+		good, bad := uint64(0), uint64(0)
+		for _, c := range delta.Zones {
+			good, bad = good+c.Served+c.Late, bad+c.Refused+c.Silent+c.Failed
+		}
+		a.own.Seen(now, good, bad)
+	}
+}
+
+// stand has this gateway send its clients away where it is itself cut off, and take them again.
+func (a *Agent) stand(now time.Duration) {
+	drained := a.own.Drained(now, a.left, a.node.Fresh(), a.turn)
+	if drained == a.drained {
+		return
+	}
+	a.drained = drained
+	if drained { // when it comes back
+		a.turn = 0
+		for _, m := range a.gossip.Members() {
+			if m.Zone == a.o.Gossip.About.Zone && m.Name < a.o.Gossip.Name {
+				a.turn++
+			}
+		}
+		a.o.Log.Warn("fleet: cut off from what it needs: this gateway sends its clients away")
+	} else {
+		a.o.Log.Info("fleet: this gateway takes clients again")
+	}
+	if a.o.Drain != nil {
+		a.o.Drain(drained)
+	}
 }
 
 // Listed tells of the servers that are listed and ready, at each change. It does not block.
@@ -357,6 +393,12 @@
 	default:
 		a.o.Log.Info("fleet: "+e.Text, zap.Stringer("epoch", p.Epoch))
 	}
+	if e.Kind == fleet.PlanChanged {
+		v := zone.Verdicts{}
+		_, err := p.Section(zone.Section, &v)
+		w, ok := v[a.o.Gossip.About.Zone]
+		a.left = err == nil && ok && !w.Hold && w.State != zone.Returning
+	}
 	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FeedChanged || e.Kind == fleet.Fenced) {
 		acts := Acts{Plan: p}
 		if b, live := a.node.Feed(); live && len(b) > 0 {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -14,8 +14,9 @@
 type State struct {
 	started  atomic.Bool // it listens and has a list
 	ending   atomic.Bool // SIGTERM came
-	drained  atomic.Bool // operators evacuated it
+	drained  atomic.Bool // operators evacuated it, or the fleet did
 	mu       sync.Mutex
+	by       [2]bool // who did: operators, the fleet
 	watchers []func(drained bool)
 }
 
@@ -28,15 +29,21 @@
 // Ready is whether clients should be sent here.
 func (s *State) Ready() bool { return s.started.Load() && !s.ending.Load() && !s.drained.Load() }
 
-// Drained is whether operators have evacuated the gateway.
+// Drained is whether operators have evacuated the gateway, or it has itself.
 func (s *State) Drained() bool { return s.drained.Load() }
 
 // Drain evacuates the gateway, or ends its drain; repeating either changes nothing. Those that watch are told of each
 // change, in order.
-func (s *State) Drain(on bool) {
+func (s *State) Drain(on bool) { s.drain(0, on) }
+
+// DrainItself is the same for the gateway's own sake; operators' word is not touched by it, nor it by theirs.
+func (s *State) DrainItself(on bool) { s.drain(1, on) }
+
+func (s *State) drain(who int, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.drained.Swap(on) == on {
+	s.by[who] = on
+	if on = s.by[0] || s.by[1]; s.drained.Swap(on) == on {
 		return
 	}
 	for _, f := range s.watchers {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -14,7 +14,6 @@
 	chunk    = 4 << 10
 	held     = 64 // chunks of a direction that a silent or slow way holds; then the sender waits, as with a full window
 	dialTime = 2 * time.Second
-	backlog  = 1024
 	datagram = 64 << 10
 )
 
@@ -114,9 +113,7 @@
 	defer l.mu.Unlock()
 	refuse, hang := there.Refused || back.Refused, there.Silent || back.Silent
 	if refuse && l.l != nil {
-		l.release()
-		l.l.Close()
-		l.l = nil
+		l.shut()
 	}
 	if !refuse && l.l == nil && l.listen() != nil {
 		return // the next change tries again
@@ -125,8 +122,9 @@
 	case l.l == nil || hang == l.hung:
 	case hang:
 		l.hang()
-	default:
-		l.release()
+	default: // Danger: who waited in the queue meanwhile, and may have left, must not come in now
+		l.shut()
+		_ = l.listen()
 	}
 }
 
@@ -142,18 +140,16 @@
 	}
 }
 
-func (l *Link) release() {
-	if !l.hung {
-		return
-	}
+// shut ends the listener, and with it what waits in its queue.
+func (l *Link) shut() {
 	l.hung = false
 	for _, c := range l.fill {
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
 	l.fill = nil
-	queue(l.l, backlog)
-	l.l.SetDeadline(time.Time{})
+	l.l.Close()
+	l.l = nil
 }
 
 // queue sets how many connections may wait to be accepted.
@@ -366,8 +362,7 @@
 	l.over.Store(true)
 	l.mu.Lock()
 	if l.l != nil {
-		l.release()
-		l.l.Close()
+		l.shut()
 	}
 	l.mu.Unlock()
 	if l.udp != nil {
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -133,6 +133,45 @@
 	}
 }
 
+// Nor may one that was in the listener's queue when the way fell silent, and was given up there.
+func TestQueuedDoesNotArrive(t *testing.T) {
+	got := make(chan string, 100)
+	n, l := before(t, func(c net.Conn) {
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		got <- line
+	})
+	for range 30 {
+		var all []net.Conn
+		up := make(chan net.Conn)
+		go func() { // one that comes up just as the way falls silent
+			c, err := net.DialTimeout("tcp", l.Addr(), 100*time.Millisecond)
+			if err != nil {
+				c = nil
+			}
+			up <- c
+		}()
+		n.Set("a", "b", func(s *State) { s.Silent = true })
+		if c := <-up; c != nil {
+			fmt.Fprintln(c, "hello")
+			all = append(all, c)
+		}
+		if c, err := net.DialTimeout("tcp", l.Addr(), 20*time.Millisecond); err == nil {
+			fmt.Fprintln(c, "hello")
+			all = append(all, c)
+		}
+		for _, c := range all {
+			c.Close()
+		}
+		n.Heal()
+		time.Sleep(10 * time.Millisecond)
+		for len(got) > 0 {
+			if line := <-got; line != "" {
+				t.Fatalf("it arrived: %q", line)
+			}
+		}
+	}
+}
+
 // Left has to be known for a connection whose gateway gave up, while the server still holds its end.
 func TestLeft(t *testing.T) {
 	seen := make(chan string, 1)
