--- a/internal/fleet/zone/large_test.go
+++ b/internal/fleet/zone/large_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // Large fleets: how long until a zone is left, what went there, and what a judgement costs the leader.
@@ -32,3 +34,14 @@
 			time.Since(real)/25)
 	}
 }
+
+// The random schedules at large size, by command: LARGE=1 go test ./internal/fleet/zone -run Schedules -rapid.checks=100
+func TestLargeSchedules(t *testing.T) {
+	if os.Getenv("LARGE") == "" {
+		t.Skip("LARGE is not set")
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{300, 300, 300, 1000}).Draw(t, "gateways")
+		schedule(t, newWorld(rapid.Uint64().Draw(t, "seed"), 12, n/12, 900/float64(n)/12))
+	})
+}
--- a/internal/fleet/zone/zone_test.go
+++ b/internal/fleet/zone/zone_test.go
@@ -274,37 +274,48 @@
 // Whatever is seen, never are all zones out for anybody, nor more than may be for all.
 func TestNeverAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "each"), 10)
-		for range rapid.IntRange(1, 6).Draw(t, "spells") {
-			shares := map[string]float64{}
-			for _, g := range w.gateways {
-				for _, z := range w.zones {
-					shares[g+z] = rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(t, "bad")
+		schedule(t, newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "each"), 10))
+	})
+}
+
+// schedule plays random spells of trouble, each gateway with its own.
+func schedule(t *rapid.T, w *world) {
+	for range rapid.IntRange(1, 6).Draw(t, "spells") {
+		shares := map[string]float64{}
+		for _, g := range w.gateways {
+			for _, z := range w.zones {
+				shares[g+z] = []float64{0, 0, 0.5, 1}[w.rng.IntN(4)]
+			}
+		}
+		for _, z := range w.zones { // and zones that are ill, or well, for all
+			if share := rapid.SampledFrom([]float64{-1, -1, 0, 1}).Draw(t, "bad"); share >= 0 {
+				for _, g := range w.gateways {
+					shares[g+z] = share
 				}
 			}
-			w.bad = func(g, z string) float64 { return shares[g+z] }
-			for range rapid.IntRange(1, 20).Draw(t, "length") {
-				w.run(time.Second)
-				for _, from := range w.zones {
-					left, everywhere := 0, 0
-					for _, to := range w.zones {
-						if v, ok := w.v.For(from, to); ok && v.State != Returning {
-							left++
-						}
-						if v, ok := w.v[to]; ok && v.State != Returning {
-							everywhere++
-						}
-					}
-					if left >= len(w.zones) {
-						t.Fatalf("%s has no zone left: %+v", from, w.v)
+		}
+		w.bad = func(g, z string) float64 { return shares[g+z] }
+		for range rapid.IntRange(1, 20).Draw(t, "length") {
+			w.run(time.Second)
+			for _, from := range w.zones {
+				left, everywhere := 0, 0
+				for _, to := range w.zones {
+					if v, ok := w.v.For(from, to); ok && v.State != Returning {
+						left++
 					}
-					if most := max(len(w.zones)/3, min(1, len(w.zones)-1)); everywhere > most {
-						t.Fatalf("%d zones out, %d at most: %+v", everywhere, most, w.v)
+					if v, ok := w.v[to]; ok && v.State != Returning {
+						everywhere++
 					}
 				}
+				if left >= len(w.zones) {
+					t.Fatalf("%s has no zone left: %+v", from, w.v)
+				}
+				if most := max(len(w.zones)/3, min(1, len(w.zones)-1)); everywhere > most {
+					t.Fatalf("%d zones out, %d at most: %+v", everywhere, most, w.v)
+				}
 			}
 		}
-	})
+	}
 }
 
 // A slow zone is not left, or is returned to, where the others turn reqs away; a silent one is left all the same.
