Take servers out for work in an order that the fleet settles, free once all acknowledge

Today a person calls exclude at each gateway, and watches by eye that nothing is open any more. Change: internal/fleet/work (pure): requests are a section of the plan; the leader announces a machine, each gateway's status says what its planner sends nothing to any more and has nothing open to, by turn; free once all of the roster have said so; back by the budgets, proven, the next. dewhitch fleet work request | list | done | cancel | hold | resume | gone. A gateway of a fleet serves once it has heard a plan (10 s at most). bin/drill has work(), a rule (free) and a person by hand without the fleet view.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -12,6 +12,7 @@
 	"os/user"
 	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -24,6 +25,7 @@
 	"dewhitch/internal/fleet/find"
 	"dewhitch/internal/fleet/gossip"
 	"dewhitch/internal/fleet/ramp"
+	"dewhitch/internal/fleet/work"
 	"dewhitch/internal/fleet/zone"
 )
 
@@ -36,7 +38,7 @@
 	if z := g.n.Settings.Zone; z < len(g.n.Words.Zones) {
 		own = g.n.Words.Zones[z]
 	}
-	g.acts = make(chan agent.Acts, 1)
+	g.acts, g.heard = make(chan agent.Acts, 1), make(chan struct{})
 	follow := func(a agent.Acts) {
 		select {
 		case <-g.acts: // older ones that were not taken yet
@@ -47,7 +49,7 @@
 	cold := ramp.Config{Start: g.n.Settings.StartCapacity, Span: time.Duration(g.n.Settings.ColdSpan)}
 	judge := zone.Standard
 	judge.MostOut = g.f.MostZones
-	a, err := agent.Open(agent.Options{Follow: follow, Drain: g.state.DrainItself, Zones: judge, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
+	a, err := agent.Open(agent.Options{Work: work.Standard, Follow: follow, Drain: g.state.DrainItself, Zones: judge, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
 		Gossip: gossip.Options{Fleet: g.f.Name, Name: g.n.Name, Listen: g.f.Listen, Peers: g.f.Peers, Seeds: g.f.Seeds,
 			Keyring: g.f.Keyring, About: gossip.About{Zone: own, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
 				Role: "gateway"}}})
@@ -96,6 +98,7 @@
 
 // followFleet has the planner use servers as the fleet says. With an old view the last plan holds, and cold servers get nothing.
 func (g *gateway) followFleet(ctx context.Context) error {
+	var heard sync.Once
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,13 +110,20 @@
 				continue
 			}
 			f := core.Fleet{Zones: uses(v, g.n.Words.Zones, g.n.Settings.Zone, g.n.Name, g.planner.Instant(time.Now())), Fed: true,
-				Feeds: map[dw.ServerID]float64{}}
+				Feeds: map[dw.ServerID]float64{}, Away: map[dw.ServerID]bool{}}
 			for id, rate := range a.Feed.Rates {
 				f.Feeds[dw.ServerID(id)] = rate
 			}
+			for name := range a.Away {
+				if id, ok := g.decoder.Lookup(name); ok {
+					f.Away[id] = true
+				}
+			}
 			if err := g.planner.Together(f); err != nil {
 				return nil
 			}
+			g.fleet.Applied(a.Away)
+			heard.Do(func() { close(g.heard) })
 		}
 	}
 }
@@ -161,6 +171,7 @@
 	Zones  fleetZones  `cmd:"" help:"Print what is settled of zones."`
 	Leave  fleetLeave  `cmd:"" help:"Have all gateways leave a zone's servers."`
 	Return fleetReturn `cmd:"" help:"Have all gateways return to a zone's servers."`
+	Work   workCmd     `cmd:"" help:"Machines out for work, in an order that the fleet settles."`
 }
 
 const callTime = 15 * time.Second
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -35,6 +35,7 @@
 	keepPart    = 6                      // of the descriptors: clients hold a third at most, and half of that may be idle
 	listWait    = time.Second            // at the start, for the director's first list
 	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
+	planWait    = 10 * time.Second       // at the start, for the fleet's plan
 	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
 )
 
@@ -66,6 +67,7 @@
 	// The fleet.
 	fleet *agent.Agent    // nil: none
 	acts  chan agent.Acts // the newest, for who follows them
+	heard chan struct{}   // closed once a plan is acted on; nil: there is no fleet
 
 	// Operators.
 	operated *operated
@@ -263,6 +265,15 @@
 	case <-ctx.Done():
 	case <-time.After(g.patience):
 	}
+	// Danger: a machine that is free for work may be among the servers; only the plan tells.
+	if g.heard != nil {
+		select {
+		case <-g.heard:
+		case <-ctx.Done():
+		case <-time.After(planWait):
+			g.log.Warn("no plan of the fleet was heard: serving without")
+		}
+	}
 	g.state.Start()
 	err := serveAll(ctx, g.servers, g.places, g.n.Sockets/keepPart)
 	g.keeper.last()
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -134,6 +134,9 @@
 		fmt.Fprintf(os.Stderr, "%s from %.1f to %.1f s: %d sent there, %d in the last 5 s; gateways' last reqs before any probe after %.2f to %.2f s\n", t.What,
 			t.At, t.Until, t.Sent, t.Last, first, last)
 	}
+	if k := r.Work; k != nil {
+		fmt.Fprintf(os.Stderr, "%d of %d machines were worked on within %.0f s, %d at once at most\n", len(k.Turns), k.Asked, k.Over, k.MostOut)
+	}
 	if n := len(r.Returns); n > 0 {
 		worst, slack, full := 0.0, 0.0, 0.0
 		for _, b := range r.Returns {
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -85,7 +85,7 @@
 
 func (p *Planner) overlaid(e dw.ServerEntry) dw.ServerEntry {
 	use := p.fleet.Zones[e.Zone]
-	if (p.excluded[e.ID] || use.Avoid) && e.State == dw.Ready {
+	if (p.excluded[e.ID] || p.fleet.Away[e.ID] || use.Avoid) && e.State == dw.Ready {
 		e.State = dw.Draining
 	}
 	e.Since, e.Look = max(e.Since, use.Since), use.Look
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -17,6 +17,7 @@
 type Fleet struct {
 	Zones map[int]Use             // one that is not named is used as the list has it
 	Feeds map[dw.ServerID]float64 // fetches a second that this gateway may send to cold servers; one that is not named gets nothing
+	Away  map[dw.ServerID]bool    // out for work: nothing new is sent there
 	Fed   bool                    // false: there is no fleet, and cold servers are fed by the module's guess
 }
 
@@ -57,7 +58,7 @@
 func (p *Planner) cold() bool {
 	warm, all := 0, 0
 	for _, e := range p.listed {
-		if e.State != dw.Ready || p.fleet.Zones[e.Zone].Avoid || p.excluded[e.ID] {
+		if e.State != dw.Ready || p.fleet.Zones[e.Zone].Avoid || p.excluded[e.ID] || p.fleet.Away[e.ID] {
 			continue
 		}
 		if all++; !p.begins(max(e.Since, p.fleet.Zones[e.Zone].Since)) {
--- a/internal/drill/actions.go
+++ b/internal/drill/actions.go
@@ -126,6 +126,23 @@
 		return act{text: "lapse()", do: func(w *world) { w.lapse() }}, c.unpack()
 	})
 
+	add("work", func(c *call) (starlark.Value, error) {
+		var t, at target
+		kind, spell := "restart", number(4)
+		if err := c.unpack("machines", &t, "at", &at, "kind?", &kind, "seconds?", &spell); err != nil {
+			return nil, err
+		}
+		_, servers := b.resolve(t)
+		gateways, _ := b.resolve(at)
+		if len(servers) == 0 || len(gateways) == 0 && at.kind != "leader" {
+			return nil, fmt.Errorf("work(%s, %s): expected servers, and a gateway that is asked", t, at)
+		}
+		if err := within("seconds", float64(spell), 0.5, 600); err != nil {
+			return nil, err
+		}
+		return act{text: c.text(), do: func(w *world) { w.work(w.names(b, at), servers, kind, seconds(spell)) }}, nil
+	})
+
 	// onGateways is an action on each gateway of a target, or on the leader.
 	onGateways := func(name, what string, least, most float64, needed bool, do func(w *world, g *gateway, d time.Duration, fresh bool)) {
 		add(name, func(c *call) (starlark.Value, error) {
--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -18,6 +18,7 @@
 	ruleDrain   = "drain"   // sent to a server that drains
 	ruleCeiling = "ceiling" // beyond a plan's hard ceiling, over all gateways
 	rulePushed  = "pushed"  // a server pushed over
+	ruleFree    = "free"    // sent to a machine between its being free and its being given back
 	ruleEnded   = "ended"   // a process ended that nobody ended
 	slack       = 50 * time.Millisecond
 	ceilingLate = 150 * time.Millisecond // the ceiling's rate gives as much more
@@ -68,6 +69,7 @@
 	reqs     map[string]*history
 	keys     map[string]*arrival // the first that may have run under a key
 	drains   map[string]time.Time
+	free     map[string]time.Time // machines that somebody works on, since they were told that they may
 	checks   []check
 	ceilings map[string]*bucket // by customer
 	plans    map[string]standin.Plan
@@ -93,7 +95,7 @@
 const mostBreaches = 50
 
 func newJudge(classes []class, plans []standin.Plan) *judge {
-	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{}, drains: map[string]time.Time{},
+	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
 		ceilings: map[string]*bucket{}, plans: map[string]standin.Plan{}, counts: map[string]int{},
 		sends: map[string][]time.Time{}, by: map[[2]string][]time.Time{}}
 	for _, c := range classes {
@@ -161,11 +163,25 @@
 			j.fault(a.at, ruleRepeat, c.ID, "its key came again after %v, and servers drop a repeat for %v", late, k.DedupWindow)
 		}
 	}
+	if told, free := j.free[a.server]; free {
+		j.fault(a.at, ruleFree, c.ID, "%s was sent it %v after it was free", a.server, a.at.Sub(told))
+	}
 	if told, drains := j.drains[a.server]; drains && a.at.Sub(told) > standin.DrainGrace+slack {
 		j.fault(a.at, ruleDrain, c.ID, "%s was sent it %v after it was told to drain", a.server, a.at.Sub(told))
 	}
 }
 
+// worked books that somebody was told that a server is free, or gives it back.
+func (j *judge) worked(server string, at time.Time, on bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if on {
+		j.free[server] = at
+	} else {
+		delete(j.free, server)
+	}
+}
+
 // ended books that a server answered a fetch.
 func (j *judge) ended(a *arrival, at time.Time) {
 	j.mu.Lock()
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -37,6 +37,7 @@
 	CPU         float64          `json:"cpu_us_per_req"`
 	FleetBytes  float64          `json:"fleet_bytes_per_s"` // a gateway, between gateways
 	Fleet       *FleetResult     `json:"fleet,omitempty"`
+	Work        *WorkResult      `json:"work,omitempty"`
 	Returns     []Return         `json:"returns,omitempty"`
 	Troubles    []Trouble        `json:"troubles,omitempty"`
 	Seconds     []float64        `json:"served_by_second"`
@@ -245,6 +246,7 @@
 	r.ZoneSends, r.ServerSends = w.judge.sentBySecond(w.began, len(r.Seconds))
 	w.troubles(r)
 	r.Returns = w.returned()
+	r.Work = w.worked()
 	if w.coordinated() {
 		r.Fleet = w.fleet.result()
 	}
@@ -304,6 +306,13 @@
 		if e.hasEx && r.Ends["excused"] > e.Excused {
 			fell(e, "excused %d, expected %d", r.Ends["excused"], e.Excused)
 		}
+		if e.Worked > 0 && (r.Work == nil || len(r.Work.Turns) < e.Worked) {
+			n := 0
+			if r.Work != nil {
+				n = len(r.Work.Turns)
+			}
+			fell(e, "%d machines were worked on, expected %d", n, e.Worked)
+		}
 		for _, b := range r.Returns {
 			if e.Fed > 0 && b.Slack > e.Fed {
 				fell(e, "%s was sent %.2f of what it bears, with three roots of it, in a second; expected %v", b.Server, b.Slack, e.Fed)
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -71,6 +71,7 @@
 	Excused        int     // at most
 	Leaves         int     // of zones by the fleet, at most; below 0: any
 	Plans          int     // settled, at least
+	Worked         int     // machines that had their turn, at least
 	Fed            float64 // what a server that came back cold was sent in a second, of what it bears and three roots of it, at most; 0: any
 	Full           float64 // seconds until such a server had its full share, at most; 0: any
 	Seen           float64 // seconds until all act on a plan, at most; 0: no bound
@@ -369,7 +370,7 @@
 	var to0 starlark.Value
 	if err := c.unpack("served?", &served, "lost?", &lost, "worst_5s?", &worst, "sent?", &sent, "target?", &to0, "start?", &from,
 		"end?", &to, "excused?", &excused, "leaves?", &e.Leaves, "plans?", &e.Plans, "seen?", &seen,
-		"fed?", &fed, "full?", &full); err != nil {
+		"worked?", &e.Worked, "fed?", &fed, "full?", &full); err != nil {
 		return nil, err
 	}
 	e.Served, e.Worst, e.Lost, e.hasLost, e.Sent = float64(served), float64(worst), lost, lost >= 0, sent
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -46,6 +46,7 @@
 	name, zone string
 	number     int
 	talk, show string // where it speaks to the fleet, and its operators' listener
+	admin      string // its operators' address
 	director   *standin.Director
 	servers    []*link.Link // by server
 
@@ -92,6 +93,8 @@
 	draining map[string]bool
 	revision int
 	timeline []Moment
+	turns    []Turn     // machines that were worked on
+	asked    int        // machines that work was asked for
 	restarts []restart  // servers that came back cold
 	rng      *rand.Rand // of the farm's draws, under its lock
 	all      sync.WaitGroup
@@ -151,7 +154,8 @@
 	}
 	for _, z := range w.Zones {
 		for i := range w.Gateways {
-			g := &gateway{name: gatewayName(z, i+1), zone: z, number: len(w.gateways), talk: standin.OwnAddr(), show: standin.OwnAddr()}
+			g := &gateway{name: gatewayName(z, i+1), zone: z, number: len(w.gateways), talk: standin.OwnAddr(), show: standin.OwnAddr(),
+				admin: standin.OwnAddr()}
 			w.gateways, w.byName[g.name] = append(w.gateways, g), g
 		}
 	}
@@ -222,7 +226,7 @@
 	for _, c := range w.classes {
 		classes = append(classes, c.Class)
 	}
-	config, err := standin.Config{Name: g.name, Listen: g.Listen, Director: director.Addr(), Counter: counter.Addr(),
+	config, err := standin.Config{Name: g.name, Listen: g.Listen, Director: director.Addr(), Counter: counter.Addr(), Admin: g.admin,
 		Seed: w.Seed + uint64(g.number), Instances: len(w.Zones) * w.Gateways, Number: g.number, Zones: zones, Zone: own, Plans: w.plans,
 		Classes: classes}.JSON()
 	if err != nil {
@@ -251,7 +255,7 @@
 		if s.m.cold {
 			up = s.m.started.UnixMilli()
 		}
-		list = append(list, standin.MemberIn(s.zone(), fmt.Sprintf("s-%08x", s.at+1), g.servers[s.at].Addr(), phase, up))
+		list = append(list, standin.MemberIn(s.zone(), s.id(), g.servers[s.at].Addr(), phase, up))
 	}
 	return standin.Members(list...)
 }
@@ -287,6 +291,9 @@
 
 func (nowhere) Left(string) time.Time { return time.Time{} }
 
+// ending tells whether the drill is over.
+func (w *world) ending() bool { return time.Since(w.began) > w.Length }
+
 func (w *world) server(name string) *server   { return w.byServer[name] }
 func (w *world) gateway(name string) *gateway { return w.byName[name] }
 
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -8,7 +8,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +21,7 @@
 	"dewhitch/internal/fleet/gossip"
 	"dewhitch/internal/fleet/ramp"
 	"dewhitch/internal/fleet/vault"
+	"dewhitch/internal/fleet/work"
 	"dewhitch/internal/fleet/zone"
 )
 
@@ -29,6 +33,7 @@
 	Lease  time.Duration
 	Status time.Duration
 	Log    *zap.Logger
+	Work   work.Config   // work.Standard, or with what operators have of their own; without the cold time
 	Zones  zone.Config   // zone.Standard, or with what operators have of their own
 	Cold   ramp.Config   // the settings' words on cold servers, without the lease
 	Drain  func(on bool) // this gateway should send its clients away, or not any more; it may not block
@@ -38,7 +43,8 @@
 // Acts is what a member acts on.
 type Acts struct {
 	Plan fleet.Plan
-	Feed ramp.Feed // of cold servers; empty where its lease is over
+	Away map[string]uint64 // machines that nothing new may be sent to, with their turn
+	Feed ramp.Feed         // of cold servers; empty where its lease is over
 }
 
 const (
@@ -66,6 +72,8 @@
 	tally   *Tally
 	judge   *zone.Judge
 	feeder  *ramp.Feeder
+	order   *work.Order
+	applied atomic.Pointer[map[string]uint64] // the machines that nothing new is sent to any more
 	own     zone.Own
 	drained bool                          // by itself
 	turn    int                           // its place among the gateways of its zone
@@ -91,6 +99,8 @@
 		calls: make(chan func(), calls), ended: make(chan struct{}), tally: newTally(time.Now), judge: zone.New(o.Zones)}
 	o.Cold.Lease = o.Lease
 	a.feeder = ramp.New(o.Cold)
+	o.Work.Cold = o.Cold.Span
+	a.order = work.New(o.Work)
 	g := o.Gossip
 	c := fleet.Config{Fleet: g.Fleet, Name: g.Name, Zone: g.About.Zone, Region: g.About.Region, Voters: o.Voters,
 		Started: a.began.UnixNano(), Life: random(), Seed: random(), Tick: tick, Status: o.Status, Lease: o.Lease,
@@ -98,8 +108,8 @@
 	for verb, d := range fleet.Freezing() {
 		c.Deciders[verb] = d
 	}
-	for verb, d := range zone.ByHand() {
-		c.Deciders[verb] = d
+	for _, more := range []map[string]fleet.Decider{zone.ByHand(), work.Deciders()} {
+		maps.Copy(c.Deciders, more)
 	}
 	var saved *fleet.Saved
 	if o.Dir != "" && slices.Contains(o.Voters, g.Name) {
@@ -114,6 +124,7 @@
 		return nil, err
 	}
 	a.node.Reports(a.tally.report)
+	a.node.Acknowledges(a.acknowledged)
 	g.Log = o.Log
 	g.Receive = func(b []byte) {
 		select {
@@ -205,6 +216,9 @@
 func (a *Agent) observe(now time.Duration, from fleet.Peer, delta fleet.Report) {
 	a.judge.Seen(now, from.Name, from.Status.Zone, from.Status.Region, delta)
 	a.feeder.Seen(now, from.Name, from.Status.Acts, delta)
+	for id, c := range delta.Servers {
+		a.order.Seen(now, Machine(id), c.Served+c.Late, c.Refused+c.Failed+c.Silent-min(c.Silent, c.Late))
+	}
 	if from.Name == a.o.Gossip.Name {
 		good, bad := uint64(0), uint64(0)
 		for _, c := range delta.Zones {
@@ -237,6 +251,34 @@
 	}
 }
 
+// Applied tells that nothing new is sent to machines any more: those of the plan that was followed last.
+func (a *Agent) Applied(away map[string]uint64) { a.applied.Store(&away) }
+
+// acknowledged are the machines that nothing is sent to, nor open.
+func (a *Agent) acknowledged() map[string]uint64 {
+	p := a.applied.Load()
+	if p == nil || len(*p) == 0 {
+		return nil
+	}
+	busy, quiet := a.tally.busy(), map[string]uint64{}
+	for name, turn := range *p {
+		if id, ok := serverOf(name); !ok || !busy[id] {
+			quiet[name] = turn
+		}
+	}
+	return quiet
+}
+
+// Machine names a server as operators do.
+func Machine(id uint32) string { return fmt.Sprintf("s-%08x", id) }
+
+// serverOf is the server that a machine's name is of.
+func serverOf(name string) (uint32, bool) {
+	text, ok := strings.CutPrefix(name, "s-")
+	id, err := strconv.ParseUint(text, 16, 32)
+	return uint32(id), ok && err == nil && Machine(uint32(id)) == name
+}
+
 // Listed tells of the servers that are listed and ready, at each change. It does not block.
 func (a *Agent) Listed(servers []ramp.Server) { a.servers.Store(&servers) }
 
@@ -335,6 +377,53 @@
 			}
 		}
 	}
+	if !moved {
+		a.works(now, unix, n, p, v)
+	}
+}
+
+// works has the leader step the work on machines on.
+func (a *Agent) works(now time.Duration, unix int64, n *fleet.Node, p fleet.Plan, v zone.Verdicts) {
+	b, err := work.Read(&p)
+	if err != nil {
+		return
+	}
+	f := work.Facts{Servers: map[string]work.Server{}, Members: map[string]work.Member{}, Turned: a.judge.Turned(), Rate: a.feeder.Demand()}
+	for _, s := range a.listed() {
+		f.Servers[Machine(s.ID)] = work.Server{Zone: s.Zone, Ready: true, Since: s.Since}
+	}
+	for key, w := range v {
+		if !strings.Contains(key, ">") && !w.Hold {
+			f.ZonesOut = append(f.ZonesOut, key)
+		}
+	}
+	slices.Sort(f.ZonesOut)
+	left := map[string]bool{}
+	for _, m := range a.gossip.Members() {
+		left[m.Name] = m.State == "left"
+	}
+	for _, q := range n.Peers() {
+		f.Members[q.Name] = work.Member{Left: left[q.Name], Heard: q.Known && now-q.Heard < a.o.Lease, Away: q.Status.Away}
+	}
+	f.Members[a.o.Gossip.Name] = work.Member{Heard: true, Away: a.acknowledged()}
+	next, moved := a.order.Step(now, unix, b, f)
+	if !moved || !n.Settle(work.Set(next)) {
+		return
+	}
+	old := map[string]work.State{}
+	for _, r := range b.Requests {
+		for _, m := range r.Machines {
+			old[fmt.Sprint(r.ID, m.Name)] = m.State
+		}
+	}
+	for _, r := range next.Requests {
+		for _, m := range r.Machines {
+			if was, ok := old[fmt.Sprint(r.ID, m.Name)]; ok && was != m.State {
+				a.o.Log.Info("fleet: work "+m.Name+" "+m.State.String(), zap.Uint64("request", r.ID), zap.String("why", m.Note),
+					zap.Stringer("on_epoch", p.Epoch))
+			}
+		}
+	}
 }
 
 // drive keeps what has to be kept, and then sends and says what the node has ready.
@@ -401,6 +490,9 @@
 	}
 	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FeedChanged || e.Kind == fleet.Fenced) {
 		acts := Acts{Plan: p}
+		if b, err := work.Read(&p); err == nil {
+			acts.Away = b.Away()
+		}
 		if b, live := a.node.Feed(); live && len(b) > 0 {
 			acts.Feed, _ = ramp.Read(b)
 		}
--- a/internal/fleet/agent/show.go
+++ b/internal/fleet/agent/show.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dewhitch/internal/fleet"
+	"dewhitch/internal/fleet/work"
 	"dewhitch/internal/fleet/zone"
 )
 
@@ -44,6 +45,20 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(v)
 	})
+	mux.HandleFunc("GET /fleet/work", func(w http.ResponseWriter, _ *http.Request) {
+		var b work.Book
+		var broken error
+		err := a.call(func() {
+			p := a.node.Plan()
+			b, broken = work.Read(&p)
+		})
+		if err = errors.Join(err, broken); err != nil {
+			http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(b)
+	})
 	said := func(f url.Values) ([]byte, error) { return fleet.Words(f.Get("by"), f.Get("why")), nil }
 	ofZone := func(f url.Values) ([]byte, error) {
 		c := zone.Call{By: f.Get("by"), Why: f.Get("why"), Zone: f.Get("zone")}
@@ -60,7 +75,11 @@
 		}
 		return c.Encode(), nil
 	}
-	for verb, read := range map[string]func(url.Values) ([]byte, error){"freeze": said, "thaw": said, "leave": ofZone, "return": ofZone} {
+	verbs := map[string]func(url.Values) ([]byte, error){"freeze": said, "thaw": said, "leave": ofZone, "return": ofZone}
+	for verb := range work.Deciders() {
+		verbs[verb] = ofWork
+	}
+	for verb, read := range verbs {
 		mux.HandleFunc("POST /fleet/"+verb, func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, mostForm)
 			err := r.ParseForm()
@@ -77,6 +96,30 @@
 	}
 }
 
+// ofWork reads a call about work on machines.
+func ofWork(f url.Values) ([]byte, error) {
+	c := work.Call{By: f.Get("by"), Why: f.Get("why"), Key: f.Get("key"), Kind: work.Kind(f.Get("kind")), Machines: f["machine"]}
+	for key, to := range map[string]*int64{"for_ms": &c.ForMS, "not_before": &c.NotBefore} {
+		if text := f.Get(key); text != "" {
+			n, err := strconv.ParseInt(text, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
+			}
+			*to = n
+		}
+	}
+	for key, to := range map[string]*uint64{"id": &c.ID, "after": &c.After} {
+		if text := f.Get(key); text != "" {
+			n, err := strconv.ParseUint(text, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
+			}
+			*to = n
+		}
+	}
+	return c.Encode(), nil
+}
+
 // settle has something settled and answers with YES and the epoch, or NO and why.
 func (a *Agent) settle(w http.ResponseWriter, r *http.Request, verb string, args []byte) {
 	epoch, err := a.Ask(r.Context(), verb, args)
--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// busy are the servers that fetches are out to.
+func (t *Tally) busy() map[uint32]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := map[uint32]bool{}
+	for _, v := range t.open {
+		ids[v.id] = true
+	}
+	return ids
+}
+
 // mark is how long a fetch may be out before it is late.
 func (t *Tally) mark() time.Duration {
 	return max(leastMark, time.Duration(markTimes*t.usual*float64(time.Second)))
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -119,6 +119,7 @@
 	numbers  uint64
 
 	report func(whole bool) *Report
+	away   func() map[string]uint64
 	own    seen
 	sends  []Send
 	events []Event
@@ -163,6 +164,9 @@
 // Reports has each status carry what f tells: of zones, and of servers too where it is whole.
 func (n *Node) Reports(f func(whole bool) *Report) { n.report = f }
 
+// Acknowledges has each status carry the machines that f tells: nothing is sent there.
+func (n *Node) Acknowledges(f func() map[string]uint64) { n.away = f }
+
 // blank makes the voter one that has never voted, under a new identity.
 func (n *Node) blank(promised uint64) {
 	n.saved = &Saved{Identity: n.rng.Uint64()>>1 | 1, Promised: promised}
@@ -314,6 +318,9 @@
 // status tells the voters, and one other member.
 func (n *Node) status() {
 	s := n.self()
+	if n.away != nil {
+		s.Away = n.away()
+	}
 	n.statuses++
 	// The leader hears each; the other voters a third of them, unless there is no leader.
 	all := n.statuses%3 == 0 || !n.Fresh()
--- a/internal/fleet/ramp/ramp.go
+++ b/internal/fleet/ramp/ramp.go
@@ -183,6 +183,14 @@
 	f.reign = reign
 }
 
+// Demand is how many fetches a second all gateways have to send.
+func (f *Feeder) Demand() (sum float64) {
+	for _, m := range f.members {
+		sum += m.demand
+	}
+	return sum
+}
+
 // warmth is the least share of its capacity that a server has reached.
 func (f *Feeder) warmth(unix int64, s Server) float64 {
 	age := time.Duration(unix-s.Since) * time.Millisecond
--- /dev/null
+++ b/internal/fleet/work/order.go
@@ -0,0 +1,431 @@
+package work
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Server is one of the list, as the leader has it.
+type Server struct {
+	Zone  string
+	Ready bool
+	Since int64 // its last start, Unix ms; 0: long ago
+}
+
+// Member is a gateway, as the leader knows it.
+type Member struct {
+	Left  bool              // of its own will: it sends nothing any more
+	Heard bool              // of late
+	Away  map[string]uint64 // machines that its planner sends nothing new to, with their turn, and nothing is open to
+}
+
+// Facts are what the leader sees of the fleet.
+type Facts struct {
+	Servers  map[string]Server
+	Members  map[string]Member // all that it ever heard of
+	ZonesOut []string          // that are left, probed or returned to
+	Turned   bool              // servers turn reqs away
+	Rate     float64           // fetches a second, of all gateways
+}
+
+// Config bounds what may be out together.
+type Config struct {
+	ZoneShare float64       // of a zone's servers; one at least, if one stays
+	MostShare float64       // of all servers
+	Apart     [][2]string   // pairs that may not be out together
+	Cold      time.Duration // until a server that began is warm
+	Proof     time.Duration // that one which is back has to serve well after that
+	Patience  time.Duration // for one that is back to prove itself
+	Passes    int           // by younger requests, before all wait
+	Step      float64       // of what servers were seen to bear, how much more the next turn may bring them
+}
+
+// Standard are the values that gateways use.
+var Standard = Config{ZoneShare: 0.34, MostShare: 0.2, Cold: 13 * time.Second, Proof: 3 * time.Second, Patience: 90 * time.Second,
+	Passes: 8, Step: 1.5}
+
+const (
+	proofNeeds = 5 // fetches served
+	proofIll   = 0.2
+	bearsOver  = time.Hour // for which the most that servers were seen to bear is remembered
+	healthFor  = 4 * time.Second
+	noteEvery  = 3 * time.Second
+	minute     = time.Minute
+)
+
+// Order steps the book on. Every voter's sees the same evidence, so that the next leader goes on.
+type Order struct {
+	cfg    Config
+	health map[string][]seen
+	bears  []bore // by minute
+	noted  time.Duration
+}
+
+type seen struct {
+	at        time.Duration
+	good, bad uint64
+}
+
+// bore is the most fetches a second that a server in use got in a minute in which none turned any away.
+type bore struct {
+	at   time.Duration
+	rate float64
+}
+
+// New makes one.
+func New(cfg Config) *Order { return &Order{cfg: cfg, health: map[string][]seen{}} }
+
+// Seen takes what some gateway's fetches to a server came to.
+func (o *Order) Seen(now time.Duration, server string, good, bad uint64) {
+	if good+bad == 0 {
+		return
+	}
+	list := append(o.health[server], seen{now, good, bad})
+	for len(list) > 0 && now-list[0].at > healthFor {
+		list = list[1:]
+	}
+	o.health[server] = list
+	if len(o.health) > mostOut {
+		clear(o.health) // servers come under new ids all day; those that are there are seen again
+	}
+}
+
+// of is what came of fetches to a server since a time, within healthFor.
+func (o *Order) of(server string, since time.Duration) (good, bad uint64) {
+	for _, s := range o.health[server] {
+		if s.at >= since {
+			good, bad = good+s.good, bad+s.bad
+		}
+	}
+	return good, bad
+}
+
+// Bore remembers what servers bear, and forgets what is older than an hour.
+func (o *Order) Bore(now time.Duration, each float64, well bool) {
+	if well {
+		if n := len(o.bears); n == 0 || now-o.bears[n-1].at >= minute {
+			o.bears = append(o.bears, bore{at: now})
+		}
+		last := &o.bears[len(o.bears)-1]
+		last.rate = max(last.rate, each)
+	}
+	for len(o.bears) > 0 && now-o.bears[0].at > bearsOver {
+		o.bears = o.bears[1:]
+	}
+}
+
+func (o *Order) most() (rate float64) {
+	for _, b := range o.bears {
+		rate = max(rate, b.rate)
+	}
+	return rate
+}
+
+// step is one judgement.
+type step struct {
+	*Order
+	b       *Book
+	f       Facts
+	now     time.Duration
+	unix    int64
+	trouble string
+}
+
+// Step says what should hold, given what does.
+func (o *Order) Step(now time.Duration, unix int64, b Book, f Facts) (next Book, moved bool) {
+	if !b.busy() && !b.strange(f) {
+		s := &step{Order: o, b: &b, f: f, now: now, unix: unix}
+		s.sees()
+		return b, false
+	}
+	next = b.clone()
+	s := &step{Order: o, b: &next, f: f, now: now, unix: unix}
+	s.roster()
+	s.sees()
+	for i := range next.Requests {
+		if r := &next.Requests[i]; !r.ended() {
+			for j := range r.Machines {
+				s.machine(r, &r.Machines[j])
+			}
+			s.end(r)
+		}
+	}
+	s.begin()
+	s.forget()
+	if slices.Equal(Set(b.silent())[Section], Set(next.silent())[Section]) {
+		// Danger: notes hold figures that change all the time, and each change would be a plan.
+		if now-o.noted < noteEvery || slices.Equal(Set(b)[Section], Set(next)[Section]) {
+			return b, false
+		}
+	}
+	o.noted = now
+	return next, true
+}
+
+// busy tells whether any request is open.
+func (b *Book) busy() bool {
+	return slices.ContainsFunc(b.Requests, func(r Request) bool { return !r.ended() })
+}
+
+// strange tells whether the roster is not that of the members.
+func (b *Book) strange(f Facts) bool {
+	for name, m := range f.Members {
+		if _, known := b.Roster[name]; known == m.Left && (known || m.Heard) {
+			return true
+		}
+	}
+	return false
+}
+
+// silent is the book without its notes.
+func (b Book) silent() Book {
+	b = b.clone()
+	for i := range b.Requests {
+		b.Requests[i].Note = ""
+		for j := range b.Requests[i].Machines {
+			b.Requests[i].Machines[j].Note = ""
+		}
+	}
+	return b
+}
+
+// roster knows every gateway that may send to servers, until it has left of its own will or a person says that it is over. It is
+// in the plan, as a new leader may never have heard of one that is cut off.
+func (s *step) roster() {
+	for name, m := range s.f.Members {
+		_, known := s.b.Roster[name]
+		switch {
+		case m.Left && known:
+			delete(s.b.Roster, name)
+		case !m.Left && !known && m.Heard:
+			if s.b.Roster == nil {
+				s.b.Roster = map[string]int64{}
+			}
+			s.b.Roster[name] = s.unix
+		}
+	}
+}
+
+// sees finds what speaks against any turn now, and learns what servers bear.
+func (s *step) sees() {
+	used := 0
+	away := s.b.Away()
+	for name, v := range s.f.Servers {
+		if _, out := away[name]; v.Ready && !out && !slices.Contains(s.f.ZonesOut, v.Zone) {
+			used++
+		}
+	}
+	s.Bore(s.now, s.f.Rate/float64(max(1, used)), !s.f.Turned && len(s.f.ZonesOut) == 0)
+	switch {
+	case len(s.f.ZonesOut) > 0:
+		s.trouble = "zone " + strings.Join(s.f.ZonesOut, ", ") + " is out or returning"
+	case s.f.Turned:
+		s.trouble = "servers turn reqs away"
+	}
+}
+
+// machine moves one on.
+func (s *step) machine(r *Request, m *Machine) {
+	age := time.Duration(s.unix-m.Since) * time.Millisecond
+	set := func(state State, note string) { m.State, m.Since, m.Note = state, s.unix, note }
+	switch m.State {
+	case Announced:
+		if s.trouble != "" {
+			set(Waiting, "taken back: "+s.trouble)
+			return
+		}
+		if lack := s.lack(m); len(lack) > 0 {
+			m.Note = "waits for " + strings.Join(lack, ", ")
+			return
+		}
+		set(Free, "")
+		m.Until = s.unix + r.ForMS
+	case Free:
+		if s.unix >= m.Until {
+			s.b.over(r, m, s.unix, "its time is up, and nobody said that it is done")
+		}
+	case Back:
+		s.proof(m, age)
+	}
+}
+
+// lack names the gateways that have not acknowledged a turn.
+func (s *step) lack(m *Machine) (names []string) {
+	for _, name := range slices.Sorted(maps.Keys(s.b.Roster)) {
+		if turn, ok := s.f.Members[name].Away[m.Name]; !ok || turn != m.Turn {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// proof judges a machine that is back.
+func (s *step) proof(m *Machine, age time.Duration) {
+	set := func(state State, note string) { m.State, m.Since, m.Note = state, s.unix, note }
+	v, listed := s.f.Servers[m.Name]
+	since := s.now - min(healthFor, age)
+	good, bad := s.of(m.Name, since)
+	warm := listed && (v.Since <= 0 || time.Duration(s.unix-v.Since)*time.Millisecond >= s.cfg.Cold)
+	switch {
+	case !listed || !v.Ready:
+		if m.Note = "is not listed as ready"; age > s.cfg.Patience {
+			set(Held, "came back unlisted: look at it, then resume")
+		}
+	case bad >= 3 && float64(bad) >= proofIll*float64(good+bad):
+		set(Held, fmt.Sprintf("ill on its return: %d of %d fetches; look at it, then resume", bad, good+bad))
+	case warm && age >= s.cfg.Proof && good >= proofNeeds, age > s.cfg.Patience && warm && bad == 0:
+		set(Done, "")
+	case age > 2*s.cfg.Patience:
+		set(Held, "did not become warm: look at it, then resume")
+	default:
+		m.Note = "proves itself"
+	}
+}
+
+// end settles a request by its machines.
+func (s *step) end(r *Request) {
+	held := false
+	for _, m := range r.Machines {
+		held = held || m.State == Held
+	}
+	if held && r.State != Held {
+		r.State, r.Note = Held, "a machine of it is held"
+	}
+	r.settle()
+}
+
+// begin announces the next machine, if any may go: one at a time is on its way out, so that the fleet sees what it brings.
+func (s *step) begin() {
+	var waits []*Request
+	for i := range s.b.Requests {
+		r := &s.b.Requests[i]
+		if r.ended() {
+			continue
+		}
+		for _, m := range r.Machines {
+			if m.State == Announced {
+				return
+			}
+		}
+		if r.State == Waiting {
+			waits = append(waits, r)
+		}
+	}
+	slices.SortStableFunc(waits, func(a, b *Request) int { return int(a.Asked - b.Asked) })
+	var passed []*Request
+	for _, r := range waits {
+		note := s.trouble
+		if note == "" {
+			note = s.early(r)
+		}
+		next := -1
+		for i := range r.Machines {
+			if m := &r.Machines[i]; note == "" && m.State == Waiting {
+				if m.Note = s.bound(m); m.Note == "" {
+					next = i
+					break
+				}
+			}
+		}
+		if r.Note = note; next < 0 {
+			if note == "" && slices.ContainsFunc(r.Machines, func(m Machine) bool { return m.State == Waiting }) {
+				if passed = append(passed, r); r.Passed >= s.cfg.Passes {
+					return // it has waited long enough: what it waits for comes sooner if nobody passes it
+				}
+			}
+			continue
+		}
+		for _, p := range passed {
+			p.Passed++
+		}
+		m := &r.Machines[next]
+		s.b.Turns++
+		m.State, m.Since, m.Turn, m.Note = Announced, s.unix, s.b.Turns, ""
+		return
+	}
+}
+
+// early says why a request may not begin yet by its own words.
+func (s *step) early(r *Request) string {
+	if s.unix < r.NotBefore {
+		return "not before " + time.UnixMilli(r.NotBefore).UTC().Format(time.RFC3339)
+	}
+	if r.After != 0 {
+		if o := s.b.find(r.After); o != nil && !o.ended() {
+			return fmt.Sprintf("after request %d", r.After)
+		}
+	}
+	return ""
+}
+
+// bound says which bound keeps a machine in; empty: none.
+func (s *step) bound(m *Machine) string {
+	v, listed := s.f.Servers[m.Name]
+	if !listed {
+		return "is not listed"
+	}
+	out, all, outThere, allThere, used := 0, 0, 0, 0, 0
+	gone := map[string]bool{}
+	for name := range s.b.Away() {
+		gone[name] = true
+	}
+	for _, r := range s.b.Requests {
+		for _, o := range r.Machines {
+			if o.State == Back || o.State == Held && o.Turn > 0 {
+				gone[o.Name] = true // it has not proved itself
+			}
+		}
+	}
+	for name, o := range s.f.Servers {
+		all++
+		if o.Zone == v.Zone {
+			allThere++
+		}
+		if gone[name] || !o.Ready || o.Since > 0 && time.Duration(s.unix-o.Since)*time.Millisecond < s.cfg.Cold {
+			if out++; o.Zone == v.Zone {
+				outThere++
+			}
+		} else {
+			used++
+		}
+	}
+	if gone[m.Name] || !v.Ready {
+		return "is out already, or not ready"
+	}
+	for _, p := range s.cfg.Apart {
+		if p[0] == m.Name && gone[p[1]] || p[1] == m.Name && gone[p[0]] {
+			return fmt.Sprintf("may not be out with %s or %s", p[0], p[1])
+		}
+	}
+	switch {
+	case allThere < 2:
+		return "is the last server of zone " + v.Zone
+	case outThere+1 > max(1, int(s.cfg.ZoneShare*float64(allThere))):
+		return fmt.Sprintf("%d of %d servers of zone %s are out, cold or not ready", outThere, allThere, v.Zone)
+	case out+1 > max(1, int(s.cfg.MostShare*float64(all))):
+		return fmt.Sprintf("%d of %d servers are out, cold or not ready", out, all)
+	case used < 2 || s.f.Rate/float64(used-1) > s.cfg.Step*s.most():
+		return fmt.Sprintf("the others would get %.0f fetches a second each, and were seen to bear %.0f", s.f.Rate/float64(max(1, used-1)), s.most())
+	}
+	return ""
+}
+
+// forget drops the oldest ended requests.
+func (s *step) forget() {
+	ended := 0
+	for _, r := range s.b.Requests {
+		if r.ended() {
+			ended++
+		}
+	}
+	s.b.Requests = slices.DeleteFunc(s.b.Requests, func(r Request) bool {
+		if !r.ended() || ended <= mostEnded {
+			return false
+		}
+		ended--
+		return true
+	})
+}
--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -318,6 +318,12 @@
 	return rest, rest.turned >= fullNeeds && float64(rest.turned) >= fullShare*float64(rest.turned+rest.good)
 }
 
+// Turned tells whether servers turn reqs away, as of the last judgement.
+func (j *Judge) Turned() bool {
+	_, full := j.full(slices.Sorted(maps.Keys(j.zones)), nil, "", j.now, j.all)
+	return full
+}
+
 func (s sum) String() string {
 	text := fmt.Sprintf("%d of %d fetches ill, by %d of %d gateways", s.bad, s.bad+s.good, s.illFor, s.illFor+s.wellFor)
 	if s.slow > 0 {
