Leave no zone for being slow just after all were slow together

Ruled out: the usual times (they had not moved), the way's thin traffic (14 to 64 fetches). Change: for 6 s after zones were slow together none is left for its time. Test: three zones that recover 1.5 s apart; fails without.

--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -74,18 +74,19 @@
 
 const (
 	bucket    = 200 * time.Millisecond
-	leastBad  = 4    // fetches, of a zone's, before it is ill
-	illShare  = 0.5  // of the fetches
-	illWay    = 0.8  // the same of a way: one that is cut carries nothing
-	illVoters = 0.7  // of the gateways that saw any
-	illRest   = 0.25 // of the fetches to the other zones, at most
-	wellNeeds = 3    // fetches that a probe has to see served
-	slowTimes = 3.5  // the usual time: the servers there are as good as ill
-	never     = 1e9  // an answer that takes so many times as long as usual: none is judged by its time
-	fullNeeds = 5    // reqs turned away by servers, in the longest window
-	fullShare = 0.05 // of what they served
-	restTimes = 1.8  // the same of the zones that would be left with: they must not be slow themselves
-	leastSlow = 10   // fetches, of a zone that is judged by their time
+	leastBad  = 4               // fetches, of a zone's, before it is ill
+	illShare  = 0.5             // of the fetches
+	illWay    = 0.8             // the same of a way: one that is cut carries nothing
+	illVoters = 0.7             // of the gateways that saw any
+	illRest   = 0.25            // of the fetches to the other zones, at most
+	wellNeeds = 3               // fetches that a probe has to see served
+	slowTimes = 3.5             // the usual time: the servers there are as good as ill
+	never     = 1e9             // an answer that takes so many times as long as usual: none is judged by its time
+	fullNeeds = 5               // reqs turned away by servers, in the longest window
+	fullShare = 0.05            // of what they served
+	restTimes = 1.8             // the same of the zones that would be left with: they must not be slow themselves
+	sharedFor = 6 * time.Second // after zones were slow together: none is left for being slow
+	leastSlow = 10              // fetches, of a zone that is judged by their time
 	forget    = 30 * time.Second
 
 	learnSpan  = time.Second
@@ -126,6 +127,7 @@
 	usual   map[way]*usual      // from one zone to another
 	cold    map[string]bool     // zones with servers that have just begun
 	now     time.Duration       // of this judgement
+	shared  time.Duration       // when zones were last slow together; 0: never
 }
 
 // usual is how long fetches take over the last while.
@@ -560,5 +562,12 @@
 		rest.good += s.good
 		rest.bad += s.bad
 	}
-	return rest.good > 0 && float64(rest.bad) <= illRest*float64(rest.good+rest.bad)
+	if float64(rest.bad) > illRest*float64(rest.good+rest.bad) {
+		if ill.slow > 0 {
+			j.shared = j.now
+		}
+		return false
+	}
+	// Danger: what was slow together is well again one zone after the other, as each works off its queue at its own pace.
+	return rest.good > 0 && (ill.slow == 0 || j.shared == 0 || j.now-j.shared > sharedFor)
 }
--- a/internal/fleet/zone/zone_test.go
+++ b/internal/fleet/zone/zone_test.go
@@ -222,6 +222,23 @@
 	}
 }
 
+// Zones that were slow together are well again one after the other: the last one is not left for that.
+func TestSlowTogetherThenOneByOne(t *testing.T) {
+	w := newWorld(14, 3, 2, 24)
+	w.run(30 * time.Second)
+	times := map[string]float64{"a": 4, "b": 4, "c": 4}
+	w.slow = func(z string) float64 { return times[z] }
+	w.run(5 * time.Second)
+	for _, z := range []string{"a", "c", "b"} {
+		times[z] = 1
+		w.run(1500 * time.Millisecond)
+	}
+	w.run(5 * time.Second)
+	if w.leaves > 0 {
+		t.Errorf("%d leaves: %+v", w.leaves, w.v)
+	}
+}
+
 // Servers that began anew are looked at at once, and being slow as cold ones are is nothing against them.
 func TestColdZoneReturns(t *testing.T) {
 	w := newWorld(9, 3, 2, 24)
