--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -113,6 +113,12 @@
 at(4, down(servers("b")))
 at(7, well(servers("b")))
 expect(served = 0.95, lost = 0, fed = 1.1, full = 26)
+`,
+		"work": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.4, length = 34)
+at(3, work(servers("a"), gateway("b", 2), seconds = 2))
+at(3.3, stall(gateway("c", 1), seconds = 4))
+at(9, kill(leader(), back = 2))
+expect(served = 0.9, lost = 0, worked = 1)
 `,
 		"oneill": `fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, load = 0.3, length = 14)
 at(3, cut(gateway("a", 2), servers("b")))
