Take gateways themselves out for work: one at a time, voters last, the leader at the end

Change: a machine may be a gateway: announced, it sends its clients away and acknowledges once none is left; free, it may get its SIGTERM; back, it is done once a new process of it has a fresh view for 3 s. One at a time, one of a zone, voters only while all others are there, the leader after all others. A drill's work() takes gateways, too. A test of the order in virtual time.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -49,7 +49,7 @@
 	cold := ramp.Config{Start: g.n.Settings.StartCapacity, Span: time.Duration(g.n.Settings.ColdSpan)}
 	judge := zone.Standard
 	judge.MostOut = g.f.MostZones
-	a, err := agent.Open(agent.Options{Work: work.Standard, Follow: follow, Drain: g.state.DrainItself, Zones: judge, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
+	a, err := agent.Open(agent.Options{Work: work.Standard, Follow: follow, Drain: g.state.DrainItself, Quiet: g.quiet, Zones: judge, Cold: cold, Voters: g.f.Voters, Dir: g.f.Dir, Lease: g.f.Lease, Status: g.f.Status, Log: g.log,
 		Gossip: gossip.Options{Fleet: g.f.Name, Name: g.n.Name, Listen: g.f.Listen, Peers: g.f.Peers, Seeds: g.f.Seeds,
 			Keyring: g.f.Keyring, About: gossip.About{Zone: own, Region: g.f.Region, Number: g.n.Settings.Self, Version: version,
 				Role: "gateway"}}})
@@ -68,6 +68,9 @@
 		Log: g.log}, g.fleet.Found)
 }
 
+// quiet tells whether the gateway has sent its clients away, and answered all that it took.
+func (g *gateway) quiet() bool { return g.state.Drained() && g.figures.Concurrent() == 0 }
+
 // watcher tells the fleet's member of reqs, fetches and the list.
 type watcher struct {
 	agent *agent.Agent
--- a/internal/drill/actions.go
+++ b/internal/drill/actions.go
@@ -132,15 +132,18 @@
 		if err := c.unpack("machines", &t, "at", &at, "kind?", &kind, "seconds?", &spell); err != nil {
 			return nil, err
 		}
-		_, servers := b.resolve(t)
+		machines, servers := b.resolve(t)
+		if len(servers) > 0 {
+			machines = servers // a zone's, as gateways are asked for by name
+		}
 		gateways, _ := b.resolve(at)
-		if len(servers) == 0 || len(gateways) == 0 && at.kind != "leader" {
-			return nil, fmt.Errorf("work(%s, %s): expected servers, and a gateway that is asked", t, at)
+		if len(machines) == 0 || len(gateways) == 0 && at.kind != "leader" {
+			return nil, fmt.Errorf("work(%s, %s): expected servers or gateways, and a gateway that is asked", t, at)
 		}
 		if err := within("seconds", float64(spell), 0.5, 600); err != nil {
 			return nil, err
 		}
-		return act{text: c.text(), do: func(w *world) { w.work(w.names(b, at), servers, kind, seconds(spell)) }}, nil
+		return act{text: c.text(), do: func(w *world) { w.work(w.names(b, at), machines, kind, seconds(spell)) }}, nil
 	})
 
 	// onGateways is an action on each gateway of a target, or on the leader.
--- /dev/null
+++ b/internal/drill/scenarios/troubled.star
@@ -0,0 +1,12 @@
+# Work on servers while the leader is killed, then stalled, a gateway stalls in its acknowledgement, the fleet is parted, a zone fails.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.4, length = 80)
+at(3, work(servers("a"), gateway("b", 2), seconds = 2))
+at(3, work(servers("c"), gateway("c", 2), seconds = 3))
+at(3.4, stall(gateway("c", 2), seconds = 5))
+at(10, kill(leader(), back = 3))
+at(20, stall(leader(), seconds = 4))
+at(30, cut(gateway("a", 2), gateways()))
+at(40, heal())
+at(48, silent(servers("b")))
+at(56, well(servers("b")))
+expect(served = 0.8, lost = 0, worked = 2)
--- a/internal/drill/work.go
+++ b/internal/drill/work.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"dewhitch/internal/standin"
@@ -64,11 +65,14 @@
 	g := w.gateway(at[0])
 	key := at[0] + " " + strings.Join(servers, " ")
 	form := url.Values{"by": {"drill"}, "why": {key}, "key": {key}, "kind": {kind}, "for_ms": {"600000"}}
-	names := map[string]*server{}
+	names := map[string]string{} // by which the fleet knows them
 	for _, name := range servers {
-		s := w.server(name)
-		names[s.id()] = s
-		form.Add("machine", s.id())
+		known := name
+		if s := w.server(name); s != nil {
+			known = s.id()
+		}
+		names[known] = name
+		form.Add("machine", known)
 	}
 	w.all.Go(func() {
 		for w.talk(g, "work-request", form) != nil && !w.ending() {
@@ -81,7 +85,7 @@
 			id, free, over := w.free(key)
 			done = over
 			for _, name := range free {
-				if busy[name] || names[name] == nil {
+				if busy[name] || names[name] == "" {
 					continue
 				}
 				busy[name] = true
@@ -91,24 +95,22 @@
 	})
 }
 
-// turn is one machine's: it stands watched, is restarted, stands again, and is given back.
-func (w *world) turn(s *server, name string, id uint64, spell time.Duration) {
+// turn is one machine's: a server stands watched, is restarted, stands again, and is given back; a gateway is restarted as planned.
+func (w *world) turn(machine, known string, id uint64, spell time.Duration) {
 	free := time.Now()
-	w.judge.worked(s.name, free, true)
-	w.say("%s is free", s.name)
-	time.Sleep(watched)
-	s.down()
-	time.Sleep(spell - 2*watched)
-	s.well()
-	time.Sleep(watched)
-	w.judge.worked(s.name, time.Now(), false)
+	w.say("%s is free", machine)
+	if s := w.server(machine); s != nil {
+		w.restart(s, free, spell)
+	} else if g := w.gateway(machine); !w.replace(g, spell) {
+		return
+	}
 	for !w.ending() {
 		for _, g := range w.gateways { // whichever answers
-			if w.talk(g, "work-done", url.Values{"by": {"drill"}, "why": {"done"}, "id": {strconv.FormatUint(id, 10)}, "machine": {name}}) == nil {
+			if w.talk(g, "work-done", url.Values{"by": {"drill"}, "why": {"done"}, "id": {strconv.FormatUint(id, 10)}, "machine": {known}}) == nil {
 				w.mu.Lock()
-				w.turns = append(w.turns, Turn{s.name, free.Sub(w.began).Seconds(), time.Since(w.began).Seconds()})
+				w.turns = append(w.turns, Turn{machine, free.Sub(w.began).Seconds(), time.Since(w.began).Seconds()})
 				w.mu.Unlock()
-				w.say("%s is given back", s.name)
+				w.say("%s is given back", machine)
 				return
 			}
 		}
@@ -116,6 +118,40 @@
 	}
 }
 
+// restart restarts a server that is free; whatever comes there until it is given back is a breach.
+func (w *world) restart(s *server, free time.Time, spell time.Duration) {
+	w.judge.worked(s.name, free, true)
+	time.Sleep(watched)
+	s.down()
+	time.Sleep(spell - 2*watched)
+	s.well()
+	time.Sleep(watched)
+	w.judge.worked(s.name, time.Now(), false)
+}
+
+// replace restarts a gateway; false: the script or the drill's end was there first.
+func (w *world) replace(g *gateway, spell time.Duration) bool {
+	p := g.Program()
+	if p == nil || p.Over() || w.ending() {
+		return false
+	}
+	g.ends(true)
+	g.in.Store(false)
+	p.Cmd.Process.Signal(syscall.SIGTERM)
+	if err := g.Process.Gone(patience); err != nil {
+		w.judge.Fault(time.Now(), ruleEnded, "%v", err)
+		return false
+	}
+	g.spent()
+	time.Sleep(spell)
+	if err := g.Start(patience); err != nil {
+		w.judge.Fault(time.Now(), ruleEnded, "%v", err)
+		return false
+	}
+	g.ends(false)
+	return true
+}
+
 // free tells which machines of a request are free, by the newest book that any gateway shows, and how many have ended.
 func (w *world) free(key string) (id uint64, free []string, over int) {
 	c := http.Client{Timeout: 500 * time.Millisecond}
@@ -174,6 +210,16 @@
 func (w *world) byHand(servers []string, spell time.Duration) {
 	for _, name := range servers {
 		s := w.server(name)
+		if s == nil { // gateways: one after the other, a while apart
+			free := time.Now()
+			if !w.ending() && w.replace(w.gateway(name), spell) {
+				w.mu.Lock()
+				w.turns = append(w.turns, Turn{name, free.Sub(w.began).Seconds(), time.Since(w.began).Seconds()})
+				w.mu.Unlock()
+			}
+			time.Sleep(handWait)
+			continue
+		}
 		say := func(verb string) {
 			for _, g := range w.gateways {
 				time.Sleep(handCall)
@@ -188,13 +234,7 @@
 			return
 		}
 		free := time.Now()
-		w.judge.worked(name, free, true)
-		time.Sleep(watched)
-		s.down()
-		time.Sleep(spell - 2*watched)
-		s.well()
-		time.Sleep(watched)
-		w.judge.worked(name, time.Now(), false)
+		w.restart(s, free, spell)
 		say("include")
 		w.mu.Lock()
 		w.turns = append(w.turns, Turn{name, free.Sub(w.began).Seconds(), time.Since(w.began).Seconds()})
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -36,6 +36,7 @@
 	Work   work.Config   // work.Standard, or with what operators have of their own; without the cold time
 	Zones  zone.Config   // zone.Standard, or with what operators have of their own
 	Cold   ramp.Config   // the settings' words on cold servers, without the lease
+	Quiet  func() bool   // it has sent its clients away, and none is left
 	Drain  func(on bool) // this gateway should send its clients away, or not any more; it may not block
 	Follow func(Acts)    // what is acted on from now on; it may not block
 }
@@ -59,30 +60,31 @@
 
 // Agent is a running member.
 type Agent struct {
-	o       Options
-	node    *fleet.Node
-	gossip  *gossip.Gossip
-	vault   *vault.Vault // nil: nothing is kept
-	began   time.Time
-	inbox   chan []byte
-	members chan change
-	calls   chan func()
-	ended   chan struct{}
-	hush    func() // ends the gossip; of Run
-	tally   *Tally
-	judge   *zone.Judge
-	feeder  *ramp.Feeder
-	order   *work.Order
-	applied atomic.Pointer[map[string]uint64] // the machines that nothing new is sent to any more
-	own     zone.Own
-	drained bool                          // by itself
-	turn    int                           // its place among the gateways of its zone
-	left    bool                          // the fleet has left its zone
-	rounds  time.Duration                 // when the feeder reckons next
-	fed     bool                          // it feeds any server
-	servers atomic.Pointer[[]ramp.Server] // the list, as this process has it
-	ailing  time.Time                     // since then the folder could not be written to; zero: it can
-	said    time.Time
+	o           Options
+	node        *fleet.Node
+	gossip      *gossip.Gossip
+	vault       *vault.Vault // nil: nothing is kept
+	began       time.Time
+	inbox       chan []byte
+	members     chan change
+	calls       chan func()
+	ended       chan struct{}
+	hush        func() // ends the gossip; of Run
+	tally       *Tally
+	judge       *zone.Judge
+	feeder      *ramp.Feeder
+	order       *work.Order
+	applied     atomic.Pointer[map[string]uint64] // the machines that nothing new is sent to any more
+	own         zone.Own
+	drained     bool                          // by itself
+	turn        int                           // its place among the gateways of its zone
+	left        bool                          // the fleet has left its zone
+	out, wasOut bool                          // it has its own turn of work
+	rounds      time.Duration                 // when the feeder reckons next
+	fed         bool                          // it feeds any server
+	servers     atomic.Pointer[[]ramp.Server] // the list, as this process has it
+	ailing      time.Time                     // since then the folder could not be written to; zero: it can
+	said        time.Time
 }
 
 type change struct {
@@ -231,6 +233,10 @@
 // stand has this gateway send its clients away where it is itself cut off, and take them again.
 func (a *Agent) stand(now time.Duration) {
 	drained := a.own.Drained(now, a.left, a.node.Fresh(), a.turn)
+	if a.out != a.wasOut {
+		a.wasOut = a.out
+		a.drain(a.out || drained)
+	}
 	if drained == a.drained {
 		return
 	}
@@ -246,8 +252,12 @@
 	} else {
 		a.o.Log.Info("fleet: this gateway takes clients again")
 	}
+	a.drain(a.out || drained)
+}
+
+func (a *Agent) drain(on bool) {
 	if a.o.Drain != nil {
-		a.o.Drain(drained)
+		a.o.Drain(on)
 	}
 }
 
@@ -262,7 +272,8 @@
 	}
 	busy, quiet := a.tally.busy(), map[string]uint64{}
 	for name, turn := range *p {
-		if id, ok := serverOf(name); !ok || !busy[id] {
+		id, server := serverOf(name)
+		if server && !busy[id] || !server && name != a.o.Gossip.Name || name == a.o.Gossip.Name && a.o.Quiet != nil && a.o.Quiet() {
 			quiet[name] = turn
 		}
 	}
@@ -403,9 +414,11 @@
 		left[m.Name] = m.State == "left"
 	}
 	for _, q := range n.Peers() {
-		f.Members[q.Name] = work.Member{Left: left[q.Name], Heard: q.Known && now-q.Heard < a.o.Lease, Away: q.Status.Away}
+		f.Members[q.Name] = work.Member{Left: left[q.Name], Heard: q.Known && now-q.Heard < a.o.Lease, Fresh: q.Status.Fresh,
+			Away: q.Status.Away, Zone: q.Status.Zone, Voter: slices.Contains(a.o.Voters, q.Name), Life: q.Started}
 	}
-	f.Members[a.o.Gossip.Name] = work.Member{Heard: true, Away: a.acknowledged()}
+	f.Members[a.o.Gossip.Name] = work.Member{Heard: true, Fresh: true, Away: a.acknowledged(), Zone: a.o.Gossip.About.Zone,
+		Voter: slices.Contains(a.o.Voters, a.o.Gossip.Name), Leads: true, Life: a.began.UnixNano()}
 	next, moved := a.order.Step(now, unix, b, f)
 	if !moved || !n.Settle(work.Set(next)) {
 		return
@@ -487,6 +500,9 @@
 		_, err := p.Section(zone.Section, &v)
 		w, ok := v[a.o.Gossip.About.Zone]
 		a.left = err == nil && ok && !w.Hold && w.State != zone.Returning
+		if b, err := work.Read(&p); err == nil {
+			_, a.out = b.Away()[a.o.Gossip.Name]
+		}
 	}
 	if a.o.Follow != nil && (e.Kind == fleet.PlanChanged || e.Kind == fleet.FeedChanged || e.Kind == fleet.Fenced) {
 		acts := Acts{Plan: p}
--- a/internal/fleet/work/book.go
+++ b/internal/fleet/work/book.go
@@ -50,6 +50,7 @@
 	Until int64  `cbor:"4,keyasint,omitempty" json:"until,omitempty"` // of being free
 	Turn  uint64 `cbor:"5,keyasint,omitempty" json:"turn,omitempty"`  // numbers announcements: an acknowledgement of another one is none
 	Note  string `cbor:"6,keyasint,omitempty" json:"note,omitempty"`  // why it waits, and for whom
+	Life  int64  `cbor:"7,keyasint,omitempty" json:"life,omitempty"`  // of a gateway: which process was announced; another one is back
 }
 
 // Request is what somebody asked for.
--- a/internal/fleet/work/order.go
+++ b/internal/fleet/work/order.go
@@ -17,8 +17,13 @@
 
 // Member is a gateway, as the leader knows it.
 type Member struct {
-	Left  bool              // of its own will: it sends nothing any more
-	Heard bool              // of late
+	Left  bool // of its own will: it sends nothing any more
+	Heard bool // of late
+	Fresh bool // it says that its view is
+	Zone  string
+	Voter bool
+	Leads bool
+	Life  int64             // when its process began
 	Away  map[string]uint64 // machines that its planner sends nothing new to, with their turn, and nothing is open to
 }
 
@@ -34,6 +39,7 @@
 // Config bounds what may be out together.
 type Config struct {
 	ZoneShare float64       // of a zone's servers; one at least, if one stays
+	Gateways  float64       // of the gateways, one of a zone at a time; one at least, if one stays
 	MostShare float64       // of all servers
 	Apart     [][2]string   // pairs that may not be out together
 	Cold      time.Duration // until a server that began is warm
@@ -44,7 +50,7 @@
 }
 
 // Standard are the values that gateways use.
-var Standard = Config{ZoneShare: 0.34, MostShare: 0.2, Cold: 13 * time.Second, Proof: 3 * time.Second, Patience: 90 * time.Second,
+var Standard = Config{ZoneShare: 0.34, Gateways: 0.2, MostShare: 0.2, Cold: 13 * time.Second, Proof: 3 * time.Second, Patience: 90 * time.Second,
 	Passes: 8, Step: 1.5}
 
 const (
@@ -252,8 +258,14 @@
 	}
 }
 
-// lack names the gateways that have not acknowledged a turn.
+// lack names the gateways that have not acknowledged a turn: all of them, or the one that has it.
 func (s *step) lack(m *Machine) (names []string) {
+	if g, ok := s.gateway(m.Name); ok {
+		if turn, quiet := g.Away[m.Name]; (!quiet || turn != m.Turn) && !g.Left {
+			return []string{m.Name + ", to have no clients"}
+		}
+		return nil
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.b.Roster)) {
 		if turn, ok := s.f.Members[name].Away[m.Name]; !ok || turn != m.Turn {
 			names = append(names, name)
@@ -262,8 +274,26 @@
 	return names
 }
 
+// gateway is a machine that is one.
+func (s *step) gateway(name string) (Member, bool) {
+	g, ok := s.f.Members[name]
+	_, server := s.f.Servers[name]
+	return g, ok && !server
+}
+
 // proof judges a machine that is back.
 func (s *step) proof(m *Machine, age time.Duration) {
+	if g, ok := s.gateway(m.Name); ok {
+		switch {
+		case g.Heard && g.Fresh && g.Life != m.Life && age >= s.cfg.Proof:
+			m.State, m.Since, m.Note = Done, s.unix, ""
+		case age > s.cfg.Patience:
+			m.State, m.Since, m.Note = Held, s.unix, "no new process of it is in the fleet: look at it, then resume"
+		default:
+			m.Note = "waits for a new process of it in the fleet"
+		}
+		return
+	}
 	set := func(state State, note string) { m.State, m.Since, m.Note = state, s.unix, note }
 	v, listed := s.f.Servers[m.Name]
 	since := s.now - min(healthFor, age)
@@ -343,7 +373,7 @@
 		}
 		m := &r.Machines[next]
 		s.b.Turns++
-		m.State, m.Since, m.Turn, m.Note = Announced, s.unix, s.b.Turns, ""
+		m.State, m.Since, m.Turn, m.Note, m.Life = Announced, s.unix, s.b.Turns, "", s.f.Members[m.Name].Life
 		return
 	}
 }
@@ -363,6 +393,9 @@
 
 // bound says which bound keeps a machine in; empty: none.
 func (s *step) bound(m *Machine) string {
+	if g, ok := s.gateway(m.Name); ok {
+		return s.boundOf(m, g)
+	}
 	v, listed := s.f.Servers[m.Name]
 	if !listed {
 		return "is not listed"
@@ -413,6 +446,49 @@
 	return ""
 }
 
+// boundOf says the same of a gateway: one of a zone at a time, voters last, and the leader at the very end, so that there is one
+// change of leader and always a quorum.
+func (s *step) boundOf(m *Machine, g Member) string {
+	if !g.Heard || !g.Fresh {
+		return "is not in the fleet, or its view is old"
+	}
+	all, out, others := 0, 0, 0
+	for name := range s.b.Roster {
+		o := s.f.Members[name]
+		if all++; o.Voter && !(o.Heard && o.Fresh) {
+			return "voter " + name + " is not there"
+		}
+	}
+	for _, r := range s.b.Requests {
+		for _, o := range r.Machines {
+			v, isGateway := s.gateway(o.Name)
+			if !isGateway || o.Name == m.Name {
+				continue
+			}
+			switch {
+			case o.State == Announced || o.State == Free || o.State == Back || o.State == Held && o.Turn > 0:
+				if out++; v.Zone == g.Zone {
+					return o.Name + " of the same zone is out"
+				}
+				if v.Voter && g.Voter {
+					return "voter " + o.Name + " is out"
+				}
+			case o.State == Waiting && r.State == Waiting && !v.Leads && (!v.Voter || g.Leads):
+				others++ // they go first
+			}
+		}
+	}
+	switch {
+	case all < 2:
+		return "is the last gateway"
+	case out+1 > max(1, int(s.cfg.Gateways*float64(all))):
+		return fmt.Sprintf("%d of %d gateways are out", out, all)
+	case (g.Voter || g.Leads) && others > 0:
+		return fmt.Sprintf("votes, or leads: after %d others", others)
+	}
+	return ""
+}
+
 // forget drops the oldest ended requests.
 func (s *step) forget() {
 	ended := 0
--- a/internal/fleet/work/work_test.go
+++ b/internal/fleet/work/work_test.go
@@ -189,6 +189,53 @@
 	t.Logf("12 servers in %v, %d out at most", w.now, w.most)
 }
 
+// All gateways through a restart: one at a time, voters last, and the leader at the very end.
+func TestAllGatewaysThroughARestart(t *testing.T) {
+	o, b, f := New(Standard), Book{}, Facts{Members: map[string]Member{}, Servers: map[string]Server{"s-a0": {Zone: "a", Ready: true}}}
+	var all []string
+	for i := range 6 {
+		name := fmt.Sprint("g", i)
+		all = append(all, name)
+		f.Members[name] = Member{Heard: true, Fresh: true, Zone: string(rune('a' + i%3)), Voter: i < 3, Leads: i == 1, Life: 1}
+	}
+	c := Call{By: "ann", Why: "release", Key: "k", Kind: Restart, ForMS: 60_000, Machines: all}
+	if err := request(&b, c, 0); err != nil {
+		t.Fatal(err)
+	}
+	var order []string
+	for now := time.Duration(0); now < 5*time.Minute; now += tick {
+		b, _ = o.Step(now, 1_700_000_000_000+now.Milliseconds(), b, f)
+		out := 0
+		for _, m := range b.Requests[0].Machines {
+			g := f.Members[m.Name]
+			switch m.State {
+			case Announced:
+				g.Away = map[string]uint64{m.Name: m.Turn} // it has no clients
+				out++
+			case Free:
+				if g.Life == 1 {
+					order = append(order, m.Name)
+				}
+				g = Member{Heard: true, Fresh: true, Zone: g.Zone, Voter: g.Voter, Leads: g.Leads, Life: 2, Away: g.Away}
+				f.Members[m.Name] = g
+				if err := done(&b, Call{ID: 1, Machines: []string{m.Name}}, 1_700_000_000_000+now.Milliseconds()); err != nil {
+					t.Fatal(err)
+				}
+				out++
+			case Back:
+				out++
+			}
+			f.Members[m.Name] = g
+		}
+		if out > 1 {
+			t.Fatalf("%d are out: %+v", out, b.Requests[0])
+		}
+	}
+	if got := strings.Join(order, " "); got != "g3 g4 g5 g0 g2 g1" || b.Requests[0].State != Done {
+		t.Errorf("%s; %+v", got, b.Requests[0])
+	}
+}
+
 func TestStalledGatewayIsWaitedFor(t *testing.T) {
 	w := newWorld(t, 2, 6, 3, 4)
 	w.gateways["g3"].stalled = w.now + 10*time.Second
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -134,6 +134,9 @@
 // Open counts reqs that were taken and have not ended: +1 and -1.
 func (f *Figures) Open(d int64) { f.concurrent.Add(d) }
 
+// Concurrent is how many reqs are open.
+func (f *Figures) Concurrent() int64 { return max(0, f.concurrent.Load()) }
+
 // Targets sets the servers of the list, and of those the ones that the gateway avoids.
 func (f *Figures) Targets(listed, disabled int) {
 	f.targets.Store(int64(listed))
