--- a/internal/fleet/zone/zone.go
+++ b/internal/fleet/zone/zone.go
@@ -68,7 +68,7 @@
 }
 
 // Standard are the values that gateways use.
-var Standard = Config{Windows: []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond,
+var Standard = Config{Windows: []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond,
 	2400 * time.Millisecond}, Again: 3 * time.Second, MostAgain: 60 * time.Second, Ramp: 13 * time.Second,
 	Patience: 8 * time.Second}
 
