--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -219,7 +219,7 @@
 	a.judge.Seen(now, from.Name, from.Status.Zone, from.Status.Region, delta)
 	a.feeder.Seen(now, from.Name, from.Status.Acts, delta)
 	for id, c := range delta.Servers {
-		a.order.Seen(now, Machine(id), c.Served+c.Late, c.Refused+c.Failed+c.Silent-min(c.Silent, c.Late))
+		a.order.Seen(now, Machine(id), c.Served, c.Refused+c.Failed, c.Silent, c.Late)
 	}
 	if from.Name == a.o.Gossip.Name {
 		good, bad := uint64(0), uint64(0)
--- a/internal/fleet/work/order.go
+++ b/internal/fleet/work/order.go
@@ -58,6 +58,7 @@
 	proofIll   = 0.2
 	bearsOver  = time.Hour // for which the most that servers were seen to bear is remembered
 	healthFor  = 4 * time.Second
+	lateTime   = 1200 * time.Millisecond // that a cold server may take
 	noteEvery  = 3 * time.Second
 	minute     = time.Minute
 )
@@ -71,8 +72,8 @@
 }
 
 type seen struct {
-	at        time.Duration
-	good, bad uint64
+	at                      time.Duration
+	good, bad, silent, late uint64
 }
 
 // bore is the most fetches a second that a server in use got in a minute in which none turned any away.
@@ -84,12 +85,13 @@
 // New makes one.
 func New(cfg Config) *Order { return &Order{cfg: cfg, health: map[string][]seen{}} }
 
-// Seen takes what some gateway's fetches to a server came to.
-func (o *Order) Seen(now time.Duration, server string, good, bad uint64) {
-	if good+bad == 0 {
+// Seen takes what some gateway's fetches to a server came to: served, ill, silent for longer than others take, and served
+// after that.
+func (o *Order) Seen(now time.Duration, server string, good, bad, silent, late uint64) {
+	if good+bad+silent+late == 0 {
 		return
 	}
-	list := append(o.health[server], seen{now, good, bad})
+	list := append(o.health[server], seen{now, good, bad, silent, late})
 	for len(list) > 0 && now-list[0].at > healthFor {
 		list = list[1:]
 	}
@@ -100,13 +102,19 @@
 }
 
 // of is what came of fetches to a server since a time, within healthFor.
-func (o *Order) of(server string, since time.Duration) (good, bad uint64) {
+func (o *Order) of(server string, now, since time.Duration) (good, bad uint64) {
+	silent, late := uint64(0), uint64(0)
 	for _, s := range o.health[server] {
-		if s.at >= since {
-			good, bad = good+s.good, bad+s.bad
+		if s.at < since {
+			continue
+		}
+		good, bad, late = good+s.good+s.late, bad+s.bad, late+s.late
+		// Danger: a cold server answers later than others do; what is silent just now may only be slow.
+		if now-s.at >= lateTime {
+			silent += s.silent
 		}
 	}
-	return good, bad
+	return good, bad + silent - min(silent, late)
 }
 
 // Bore remembers what servers bear, and forgets what is older than an hour.
@@ -297,7 +305,7 @@
 	set := func(state State, note string) { m.State, m.Since, m.Note = state, s.unix, note }
 	v, listed := s.f.Servers[m.Name]
 	since := s.now - min(healthFor, age)
-	good, bad := s.of(m.Name, since)
+	good, bad := s.of(m.Name, s.now, since)
 	warm := listed && (v.Since <= 0 || time.Duration(s.unix-v.Since)*time.Millisecond >= s.cfg.Cold)
 	switch {
 	case !listed || !v.Ready:
--- a/internal/fleet/work/work_test.go
+++ b/internal/fleet/work/work_test.go
@@ -104,9 +104,9 @@
 			}
 			g.open[to] = w.now + time.Duration(w.rng.IntN(800))*time.Millisecond
 			if w.ill[to] {
-				w.o.Seen(w.now, to, 0, 1)
+				w.o.Seen(w.now, to, 0, 1, 0, 0)
 			} else {
-				w.o.Seen(w.now, to, 1, 0)
+				w.o.Seen(w.now, to, 1, 0, 0, 0)
 			}
 		}
 		if w.rng.IntN(3) > 0 { // a plan reaches it, and is applied
@@ -327,6 +327,23 @@
 	}
 }
 
+// A cold server whose answers come late is not ill, and one that never answers is.
+func TestLateIsNotIll(t *testing.T) {
+	for _, never := range []bool{false, true} {
+		o := New(Standard)
+		for now := time.Duration(0); now < 4*time.Second; now += tick {
+			late := uint64(1)
+			if now < 2*tick || never {
+				late = 0
+			}
+			o.Seen(now, "s", 0, 0, 1, late)
+		}
+		if good, bad := o.of("s", 4*time.Second, 0); never != (bad >= 3) || never != (good == 0) {
+			t.Errorf("never answers: %v: %d good, %d bad", never, good, bad)
+		}
+	}
+}
+
 func TestCalls(t *testing.T) {
 	w := newWorld(t, 5, 2, 2, 3)
 	w.ask("k", Restart, "s-a1")
