--- a/cmd/dewhitch/fleet_test.go
+++ b/cmd/dewhitch/fleet_test.go
@@ -84,6 +84,18 @@
 		{[]string{"freeze", "--why", "night", "--by", "me"}, "YES ", true},
 		{[]string{"status"}, "frozen by me", true},
 		{[]string{"thaw", "--why", "day", "--by", "me"}, "YES ", true},
+		{[]string{"work", "request", "--machines", "s-000000aa,s-000000bb", "--kind", "restart", "--for", "5m", "--why", "kernel", "--by", "me"}, "YES ", true},
+		{[]string{"work", "request", "--machines", "s-000000aa", "--kind", "off", "--for", "5m", "--why", "other", "--by", "you"}, "NO work: s-000000aa is asked for already, in request 1 by me", false},
+		{[]string{"work", "request", "--machines", "s-1", "--kind", "polish", "--for", "5m", "--why", "x", "--by", "me"}, "--kind", false},
+		{[]string{"work", "list"}, "s-000000bb", true},
+		{[]string{"work", "done", "1", "--why", "x", "--by", "me"}, "NO work: no machine of request 1 is free", false},
+		{[]string{"work", "hold", "1", "--why", "x", "--by", "me"}, "YES ", true},
+		{[]string{"work", "list"}, "held by me: x", true},
+		{[]string{"work", "resume", "1", "--why", "x", "--by", "me"}, "YES ", true},
+		{[]string{"work", "cancel", "1", "--why", "x", "--by", "me"}, "YES ", true},
+		{[]string{"work", "cancel", "1", "--why", "x", "--by", "me"}, "NO work: request 1 is cancelled", false},
+		{[]string{"work", "gone", "n9", "--why", "x", "--by", "me"}, "NO work: nobody waits for", false},
+		{[]string{"work", "plan", "--machines", "s-000000aa", "--for", "1m", "--load", "0.5"}, "never: s-000000aa: is not listed", true},
 	} {
 		if text, err := run(c.args...); (err == nil) != c.good || !strings.Contains(text, c.want) {
 			t.Errorf("%v: %v: %s; expected %s", c.args, err, text, c.want)
--- a/cmd/dewhitch/work.go
+++ b/cmd/dewhitch/work.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -18,6 +20,7 @@
 // workCmd is about machines out for work.
 type workCmd struct {
 	Request workRequest `cmd:"" help:"Ask for machines; the fleet says when each is free."`
+	Plan    workPlan    `cmd:"" help:"Simulate a request by the order's own code: the turns, how long it takes, the least to spare. Nothing is asked for."`
 	List    workList    `cmd:"" help:"Print the requests, what each machine waits for, and which are free."`
 	Done    workDone    `cmd:"" help:"Say that the work on machines is done."`
 	Cancel  workOf      `cmd:"" help:"Cancel what of a request has not begun."`
@@ -47,6 +50,48 @@
 	return r.settle("work-request", form)
 }
 
+// workPlan simulates a request on the servers that a member has listed.
+type workPlan struct {
+	Machines []string      `help:"Servers by their ids; all that are listed if none are named."`
+	For      time.Duration `required:"" help:"How long each machine is worked on."`
+	Load     float64       `required:"" help:"Of what all servers can do, 0 to 1."`
+	Cold     time.Duration `default:"13s" help:"Until a server that began is warm (${default})."`
+	Start    float64       `default:"0.22" help:"The share of its capacity that it begins with (${default})."`
+	JSON     bool          `help:"As JSON."`
+}
+
+func (p workPlan) Run() error {
+	text, err := cli.Members.call(http.MethodGet, "/fleet/servers", nil)
+	if err != nil {
+		return err
+	}
+	servers := map[string]work.Server{}
+	if err := json.Unmarshal(text, &servers); err != nil {
+		return err
+	}
+	if len(p.Machines) == 0 {
+		p.Machines = slices.Sorted(maps.Keys(servers))
+	}
+	cfg := work.Standard
+	cfg.Cold = p.Cold
+	a, err := work.Simulate(cfg, servers, work.Call{By: "plan", Why: "plan", Key: "plan", Kind: work.Restart, ForMS: p.For.Milliseconds(),
+		Machines: p.Machines}, p.Load, p.Start)
+	if err != nil {
+		return err
+	}
+	if p.JSON {
+		return json.NewEncoder(os.Stdout).Encode(a)
+	}
+	for _, t := range a.Turns {
+		fmt.Printf("%s  free after %v, proven after %v\n", t.Name, t.Free, t.Done)
+	}
+	for _, s := range a.Stuck {
+		fmt.Println("never:", s)
+	}
+	fmt.Printf("over after %v; %d out at once at most; %.2f of what all servers can do is left at the least\n", a.Took, a.Most, a.Spare)
+	return nil
+}
+
 type workDone struct {
 	fleetSaid
 	ID       uint64   `arg:"" help:"The request."`
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -393,16 +393,22 @@
 	}
 }
 
+// machines are the servers of the list, as this process has it.
+func (a *Agent) machines() map[string]work.Server {
+	all := map[string]work.Server{}
+	for _, s := range a.listed() {
+		all[Machine(s.ID)] = work.Server{Zone: s.Zone, Ready: true, Since: s.Since}
+	}
+	return all
+}
+
 // works has the leader step the work on machines on.
 func (a *Agent) works(now time.Duration, unix int64, n *fleet.Node, p fleet.Plan, v zone.Verdicts) {
 	b, err := work.Read(&p)
 	if err != nil {
 		return
 	}
-	f := work.Facts{Servers: map[string]work.Server{}, Members: map[string]work.Member{}, Turned: a.judge.Turned(), Rate: a.feeder.Demand()}
-	for _, s := range a.listed() {
-		f.Servers[Machine(s.ID)] = work.Server{Zone: s.Zone, Ready: true, Since: s.Since}
-	}
+	f := work.Facts{Servers: a.machines(), Members: map[string]work.Member{}, Turned: a.judge.Turned(), Rate: a.feeder.Demand()}
 	for key, w := range v {
 		if !strings.Contains(key, ">") && !w.Hold {
 			f.ZonesOut = append(f.ZonesOut, key)
--- a/internal/fleet/agent/show.go
+++ b/internal/fleet/agent/show.go
@@ -59,6 +59,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(b)
 	})
+	mux.HandleFunc("GET /fleet/servers", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(a.machines())
+	})
 	said := func(f url.Values) ([]byte, error) { return fleet.Words(f.Get("by"), f.Get("why")), nil }
 	ofZone := func(f url.Values) ([]byte, error) {
 		c := zone.Call{By: f.Get("by"), Why: f.Get("why"), Zone: f.Get("zone")}
--- a/internal/fleet/work/order.go
+++ b/internal/fleet/work/order.go
@@ -10,9 +10,9 @@
 
 // Server is one of the list, as the leader has it.
 type Server struct {
-	Zone  string
-	Ready bool
-	Since int64 // its last start, Unix ms; 0: long ago
+	Zone  string `json:"zone"`
+	Ready bool   `json:"ready"`
+	Since int64  `json:"since"` // its last start, Unix ms; 0: long ago
 }
 
 // Member is a gateway, as the leader knows it.
