Count the fleet's time from the process's start, whatever steps the system's clock takes

Change: Unix time in the agent is that of its start and monotonic from there on, as the planner's is.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -169,9 +169,11 @@
 // Tally is where what this process sees of servers is counted.
 func (a *Agent) Tally() *Tally { return a.tally }
 
+// now is the time since the process began, and Unix ms by it. Danger: with the system's clock, a step of it would end the lease
+// of a machine that is in pieces, or a ramp.
 func (a *Agent) now() (time.Duration, int64) {
-	t := time.Now()
-	return t.Sub(a.began), t.UnixMilli()
+	d := time.Since(a.began)
+	return d, a.began.Add(d).UnixMilli()
 }
 
 // Run runs the member until the context ends.
@@ -337,7 +339,8 @@
 	}
 	type way struct{ from, to string }
 	known := map[way]func(gateway string) bool{}
-	return a.feeder.Round(now, time.Now().UnixMilli(), servers, func(gateway string, server uint32) bool {
+	_, unix := a.now()
+	return a.feeder.Round(now, unix, servers, func(gateway string, server uint32) bool {
 		home, _ := a.judge.Home(gateway)
 		k := way{home, zones[server]}
 		may := known[k]
