--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -172,13 +172,16 @@
 }
 
 // worked books that somebody was told that a server is free, or gives it back.
-func (j *judge) worked(server string, at time.Time, on bool) {
+func (j *judge) worked(server string, at time.Time, on bool) { j.mark(j.free, server, at, on) }
+
+// mark keeps since when something holds of a server.
+func (j *judge) mark(since map[string]time.Time, server string, at time.Time, on bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if on {
-		j.free[server] = at
+		since[server] = at
 	} else {
-		delete(j.free, server)
+		delete(since, server)
 	}
 }
 
@@ -212,15 +215,7 @@
 }
 
 // drain books that all gateways were told that a server drains, or that it is back.
-func (j *judge) drain(server string, at time.Time, on bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if on {
-		j.drains[server] = at
-	} else {
-		delete(j.drains, server)
-	}
-}
+func (j *judge) drain(server string, at time.Time, on bool) { j.mark(j.drains, server, at, on) }
 
 // settle judges the pairs of fetches that are due, all of them at the end.
 func (j *judge) settle(now time.Time, all bool) {
--- a/internal/drill/rules_test.go
+++ b/internal/drill/rules_test.go
@@ -23,6 +23,9 @@
 	t.Helper()
 	j := newJudge(classesOf("mixed"), []standin.Plan{{Name: "fleet", CapRate: 10, HardBurst: 5, Tolerance: 1}})
 	j.drain("drained", at(0), true)
+	j.worked("free", at(100), true)
+	j.worked("given back", at(0), true)
+	j.worked("given back", at(50), false)
 	for _, a := range arrivals {
 		if a.link == nil {
 			a.link = leaves{}
@@ -53,6 +56,8 @@
 		{"keyed, in time", "booking", []*arrival{{at: at(0), ended: at(1), ran: true}, {at: at(2900), ran: true}}, ""},
 		{"keyed, too late", "booking", []*arrival{{at: at(0), ended: at(1), ran: true}, {at: at(3100), ran: true}}, ruleRepeat},
 		{"drained, in time", "space-query", []*arrival{{at: at(500), server: "drained", ran: true}}, ""},
+		{"given back", "space-query", []*arrival{{at: at(200), server: "given back", ran: true}}, ""},
+		{"free", "space-query", []*arrival{{at: at(200), server: "free", ran: true}}, ruleFree},
 		{"drained", "space-query", []*arrival{{at: at(600), server: "drained", ran: true}}, ruleDrain},
 	} {
 		t.Run(c.name, func(t *testing.T) {
