--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -78,12 +78,21 @@
 	}
 }
 
+// slots bounds the drills that play at once: a machine of four cores runs other packages' tests beside them.
+var slots = make(chan struct{}, 3)
+
+func slot(t *testing.T) {
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+}
+
 // The fleet's own drills, whole: one leader after another, partitions, restarts. What is settled is seen by all within a
 // second, no epoch goes back, and nothing is lost.
 func TestFleetDrills(t *testing.T) {
 	for _, name := range []string{"leader", "parted", "restarted", "found"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			slot(t)
 			p, err := program()
 			if err != nil {
 				t.Fatal(err)
@@ -129,6 +138,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			slot(t)
 			r, err := play(t, text, 41)
 			if err != nil {
 				t.Fatal(err, r.Breaches, r.Fallen)
