--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -203,8 +203,8 @@
 	if _, err := Open(o); err == nil || !strings.Contains(err.Error(), "another process has the folder") {
 		t.Errorf("a folder that is held: %v", err)
 	}
+	stop() // what its goroutine owns may be looked at from then on
 	was := all[0].node.Self().Identity
-	stop()
 	again, err := Open(o)
 	if err != nil {
 		t.Fatal(err)
