Begin no attempt whose connection comes up after its client, drain or repeat window

Cancel ended a wait only if the dial heeded it; a drain ended nothing that waited; the window was asked for when the attempt was decided (mayTry), not when it was written.

An attempt now goes from waiting to begun or to withdrawn under one lock (Pools.mu).

--- a/api.go
+++ b/api.go
@@ -410,6 +410,7 @@
 		Request RequestID
 		Server  ServerID
 		Timeout Span // 0: until the client gives up
+		Within  Span // it may begin to be written for so long, and is not sent after that; 0: for as long as it may take
 	}
 	// Cancel withdraws an attempt.
 	Cancel struct {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -48,6 +48,8 @@
 	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
 	Dispatched func(class string)
 
+	dial func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
+
 	mu      sync.Mutex
 	pools   map[core.Backend]*pool
 	open    int
@@ -77,9 +79,12 @@
 	raw   syscall.RawConn
 }
 
+// fetch is one attempt, on its way from waiting to begun or to withdrawn: all that would have it not sent, and what sends
+// it, meet in Pools.mu.
 type fetch struct {
 	core.Fetch
 	pool   *pool
+	state  state
 	began  func(core.Stream)
 	done   func(core.FetchEnd)
 	entry  ledger.Posting  // of its end; its event is None once that is posted
@@ -87,12 +92,24 @@
 	cancel context.CancelFunc
 }
 
+// state is how far a fetch has come; only waiting is ever left.
+type state int
+
+const (
+	waiting   state = iota // for a connection: nothing is written
+	begun                  // its command is being written, or was
+	withdrawn              // nothing was written, nor will be
+)
+
 // Books are what the pools post to.
 type Books interface{ Post(ledger.Posting) }
 
 // New makes empty pools.
 func New(n Names, l Limits, b Books) *Pools {
-	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{}}
+	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{},
+		dial: func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
+			return (&net.Dialer{Timeout: l.Connect, Deadline: by, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+		}}
 }
 
 // Start implements core.Backends.
@@ -185,10 +202,46 @@
 // Cancel implements core.Backends.
 func (p *Pools) Cancel(req dw.RequestID, attempt int) {
 	p.mu.Lock()
-	f := p.fetches[key{req, attempt}]
-	p.mu.Unlock()
-	if f != nil {
-		f.cancel()
+	defer p.mu.Unlock()
+	if f := p.fetches[key{req, attempt}]; f != nil {
+		f.end()
+	}
+}
+
+// end gives a fetch up: one that waits is never sent. The lock is held.
+func (f *fetch) end() {
+	if f.state == waiting {
+		f.state = withdrawn
+	}
+	f.cancel()
+}
+
+// begin tells whether a fetch may be written, from now on. Danger: a connection may come up long after the fetch was
+// asked for: when its client has left, when its backend drains, or when a repeat is one no longer.
+func (p *Pools) begin(f *fetch) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.state == waiting && f.ctx.Err() == nil && (f.Begin.IsZero() || time.Now().Before(f.Begin)) {
+		f.state = begun
+	}
+	return f.state == begun
+}
+
+// Withdraw implements core.Backends.
+func (p *Pools) Withdraw(b core.Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.withdraw(b)
+}
+
+func (p *Pools) withdraw(b core.Backend) {
+	if p.pools[b] == nil {
+		return
+	}
+	for _, f := range p.fetches {
+		if f.Backend == b && f.state == waiting {
+			f.end()
+		}
 	}
 }
 
@@ -196,6 +249,7 @@
 func (p *Pools) Forget(b core.Backend) {
 	p.mu.Lock()
 	var idle []*conn
+	p.withdraw(b)
 	if l := p.pools[b]; l != nil {
 		idle, l.idle, l.gone = l.idle, nil, true
 		p.tidy(l)
@@ -208,7 +262,11 @@
 
 // run carries out one fetch and tells how it ended.
 func (p *Pools) run(f *fetch) core.FetchEnd {
-	c, err := p.take(f.ctx, f.pool)
+	c, err := p.take(f)
+	if err == nil && !p.begin(f) {
+		p.put(c) // it is good, and new
+		err = errLate
+	}
 	if err != nil {
 		if errors.Is(f.ctx.Err(), context.Canceled) || errors.Is(err, errFull) { // no fault of the backend's
 			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
@@ -357,10 +415,14 @@
 	return l
 }
 
-var errFull = errors.New("backend: no descriptor is free")
+var (
+	errFull = errors.New("backend: no descriptor is free")
+	errLate = errors.New("backend: the connection came up too late")
+)
 
 // take finds an idle connection that is still good, or opens one within the descriptor budget.
-func (p *Pools) take(ctx context.Context, l *pool) (*conn, error) {
+func (p *Pools) take(f *fetch) (*conn, error) {
+	l := f.pool
 	for {
 		now := time.Now()
 		p.mu.Lock()
@@ -388,7 +450,7 @@
 	if spare != nil {
 		p.drop(spare)
 	}
-	n, err := (&net.Dialer{Timeout: p.limits.Connect, KeepAlive: -1}).DialContext(ctx, "tcp", l.Addr)
+	n, err := p.dial(f.ctx, l.Addr, f.Begin)
 	if err != nil {
 		p.closed()
 		return nil, err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,7 @@
 	Attempt int
 	Backend Backend
 	Until   time.Time // when to stop waiting
+	Begin   time.Time // by when its first byte is written, or none is; zero: by Until
 	Source  *Req
 }
 
@@ -107,7 +108,10 @@
 	Start(f Fetch, began func(Stream), done func(FetchEnd))
 	// Cancel gives a fetch up, if it is still out.
 	Cancel(req dw.RequestID, attempt int)
-	// Forget closes the idle connections to a backend, and keeps none after the fetches that are out.
+	// Withdraw ends the fetches from a backend of which nothing is written yet: from now on nothing is begun there, until
+	// the next Start.
+	Withdraw(b Backend)
+	// Forget withdraws, closes the idle connections to a backend, and keeps none after the fetches that are out.
 	Forget(b Backend)
 }
 
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -80,6 +80,11 @@
 func (p *Planner) overlay(e dw.ServerEntry) dw.ServerEntry {
 	e = p.overlaid(e)
 	p.told[e.ID] = e
+	if b, known := p.route(e.ID); known && e.State != dw.Ready {
+		// Danger: what waits for a connection would be written whenever that comes up, long after the server may be sent
+		// anything new.
+		p.backends.Withdraw(b)
+	}
 	return e
 }
 
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -31,6 +31,9 @@
 	if until := now.Add(time.Duration(a.Timeout)); a.Timeout != 0 && until.Before(f.Until) {
 		f.Until = until
 	}
+	if a.Within != 0 {
+		f.Begin = now.Add(time.Duration(a.Within))
+	}
 	t.attempts++
 	t.out++
 	backend, known := p.route(a.Server)
--- a/request.go
+++ b/request.go
@@ -142,8 +142,12 @@
 	if g.warmth(s) < 1 {
 		s.budget.level--
 	}
+	by := r.due
+	if a := r.live(); a != nil && again[r.class.Effect].inGroup { // its group may forget while a connection is awaited
+		by = min(by, a.at+Instant(r.class.DedupWindow))
+	}
 	r.attempts = append(r.attempts, attempt{server: s, at: g.now, beside: s.out - 1})
-	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: Span(r.due - g.now)})
+	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: Span(r.due - g.now), Within: Span(by - g.now)})
 }
 
 // Rule 2 in one table: by outcome, whether an attempt may have run; by effect, what may follow if one may.
@@ -177,11 +181,8 @@
 		return true
 	}
 	rule := again[r.class.Effect]
-	same := r.class.Group.same(s.ServerEntry, a.server.ServerEntry)
-	if rule.inGroup && (!same || g.now-a.at >= Instant(r.class.DedupWindow)) {
-		return false
-	}
-	return rule.send
+	known := r.class.Group.same(s.ServerEntry, a.server.ServerEntry) && g.now-a.at < Instant(r.class.DedupWindow)
+	return rule.send && (known || !rule.inGroup)
 }
 
 // ended takes the outcome of an attempt: a request that is owed an answer goes elsewhere or is given up.
@@ -203,12 +204,9 @@
 	if e.Final || e.Outcome == OutcomeOK {
 		g.finish(r, nil)
 	}
-	if r.out > 0 {
-		return
-	}
-	if r.done {
+	if r.out == 0 && r.done {
 		delete(g.requests, r.id)
-	} else if !g.retry(r) {
+	} else if r.out == 0 && !g.retry(r) {
 		g.giveUp(r)
 	}
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -184,7 +184,7 @@
 		case class.Effect == dw.Unsafe:
 			t.Fatalf("rule 2: unsafe %s sent again though it may have run", a.Request)
 		case class.Effect == dw.Keyed && (class.Group == dw.GroupCell && first.Cell != s.Cell ||
-			class.Group == dw.GroupZone && first.Zone != s.Zone || w.now-k.at > dw.Instant(class.DedupWindow)):
+			class.Group == dw.GroupZone && first.Zone != s.Zone || a.Within <= 0 || w.now+dw.Instant(a.Within)-k.at > dw.Instant(class.DedupWindow)):
 			t.Fatalf("rule 2: keyed %s sent outside its group or window", a.Request)
 		}
 	}
