End a session by its reader alone, and take nothing past the end of the gateway

Read, then forced: (a) whoever wanted a session's place (thin, room for a newcomer, SIGTERM) closed it beside its reader, also over a command that was read and not yet in a slot; (b) at SIGTERM a session was left to take commands for as long as it owed an answer, so a client that pipelines had the gateway serve on until SIGKILL, with its last ones lost; (c) closing the listener reset connections in the machine's queue, with commands on them; (d) a close over unread bytes reset the connection under answers on their way; (e) a client that sent more than 64 commands and left was seen to have gone only as its commands were answered, and each was sent on for nobody; (f) half a command at the end was answered with an error.

Others now ask; the reader looks once more, serves what came, and ends between two commands: half-close, read on for 300 ms, close. At the end of the gateway it takes what has come and no more (100 ms for half a command and for a new session's first). The listener takes in what the machine has accepted. While commands are left unread, poll tells whether the client has gone. A req's time counts from when its last byte was read, as its comment says.

--- /dev/null
+++ b/internal/front/ending_test.go
@@ -0,0 +1,282 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"dewhitch/internal/resp"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+const ping = "*1\r\n$4\r\nPING\r\n"
+
+// held is the server's end of a connection on which what was read can be held back: it has left the machine's buffers, and
+// the session does not have it yet.
+type held struct {
+	*net.TCPConn
+	got  chan int      // bytes were read, and are held
+	free chan struct{} // closed: nothing is held any more
+}
+
+func (h *held) Read(b []byte) (int, error) {
+	n, err := h.TCPConn.Read(b)
+	if n > 0 {
+		select {
+		case h.got <- n:
+		case <-h.free:
+		}
+		<-h.free
+	}
+	return n, err
+}
+
+// slow answers each command once it is told to, and counts them.
+type slow struct {
+	answer chan struct{} // one answer each; closed: all at once
+	taken  atomic.Int64
+	gone   atomic.Int64
+}
+
+func (c *slow) Do(_ time.Time, _ resp.Command, s *Slot) {
+	c.taken.Add(1)
+	s.OnGone(func() { c.gone.Add(1) })
+	go func() {
+		<-c.answer
+		s.Fill(resp.AppendStatus(nil, "OK"))
+	}()
+}
+
+// pair is a client's connection and the session at its other end.
+func pair(t *testing.T, c Commands, hold bool) (*net.TCPConn, *held, *session) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client.SetDeadline(time.Now().Add(patience))
+	h := &held{conn.(*net.TCPConn), make(chan int), make(chan struct{})}
+	if !hold {
+		close(h.free)
+	}
+	s := newSession(h, c, NewBounds(64<<20))
+	var over sync.WaitGroup
+	over.Go(s.run)
+	t.Cleanup(func() {
+		client.Close()
+		over.Wait()
+	})
+	return client.(*net.TCPConn), h, s
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// answers reads all that comes until the session ends, which must be an end and no reset.
+func answers(t *testing.T, c net.Conn) string {
+	t.Helper()
+	text, err := io.ReadAll(c)
+	if err != nil {
+		t.Errorf("after %q: %v", text, err)
+	}
+	return string(text)
+}
+
+// A command that has been read as a session at rest is asked to end is served, whoever asks.
+func TestCommandIsReadAsTheSessionIsAskedToEnd(t *testing.T) {
+	for name, ask := range map[string]func(*session){"for room": (*session).makeRoom, "at the end": (*session).stop,
+		"by a drain": (*session).drained} {
+		t.Run(name, func(t *testing.T) {
+			c, h, s := pair(t, echo{}, true)
+			c.Write([]byte(ping))
+			<-h.got
+			ask(s)
+			close(h.free)
+			r := bufio.NewReader(c)
+			if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+				t.Errorf("%q, %v", line, err)
+			}
+		})
+	}
+}
+
+// Once the gateway ends, a session takes no more than what has come, answers that, and ends: also if its client goes on
+// sending, and is owed answers all the while.
+func TestEndingSessionTakesNoMore(t *testing.T) {
+	d := &slow{answer: make(chan struct{})}
+	c, _, s := pair(t, d, false)
+	c.Write([]byte(ping + ping))
+	eventually(t, "the commands were not taken", func() bool { return d.taken.Load() == 2 })
+	s.stop()
+	eventually(t, "the session goes on taking", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.last
+	})
+	c.Write([]byte(ping + ping))
+	close(d.answer)
+	if got := answers(t, c); got != "+OK\r\n+OK\r\n" {
+		t.Errorf("%q", got)
+	}
+	if n := d.taken.Load(); n != 2 {
+		t.Errorf("%d commands were taken, want 2", n)
+	}
+}
+
+// What has come by the end is taken, all of it, though the session is busy with what came before.
+func TestEndingSessionTakesWhatHasCome(t *testing.T) {
+	d := &slow{answer: make(chan struct{})}
+	close(d.answer)
+	c, h, s := pair(t, d, true)
+	c.Write([]byte(ping + ping + ping))
+	<-h.got
+	s.stop()
+	close(h.free)
+	if got := answers(t, c); got != "+OK\r\n+OK\r\n+OK\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// Half a command at the end was not taken: nothing is said to it, and what came before is answered.
+func TestHalfACommandAtTheEnd(t *testing.T) {
+	for name, ask := range map[string]func(*session){"for room": (*session).makeRoom, "at the end": (*session).stop} {
+		t.Run(name, func(t *testing.T) {
+			c, _, s := pair(t, echo{}, false)
+			c.Write([]byte(ping + ping[:9]))
+			r := bufio.NewReader(c)
+			if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+				t.Fatalf("%q, %v", line, err)
+			}
+			ask(s)
+			if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
+				t.Errorf("%q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// A session that ends over unread bytes does not take answers back that are on their way.
+func TestEndOverUnreadBytes(t *testing.T) {
+	c, _, s := pair(t, echo{}, false)
+	c.Write([]byte(ping))
+	eventually(t, "the command was not answered", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.taken == 1 && s.owed == 0 && s.awaiting
+	})
+	s.makeRoom()
+	eventually(t, "it does not end", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.over
+	})
+	c.Write([]byte(ping)) // crosses the end
+	if got := answers(t, c); got != "+OK\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// A client that sent more than is taken at once, and left, is known to have gone while what it sent is unread: what waits
+// is given up, and nothing more of it is taken.
+func TestClientLeavesBehindAFullPipeline(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn) error{"closes": (*net.TCPConn).Close, "half-closes": (*net.TCPConn).CloseWrite} {
+		t.Run(name, func(t *testing.T) {
+			d := &slow{answer: make(chan struct{})}
+			defer close(d.answer)
+			c, _, _ := pair(t, d, false)
+			for range 3 * pipelined {
+				c.Write([]byte(ping))
+			}
+			eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == pipelined })
+			leave(c)
+			eventually(t, "nobody knows that the client has gone", func() bool { return d.gone.Load() == pipelined })
+			if n := d.taken.Load(); n != pipelined {
+				t.Errorf("%d commands were taken, want %d", n, pipelined)
+			}
+		})
+	}
+}
+
+// queue is a listener whose first connection stands in the machine's queue until the listener is told to end.
+type queue struct {
+	*net.TCPListener
+	told, taken chan struct{}
+	once        sync.Once
+}
+
+func (q *queue) Accept() (net.Conn, error) {
+	<-q.told
+	c, err := q.TCPListener.Accept()
+	q.once.Do(func() { close(q.taken) })
+	return c, err
+}
+
+func (q *queue) SetDeadline(at time.Time) error {
+	close(q.told)
+	<-q.taken
+	return q.TCPListener.SetDeadline(at)
+}
+
+func (q *queue) Close() error {
+	err := q.TCPListener.Close()
+	q.once.Do(func() { // it was never told
+		close(q.told)
+		close(q.taken)
+	})
+	return err
+}
+
+// A connection that the machine has accepted before the end, with a command on it, is served.
+func TestConnectionInTheQueueAtTheEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := &queue{TCPListener: l.(*net.TCPListener), told: make(chan struct{}), taken: make(chan struct{})}
+	f := &Server{Listener: q, Open: func() Commands { return echo{} }, Sessions: 4, Bounds: NewBounds(64 << 20), Log: zap.NewNop()}
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error, 1)
+	go func() { over <- f.Serve(ctx) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	c.Write([]byte(ping))
+	stop()
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "+OK\r\n" {
+		t.Errorf("%q, %v", line, err)
+	}
+	c.Close()
+	if err := <-over; err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/front/hangup.go
@@ -0,0 +1,27 @@
+package front
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// hungUp tells whether the far side of a connection has closed it or its sending, though what came before is not read yet.
+// False where the system does not tell.
+func hungUp(c net.Conn) (gone bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		gone = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return gone
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,8 +34,9 @@
 		f.sessions = map[*session]struct{}{}
 	}
 	f.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
+	stop := context.AfterFunc(ctx, func() { lastAccepts(f.Listener) })
 	defer stop()
+	defer f.Listener.Close()
 	if f.Keep > 0 {
 		go f.thin(ctx)
 	}
@@ -76,15 +77,24 @@
 			<-places
 		})
 	}
+	f.Listener.Close()
 	f.mu.Lock()
 	for s := range f.sessions {
-		s.finish()
+		s.stop()
 	}
 	f.mu.Unlock()
 	f.all.Wait()
 	return nil
 }
 
+// lastAccepts has a listener take in what the machine has accepted by now, for a moment. Danger: a client whose connection
+// stands in the queue has been served, as far as it can tell, and may have sent its command; closing the listener resets it.
+func lastAccepts(l net.Listener) {
+	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(acceptsOn)) != nil {
+		l.Close()
+	}
+}
+
 // Accept takes the next connection; false once the listener is closed or the context has ended. Out of descriptors, or
 // a caller that left at once: neither ends the gateway, and the error is logged and waited out.
 func Accept(ctx context.Context, l net.Listener, log *zap.Logger, what string) (net.Conn, bool) {
@@ -102,6 +112,7 @@
 }
 
 const (
+	acceptsOn = 20 * time.Millisecond  // at the end
 	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
 	grace     = 200 * time.Millisecond // in which a new session's first command comes
 )
@@ -160,7 +171,7 @@
 		f.mu.Unlock()
 		slices.SortFunc(all, func(a, b candidate) int { return a.since.Compare(b.since) })
 		for _, c := range all[:max(0, min(len(all), asked-f.Keep))] {
-			c.s.end(restTime)
+			c.s.makeRoom()
 		}
 	}
 }
@@ -183,6 +194,6 @@
 		}
 	}
 	if longest != nil {
-		longest.end(0)
+		longest.makeRoom()
 	}
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -33,6 +33,7 @@
 	strikes     = 16                      // commands that can't be used, after which the session ends
 	strikePause = 50 * time.Millisecond
 	longPause   = time.Second
+	goneLook    = 50 * time.Millisecond // while commands are left unread: between two looks at whether the client has gone
 )
 
 // Bounds are shared by all sessions of a gateway, and follow from its memory.
@@ -120,12 +121,25 @@
 	born      time.Time
 	until     time.Time // by which the command that is being read must be whole; zero: none is
 	awaiting  bool      // the reader waits for the first byte of a command
-	last      bool      // it ends as soon as nothing is owed
+	asked     ask       // for the session's end, by others
+	last      bool      // it ends as soon as nothing is owed; the reader says so, which takes nothing after that
 	over      bool      // nothing more is taken or answered
+	closeBy   time.Time // once over, and all is answered: how long what still comes is read and passed over
+	heard     time.Time // when the last bytes came; the reader's own
 	taken     int       // commands
 	bad       int       // of those, that could not be used
 }
 
+// ask is who wants a session to end. The reader alone ends it, between two commands, when it has nothing in hand: whoever
+// closed it beside the reader would close over a command that was read and is not answered.
+type ask int
+
+const (
+	nobody ask = iota
+	room       // another client needs its place: if it is idle
+	stop       // the gateway ends: whatever it is owed, it takes no more
+)
+
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
 	s := &session{conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), busy: time.Now(), born: time.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -157,7 +171,7 @@
 		if left -= n; err == nil {
 			continue
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !s.deadline(linger) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !s.passesOver() {
 			return
 		}
 	}
@@ -165,6 +179,18 @@
 	time.Sleep(linger)
 }
 
+// passesOver bounds the next read of what is passed over; false: the time for that is up, or the client has gone.
+func (s *session) passesOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.closeBy
+	if !s.over {
+		until = time.Now().Add(linger)
+	}
+	s.conn.SetReadDeadline(until)
+	return time.Now().Before(until)
+}
+
 // deadline bounds the next read; false: the session is over, and its last deadline stands.
 func (s *session) deadline(d time.Duration) bool {
 	s.mu.Lock()
@@ -175,37 +201,41 @@
 	return !s.over
 }
 
+// errOver says that the session takes no more commands.
+var errOver = errors.New("the session is over")
+
 // await waits for the first byte of a command. Danger: clients that connect and say nothing, or keep a session for
 // good, must take nobody's place.
-func (s *session) await(r *resp.Reader) bool {
+func (s *session) await(r *resp.Reader) error {
 	for limit := helloTime; r.Buffered() == 0; {
 		if s.taken > 0 {
 			limit = idleTime
 		}
 		if !s.watch(limit) {
-			return false
+			return errOver
 		}
 		_, err := r.Peek()
 		s.mu.Lock()
 		s.awaiting = false
-		drain := s.drain
 		s.mu.Unlock()
-		if err == nil {
-			break
-		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return false
-		} else if drain {
-			if s.leave(r) {
-				return false
-			}
-		} else if s.end(limit) {
-			return false
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if err != nil && s.leave(r, limit) {
+			return errOver
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.until = time.Now().Add(commandTime)
-	return !s.over
+	switch s.until = time.Now().Add(commandTime); {
+	case s.over:
+		return errOver
+	case s.asked == stop:
+		s.until = time.Now().Add(stopTime)
+	case s.asked == room: // it is busy: another may be asked, or this one again
+		s.asked = nobody
+	}
+	return nil
 }
 
 // Read reads from the client's connection: in the midst of a command it bounds each read. A wait for a command, and what is
@@ -220,10 +250,15 @@
 		s.conn.SetReadDeadline(next)
 	}
 	s.mu.Unlock()
-	return s.conn.Read(b)
+	n, err := s.conn.Read(b)
+	if n > 0 {
+		s.heard = time.Now()
+	}
+	return n, err
 }
 
-// watch bounds a wait for the next command; false: the session is over. A drained session looks often.
+// watch bounds a wait for the next command; false: the session is over. A drained session looks often, and one that others
+// want to end at once.
 func (s *session) watch(limit time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,6 +268,9 @@
 	if s.drain {
 		limit = drainLook
 	}
+	if s.asked != nobody {
+		limit = lastLook
+	}
 	s.awaiting = true
 	s.conn.SetReadDeadline(time.Now().Add(limit))
 	return true
@@ -241,43 +279,67 @@
 // The pace of a drained session.
 const (
 	drainLook = 50 * time.Millisecond   // between two looks at whether it is idle
-	lastLook  = time.Millisecond        // for what is on its way, before it ends
+	lastLook  = time.Millisecond        // for what is on its way, before a session ends
 	drainLast = 1500 * time.Millisecond // after which it takes no command but those it has read
 	newcomer  = 200 * time.Millisecond  // in which a new session's first command comes
+	stopTime  = 100 * time.Millisecond  // after which nothing is taken any more, where the gateway ends
 )
 
-// leave tells whether a drained session ends now, between two commands: nothing is owed to its client, nothing that
-// it sent is unread, and it is not a new one whose first command is on its way. Danger: whatever came before the close
-// was taken, and would be lost; so it looks once more, and serves what came.
-func (s *session) leave(r *resp.Reader) bool {
-	s.mu.Lock()
-	idle := len(s.slots) == 0 && s.owed == 0 && len(s.out) == 0 && !s.over
-	late := time.Since(s.drainedAt) >= drainLast
-	young := s.taken == 0 && time.Since(s.born) < newcomer
-	s.mu.Unlock()
-	if !idle || young && !late || !s.deadline(lastLook) {
+// leave tells whether the session ends now, between two commands: someone wants it to, or it has said nothing for so long.
+// Danger: whatever came before the end was taken, and would be lost; so it looks once more, and serves what came.
+func (s *session) leave(r *resp.Reader, limit time.Duration) bool {
+	if !s.mayLeave(limit) {
 		return false
 	}
+	if !s.deadline(lastLook) {
+		return true
+	}
 	_, err := r.Peek()
 	return err != nil
 }
 
+func (s *session) mayLeave(limit time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := time.Since(s.born)
+	idle := len(s.slots) == 0 && s.owed == 0 && len(s.out) == 0
+	switch {
+	case s.over:
+		return true
+	case s.asked == stop: // a new one's first command may be on its way
+		return s.taken > 0 || age >= stopTime
+	case s.asked == room:
+		s.asked = nobody // if it is busy again, another is asked
+		return idle
+	case s.drain:
+		return idle && (s.taken > 0 || age >= newcomer || time.Since(s.drainedAt) >= drainLast)
+	}
+	return idle && time.Since(s.busy) >= limit
+}
+
 var errSlow = errors.New("the command is not whole in time")
 
 // read takes commands until the session is over or the client has broken the protocol.
 func (s *session) read() {
 	r, before := resp.NewReader(s, readBuffer), 0
 	for {
-		if !s.await(r) {
+		if err := s.await(r); errors.Is(err, errOver) && s.taken > 0 {
+			s.finish()
+			return
+		} else if err != nil { // one that never asked is owed nothing, and its place is free at once
 			s.lost()
 			return
 		}
 		c, err := r.ReadCommand()
-		came := time.Now()
 		s.mu.Lock()
+		asked := s.asked != nobody
 		s.until = time.Time{}
 		s.mu.Unlock()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if asked { // it was not taken: its client sends it elsewhere
+				s.finish()
+				return
+			}
 			err = errSlow
 		} else if err != nil && !errors.Is(err, resp.ErrProtocol) {
 			s.lost()
@@ -293,7 +355,7 @@
 			s.finish()
 			return
 		}
-		s.commands.Do(came, c, slot)
+		s.commands.Do(s.heard, c, slot)
 		s.mu.Lock()
 		bad, quit, late := s.bad, s.quit, s.drain && time.Since(s.drainedAt) >= drainLast
 		s.mu.Unlock()
@@ -334,15 +396,23 @@
 		size += len(word)
 	}
 	if size > largeSize {
-		if s.bounds.large.Acquire(s.ctx, int64(size)) != nil {
-			return nil
+		if !s.bounds.large.TryAcquire(int64(size)) {
+			if s.bounds.large.Acquire(s.ctx, int64(size)) != nil {
+				return nil
+			}
+			s.leaveIfGone()
 		}
 		slot.large = int64(size)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for (len(s.slots) >= pipelined || int64(s.owed) > s.bounds.unsent) && !s.over {
+		look := time.AfterFunc(goneLook, func() {
+			s.leaveIfGone()
+			s.room.Broadcast()
+		})
 		s.room.Wait()
+		look.Stop()
 	}
 	if s.over {
 		s.bounds.large.Release(slot.large)
@@ -353,6 +423,14 @@
 	return slot
 }
 
+// leaveIfGone ends the session if its client has closed or half-closed. Danger: the end of a client that sent much and went
+// stands behind all that it sent, which is read only as there is room, and each would be sent on for nobody.
+func (s *session) leaveIfGone() {
+	if hungUp(s.conn) {
+		s.lost()
+	}
+}
+
 // Reject gives the slot an error, for a command that can't be used.
 func (o *Slot) Reject(why string) {
 	o.session.mu.Lock()
@@ -463,7 +541,8 @@
 		value := s.value
 		if s.last && len(s.slots) == 0 && len(buf) == 0 && value == nil {
 			s.over = true // all is answered, and nothing more is taken from here on
-			s.conn.SetReadDeadline(time.Now().Add(linger))
+			s.closeBy = time.Now().Add(linger)
+			s.conn.SetReadDeadline(s.closeBy)
 		}
 		over := s.over
 		s.mu.Unlock()
@@ -575,7 +654,29 @@
 	clear(marks)
 }
 
-// finish has the session end as soon as all that it has taken is answered.
+// stop has the session take no more than what has come by now, and end once that is answered. Danger: a client that goes on
+// sending would have the gateway serve on until it is killed, with its last ones unanswered.
+func (s *session) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ask(stop, stopTime)
+}
+
+// ask has the reader look at whether the session ends: at once, or within that time if it is in the midst of a command. The
+// lock is held.
+func (s *session) ask(a ask, within time.Duration) {
+	s.asked = a
+	switch now := time.Now(); {
+	case s.over || s.last:
+	case s.awaiting:
+		s.conn.SetReadDeadline(now)
+	case !s.until.IsZero():
+		s.until = now.Add(within)
+		s.conn.SetReadDeadline(s.until)
+	}
+}
+
+// finish has the session end as soon as all that it has taken is answered. Only the reader calls it, and takes nothing after.
 func (s *session) finish() {
 	s.mu.Lock()
 	s.last = true
@@ -601,29 +702,26 @@
 func (s *session) idle() (since time.Time, useful, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.busy, s.taken > s.bad, len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 && !s.last
+	return s.busy, s.taken > s.bad, len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 && !s.last && s.asked == nobody
 }
 
 // resting tells the same of a session that waits for its client's next command: one that is in the midst of sending it, and
-// may be slow at that, is not resting.
+// may be slow at that, is not resting. One that ends is of no more use.
 func (s *session) resting() (since time.Time, useful, resting bool) {
 	since, useful, idle := s.idle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return since, useful, idle && s.awaiting
+	return since, useful && !s.last && s.asked == nobody, idle && s.awaiting
 }
 
-// end ends the session at once if nothing is owed to its client and nothing has been for so long. A command that
-// crosses the close was not taken; the client sends it once more.
-func (s *session) end(after time.Duration) bool {
+// makeRoom asks for the session's end, if nothing is owed to its client. A command that crosses the end was not taken; the
+// client sends it once more.
+func (s *session) makeRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.slots) > 0 || s.owed > 0 || time.Since(s.busy) < after {
-		return s.over
+	if s.asked == nobody {
+		s.ask(room, 0)
 	}
-	s.over = true
-	s.conn.Close() // read sees the end
-	return true
 }
 
 // paid takes note that n bytes of answers wait no longer; the lock is held.
