Read a watch by its messages, and take nothing back by an older list

Read, then forced on real connections: (a) a watch was read by lines, and lists may come indented: each change of such a watch was a fault, and the whole list was read anew, again and again; (b) a gateway that starts with no list, where one director serves all, waited 1 s for its answer and left: a service with a longer line never served it; (c) a list or change of an older revision was taken as news, so a server that drains could be sent to again.

Shared takes whether there is a list. Of an older revision only what forbids is taken and the list is read again; after 2 s of nothing else the director began anew, and its list counts. Move forgets the old revision.

--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -128,9 +128,12 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 	g.list, g.patience = director.New(n.Discovery, g.decoder, g.planner.Listed, n.Seed, g.log), listWait
-	if n.Settings.ListOnRequest && len(g.known.List.Servers) > 0 {
-		g.list.Shared(g.known.List.Version, n.Settings.Instances)
-		g.patience = 0
+	if n.Settings.ListOnRequest {
+		known := len(g.known.List.Servers) > 0
+		g.list.Shared(known, g.known.List.Version, n.Settings.Instances)
+		if known {
+			g.patience = 0
+		}
 	}
 	return nil
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	dw "dewhitch"
 	"dewhitch/internal/backoff"
 	"dewhitch/internal/core"
 	"dewhitch/internal/http1"
@@ -21,14 +21,15 @@
 
 const (
 	path        = "/api/targets"
-	silence     = 3 * time.Second // a watch writes at least an empty line every 2 s
+	silence     = 3 * time.Second // a watch writes at least an empty line every 2 s, or has broken without a word
+	olderTime   = 2 * time.Second // a director that has only older lists for so long began anew: theirs is the list now
 	answerTime  = time.Second     // the agent answers at once, unless it is cut off or has nothing to say
 	lineTime    = 6 * time.Second // but a service that many ask has a line, and serves those too who have left it
 	dialTime    = time.Second
 	backoffFrom = 100 * time.Millisecond
 	backoffTo   = 500 * time.Millisecond // news must not wait: drains count as told, heard or not
 	askEvery    = 50 * time.Millisecond  // for each gateway: a director that all ask bears so much at a start
-	lineSize    = 256 << 10              // of one line of a watch
+	messageSize = 256 << 10              // of one message of a watch
 )
 
 // Sockets is how many descriptors a director holds at most.
@@ -45,8 +46,11 @@
 	revision int64
 	scatter  time.Duration // before the first question
 	patience time.Duration // for an answer
+	silence  time.Duration // of a watch, after which it is broken
 	lost     bool          // since the list was last told
+	older    time.Time     // when the first of a row of older lists came; zero: the last was none
 	again    backoff.Backoff
+	now      func() time.Time
 
 	mu    sync.Mutex
 	addr  string
@@ -56,19 +60,20 @@
 // New makes a director; listed is called for each message, in order. The seed scatters when it asks again.
 func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Director {
 	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log, patience: answerTime,
-		moved: make(chan struct{}), again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo,
+		silence: silence, now: time.Now, moved: make(chan struct{}), again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo,
 			Rand: rand.New(rand.NewPCG(seed, 2))}}
 }
 
-// Shared says that one director serves all of so many gateways, each of which asks it on its own, and that the planner
-// holds a list of that revision. It is to be called before Run.
+// Shared says that one director serves all of so many gateways, each of which asks it on its own, and whether the planner
+// holds a list, of that revision. It is to be called before Run.
 //
 // Danger: gateways that start together all ask at once, and a director that bears each of them serves none. So the first
-// question is scattered over a span, it is for what changed since and not for all of the list, and a director that says
-// it is busy is left alone for the longer the more gateways there are.
-func (d *Director) Shared(revision int64, gateways int) {
+// question is scattered over a span, it is for what changed since and not for all of the list if there is one, and a
+// director that says it is busy is left alone for the longer the more gateways there are. It has a line: whoever leaves
+// that early, with a list or without, is never served.
+func (d *Director) Shared(have bool, revision int64, gateways int) {
 	span := time.Duration(gateways) * askEvery
-	d.have, d.revision, d.patience = true, revision, lineTime
+	d.have, d.revision, d.patience = have, revision, lineTime
 	d.scatter = time.Duration(d.again.Rand.Int64N(int64(span)))
 	d.again.BusyFirst, d.again.Busy = span/2, max(backoffTo, 2*span)
 }
@@ -100,8 +105,9 @@
 		addr, moved := d.place()
 		if at != "" && addr != at {
 			d.again.Reset()
-			// Danger: revisions of two agents need not match, and a watch since the old one's would miss changes.
-			d.have = false
+			// Danger: revisions of two agents need not match, and a watch since the old one's would miss changes, or
+			// its list would pass for an older one.
+			d.have, d.revision, d.older = false, 0, time.Time{}
 		}
 		at = addr
 		told, err := d.followUntil(ctx, addr, moved)
@@ -175,18 +181,19 @@
 		d.lost = false
 		d.log.Info("the director's list is followed", zap.Int64("revision", d.revision))
 	}
-	lines := bufio.NewScanner(http1.Body(r, head))
-	lines.Buffer(nil, lineSize)
+	messages := bufio.NewScanner(http1.Body(r, head))
+	messages.Buffer(nil, messageSize)
+	messages.Split(splitMessage)
 	for {
-		conn.SetReadDeadline(time.Now().Add(silence))
-		if !lines.Scan() {
-			if err = lines.Err(); err == nil {
+		conn.SetReadDeadline(time.Now().Add(d.silence))
+		if !messages.Scan() {
+			if err = messages.Err(); err == nil {
 				err = fmt.Errorf("the watch ended")
 			}
 			return told, err
 		}
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if err := d.take(line); err != nil {
+		if text := messages.Bytes(); len(text) > 0 {
+			if err := d.take(text); err != nil {
 				d.have = false // what it said is lost: read the whole list again
 				return told, err
 			}
@@ -212,15 +219,45 @@
 	return head, err
 }
 
+// errOlder says that what came is of an older revision than what the planner holds.
+var errOlder = errors.New("an older list")
+
+// take passes a message on. Danger: a director that lags, or was put back, may tell of a server as it was before it drained;
+// of an older list only what forbids is taken, until the director has had nothing else for a while.
 func (d *Director) take(text []byte) error {
 	l, err := d.decoder.Decode(text)
 	if err != nil {
 		return err
 	}
+	if l.List.Version >= d.revision {
+		d.older = time.Time{}
+	} else if d.older.IsZero() {
+		d.older = d.now()
+	}
+	older := !d.older.IsZero() && (l.List.Kind == dw.ListDelta || d.now().Sub(d.older) < olderTime)
+	if older {
+		l = forbids(l)
+		l.List.Version = d.revision
+	}
 	d.revision = l.List.Version
 	if err := d.listed(l); err != nil {
 		return err
 	}
+	if older {
+		return errOlder
+	}
+	d.older = time.Time{}
 	d.first.Do(func() { close(d.First) })
 	return nil
 }
+
+// forbids is what a listing says of servers that are not to be sent anything new.
+func forbids(l core.Listing) core.Listing {
+	out := core.Listing{List: dw.ServerList{Kind: dw.ListDelta, Version: l.List.Version}}
+	for i, s := range l.List.Servers {
+		if s.State != dw.Ready {
+			out.List.Servers, out.Addrs = append(out.List.Servers, s), append(out.Addrs, l.Addrs[i])
+		}
+	}
+	return out
+}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -54,7 +54,7 @@
 		}, 1, zap.NewNop())
 		want := []string{whole, whole, "/api/targets?follow=1&since=42"}
 		if shared {
-			d.Shared(41, 3)
+			d.Shared(true, 41, 3)
 			want = []string{since, since}
 		}
 		ctx, cancel := context.WithCancel(context.Background())
