Take unwritten attempts back once nothing is owed, whatever may be cancelled

Read: a client that leaves while its req waits for a connection was forgotten by the module, but its attempt was taken back only where the settings let attempts be cancelled (MayCancel). What is unwritten has not left: taking it back cancels nothing at a server.

The planner marks the end of what is owed in one place (settle) and retracts there what is not begun, under the lock that an attempt begins by. Test on real connections, both settings; red for the one without cancelling before the change.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -208,6 +208,15 @@
 	}
 }
 
+// Retract implements core.Backends.
+func (p *Pools) Retract(req dw.RequestID, attempt int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f := p.fetches[key{req, attempt}]; f != nil && f.state == waiting {
+		f.end()
+	}
+}
+
 // end gives a fetch up: one that waits is never sent. The lock is held.
 func (f *fetch) end() {
 	if f.state == waiting {
--- /dev/null
+++ b/internal/backend/leaving_test.go
@@ -0,0 +1,97 @@
+package backend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	dw "dewhitch"
+	"dewhitch/internal/core"
+	"dewhitch/internal/standin"
+)
+
+type noCounter struct{}
+
+func (noCounter) Add(core.Call, func(dw.Outcome, float64)) {}
+
+type noRefs struct{ noBooks }
+
+func (noRefs) Ref() uint64 { return 0 }
+
+// planner is one that runs on these pools, and knows their backend.
+func (b *bed) planner(set dw.Settings) *core.Planner {
+	b.t.Helper()
+	p, err := core.NewPlanner(set, 1, core.NewClock(), b.Pools, noCounter{}, noRefs{}, zap.NewNop())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		p.Run(ctx)
+	}()
+	b.t.Cleanup(func() {
+		stop()
+		<-over
+	})
+	list := core.Listing{List: dw.ServerList{Kind: dw.ListFull, Version: 1, Servers: []dw.ServerEntry{{ID: b.to.ID}}}, Addrs: []string{b.to.Addr}}
+	if err := p.Listed(list); err != nil {
+		b.t.Fatal(err)
+	}
+	return p
+}
+
+func settings(cancel bool, e dw.Effect) dw.Settings {
+	return dw.Settings{Instances: 1, Zones: 1, Tick: 1e6, MaxAttempts: 3, MayCancel: cancel,
+		Classes: []dw.Class{{Aim: 10e9, Deadline: 20e9, Points: 1, Effect: e, DedupWindow: 10e9}}, Plans: []dw.Plan{{Rate: 100, Burst: 100, Price: 1}}}
+}
+
+func (b *bed) req(answer func(core.Answer)) *core.Req {
+	return &core.Req{Came: time.Now(), Named: "booking", Customer: 7, Wait: patience, Units: 1, Spread: 1,
+		Message: core.Message{Name: "n", Key: "k"}, Answer: answer}
+}
+
+// A client leaves while its req waits for a connection: when that comes up nothing is sent on it, whether or not the
+// settings allow attempts to be cancelled.
+func TestClientLeavesWhileItsConnectionComesUp(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		b := newBed(t, standin.Always(standin.Step{}))
+		p := b.planner(settings(cancel, dw.Safe))
+		ticket, err := p.Take(b.req(func(a core.Answer) { t.Errorf("an answer for nobody: %+v", a) }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-b.dialled
+		p.Leave(ticket)
+		asked := make(chan struct{})
+		p.Tallies(func(func(uint64) (float64, bool)) { close(asked) }) // and the planner has heard
+		<-asked
+		b.up <- struct{}{}
+		b.settled()
+		if n := len(b.node.Seen()); n != 0 {
+			t.Errorf("cancelling allowed: %v: %d commands were sent for a client that had gone", cancel, n)
+		}
+		b.given()
+	}
+}
+
+// settled waits until no fetch is out.
+func (b *bed) settled() {
+	b.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		n := len(b.fetches)
+		b.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			b.t.Fatalf("%d fetches do not end", n)
+		}
+	}
+}
+
+var _ core.Books = noRefs{}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -40,7 +40,7 @@
 	if t == nil || t.answered {
 		return
 	}
-	t.answered = true
+	p.settle(t)
 	t.post(p, as)
 	t.req.Answer(a)
 	p.drop(t)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,6 +108,8 @@
 	Start(f Fetch, began func(Stream), done func(FetchEnd))
 	// Cancel gives a fetch up, if it is still out.
 	Cancel(req dw.RequestID, attempt int)
+	// Retract ends a fetch of which nothing is written yet; with any other it does nothing.
+	Retract(req dw.RequestID, attempt int)
 	// Withdraw ends the fetches from a backend of which nothing is written yet: from now on nothing is begun there, until
 	// the next Start.
 	Withdraw(b Backend)
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -69,13 +69,22 @@
 
 func (m clientGone) handle(p *Planner) {
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
-		t.answered = true
+		p.settle(t)
 		t.post(p, ledger.PlanGone)
 		p.tell(dw.ClientGone{Request: t.id})
 		p.drop(t)
 	}
 }
 
+// settle marks that nothing is owed any more, and nothing more is sent. Danger: where the settings allow no cancelling, what
+// waits for a connection would be written for a client that has gone; unwritten, it can be taken back whatever they say.
+func (p *Planner) settle(t *taken) {
+	t.answered = true
+	for i := 0; t.out > 0 && i < t.attempts; i++ {
+		p.backends.Retract(t.id, i)
+	}
+}
+
 // post books an event of the planner's on a req.
 func (t *taken) post(p *Planner, e ledger.Event) {
 	p.books.Post(ledger.Posting{Event: e, Key: t.req.Row, Ref: t.req.Ref})
