Serve all that is accepted by the end, and take nothing that waited for a client that left

Read, then forced: (a) at SIGTERM a connection that waited for a place was closed over its command, and the loop ended over those in the machine's queue; (b) an error in taking one in (descriptors short) ended the last look at the queue, and closing the listener reset the others; (c) a command that waited in the buffer behind a pause (for commands that can't be used, for memory, for a full planner) was taken though its client had left meanwhile: the end stands behind what is unread.

Three tests on real connections, each seen red with its part taken out.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -53,7 +53,7 @@
 	defer stop()
 	defer s.all.Wait()
 	for {
-		conn, ok := front.Accept(ctx, s.Listener, s.Log, "an operator's call")
+		conn, ok := front.Accept(s.Listener, s.Log, "an operator's call")
 		if !ok {
 			return nil
 		}
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,12 +228,17 @@
 // queue is a listener whose first connection stands in the machine's queue until the listener is told to end.
 type queue struct {
 	*net.TCPListener
+	fault       error // of the first try to take it, if any
 	told, taken chan struct{}
 	once        sync.Once
 }
 
 func (q *queue) Accept() (net.Conn, error) {
 	<-q.told
+	if err := q.fault; err != nil {
+		q.fault = nil
+		return nil, err
+	}
 	c, err := q.TCPListener.Accept()
 	q.once.Do(func() { close(q.taken) })
 	return c, err
@@ -253,30 +259,117 @@
 	return err
 }
 
-// A connection that the machine has accepted before the end, with a command on it, is served.
-func TestConnectionInTheQueueAtTheEnd(t *testing.T) {
+// serving is a server at work, until stop.
+func serving(t *testing.T, f *Server) (stop func()) {
+	t.Helper()
+	f.Bounds, f.Log = NewBounds(64<<20), zap.NewNop()
+	f.Open = func() Commands { return echo{} }
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error, 1)
+	go func() { over <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-over; err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	return stop
+}
+
+func listener(t *testing.T) *net.TCPListener {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	q := &queue{TCPListener: l.(*net.TCPListener), told: make(chan struct{}), taken: make(chan struct{})}
-	f := &Server{Listener: q, Open: func() Commands { return echo{} }, Sessions: 4, Bounds: NewBounds(64 << 20), Log: zap.NewNop()}
-	ctx, stop := context.WithCancel(t.Context())
-	over := make(chan error, 1)
-	go func() { over <- f.Serve(ctx) }()
+	return l.(*net.TCPListener)
+}
+
+func client(t *testing.T, l net.Listener, command string) net.Conn {
+	t.Helper()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patience))
-	c.Write([]byte(ping))
-	stop()
+	c.Write([]byte(command))
+	return c
+}
+
+func served(t *testing.T, c net.Conn) {
+	t.Helper()
 	if line, err := bufio.NewReader(c).ReadString('\n'); line != "+OK\r\n" {
 		t.Errorf("%q, %v", line, err)
 	}
+}
+
+// A connection that the machine has accepted before the end, with a command on it, is served, also if taking it in fails at
+// first, as it does while descriptors are short.
+func TestConnectionInTheQueueAtTheEnd(t *testing.T) {
+	for name, fault := range map[string]error{"at once": nil, "descriptors are short": syscall.EMFILE} {
+		t.Run(name, func(t *testing.T) {
+			q := &queue{TCPListener: listener(t), fault: fault, told: make(chan struct{}), taken: make(chan struct{})}
+			stop := serving(t, &Server{Listener: q, Sessions: 4})
+			c := client(t, q, ping)
+			stop()
+			served(t, c)
+			c.Close()
+		})
+	}
+}
+
+// counting tells of each connection that it gives out.
+type counting struct {
+	*net.TCPListener
+	given chan struct{}
+}
+
+func (l *counting) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.given <- struct{}{}
+	}
+	return c, err
+}
+
+// A connection that waits for a place when the end comes is served without one.
+func TestNoPlaceAtTheEnd(t *testing.T) {
+	l := &counting{listener(t), make(chan struct{}, 8)}
+	stop := serving(t, &Server{Listener: l, Sessions: 1})
+	first := client(t, l, "*1\r\n$4\r\nWAIT\r\n") // is never answered, and keeps the place
+	<-l.given
+	second := client(t, l, ping)
+	<-l.given
+	stop()
+	served(t, second)
+	second.Close()
+	first.Close()
+}
+
+// refusing rejects the commands BAD, and counts the others.
+type refusing struct{ slow }
+
+func (c *refusing) Do(came time.Time, cmd resp.Command, s *Slot) {
+	if string(cmd[0]) == "BAD" {
+		s.Reject("bad")
+		return
+	}
+	c.slow.Do(came, cmd, s)
+}
+
+// A client leaves while a command of its waits behind a pause: it is not taken any more.
+func TestClientLeavesDuringAPause(t *testing.T) {
+	d := &refusing{slow{answer: make(chan struct{})}}
+	defer close(d.answer)
+	c, h, s := pair(t, d, true)
+	c.Write([]byte("*1\r\n$3\r\nBAD\r\n" + ping))
+	<-h.got
 	c.Close()
-	if err := <-over; err != nil && !errors.Is(err, net.ErrClosed) {
-		t.Error(err)
+	eventually(t, "the machine does not tell that the client has gone", func() bool { return hungUp(h) })
+	close(h.free)
+	eventually(t, "the session does not end", func() bool { return s.ctx.Err() != nil })
+	if n := d.taken.Load(); n != 0 {
+		t.Errorf("%d commands were taken for nobody", n)
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -41,27 +42,12 @@
 		go f.thin(ctx)
 	}
 	places := make(chan struct{}, f.Sessions)
-taking:
 	for {
-		conn, ok := Accept(ctx, f.Listener, f.Log, "a client session")
+		conn, ok := Accept(f.Listener, f.Log, "a client session")
 		if !ok {
-			break taking
-		}
-		select {
-		case places <- struct{}{}:
-		default: // it holds a descriptor of the reserve until there is a place for it
-			for waiting := true; waiting; {
-				f.makeRoom()
-				select {
-				case places <- struct{}{}:
-					waiting = false
-				case <-ctx.Done():
-					conn.Close()
-					break taking
-				case <-time.After(roomEvery):
-				}
-			}
+			break
 		}
+		placed := f.place(ctx, places)
 		s := newSession(conn, f.Open(), f.Bounds)
 		f.mu.Lock()
 		f.sessions[s] = struct{}{}
@@ -74,7 +60,9 @@
 			f.mu.Lock()
 			delete(f.sessions, s)
 			f.mu.Unlock()
-			<-places
+			if placed {
+				<-places
+			}
 		})
 	}
 	f.Listener.Close()
@@ -87,6 +75,26 @@
 	return nil
 }
 
+// place waits for a place for a new session, which holds a descriptor of the reserve meanwhile. False: the gateway ends, and
+// it is served without. Danger: its client has connected and may have sent its command; closing it would lose that.
+func (f *Server) place(ctx context.Context, places chan<- struct{}) bool {
+	for {
+		select {
+		case places <- struct{}{}:
+			return true
+		default:
+		}
+		f.makeRoom()
+		select {
+		case places <- struct{}{}:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-time.After(roomEvery):
+		}
+	}
+}
+
 // lastAccepts has a listener take in what the machine has accepted by now, for a moment. Danger: a client whose connection
 // stands in the queue has been served, as far as it can tell, and may have sent its command; closing the listener resets it.
 func lastAccepts(l net.Listener) {
@@ -95,15 +103,15 @@
 	}
 }
 
-// Accept takes the next connection; false once the listener is closed or the context has ended. Out of descriptors, or
-// a caller that left at once: neither ends the gateway, and the error is logged and waited out.
-func Accept(ctx context.Context, l net.Listener, log *zap.Logger, what string) (net.Conn, bool) {
+// Accept takes the next connection; false once the listener is closed or its time is up. Out of descriptors, or a caller that
+// left at once: neither ends the gateway, nor the last that it takes in, and the error is logged and waited out.
+func Accept(l net.Listener, log *zap.Logger, what string) (net.Conn, bool) {
 	for {
 		conn, err := l.Accept()
 		if err == nil {
 			return conn, true
 		}
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, false
 		}
 		log.Warn(what+" could not be taken in", zap.Error(err))
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -345,6 +345,9 @@
 			s.lost()
 			return
 		}
+		if time.Since(s.heard) > goneLook {
+			s.leaveIfGone() // it has waited behind others, or for a pause
+		}
 		slot := s.open(c)
 		if slot == nil {
 			return
