--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -230,7 +230,7 @@
 	*net.TCPListener
 	fault       error // of the first try to take it, if any
 	told, taken chan struct{}
-	once        sync.Once
+	tell, once  sync.Once
 }
 
 func (q *queue) Accept() (net.Conn, error) {
@@ -245,17 +245,15 @@
 }
 
 func (q *queue) SetDeadline(at time.Time) error {
-	close(q.told)
+	q.tell.Do(func() { close(q.told) })
 	<-q.taken
 	return q.TCPListener.SetDeadline(at)
 }
 
 func (q *queue) Close() error {
 	err := q.TCPListener.Close()
-	q.once.Do(func() { // it was never told
-		close(q.told)
-		close(q.taken)
-	})
+	q.tell.Do(func() { close(q.told) })
+	q.once.Do(func() { close(q.taken) })
 	return err
 }
 
