--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -23,7 +23,7 @@
 	idleShare  = 0.8 // of the time after which a backend closes an idle connection: none is used after that
 	readBuffer = 4 << 10
 	sweepEvery = time.Second            // connections that are idle for too long are closed so often
-	rest       = 5 * time.Millisecond   // before a connection is used again: what came behind its answer shows by then
+	rest       = 20 * time.Millisecond  // before a connection is used again: what comes behind an answer, some ms late, shows by then
 	wholeTime  = 250 * time.Millisecond // from the first byte of an answer to its last: a backend writes it at once
 )
 
@@ -48,6 +48,7 @@
 	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
 	Dispatched func(class string)
 
+	now  func() time.Time
 	dial func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
 
 	mu      sync.Mutex
@@ -107,7 +108,7 @@
 // New makes empty pools.
 func New(n Names, l Limits, b Books) *Pools {
 	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{},
-		dial: func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
+		now: time.Now, dial: func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
 			return (&net.Dialer{Timeout: l.Connect, Deadline: by, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 		}}
 }
@@ -433,7 +434,7 @@
 func (p *Pools) take(f *fetch) (*conn, error) {
 	l := f.pool
 	for {
-		now := time.Now()
+		now := p.now()
 		p.mu.Lock()
 		c := l.rested(now)
 		if c == nil {
@@ -500,7 +501,7 @@
 // put gives a connection back to its pool, if that still has a backend.
 func (p *Pools) put(c *conn) {
 	c.SetDeadline(time.Time{}) // of the fetch that is over
-	c.since = time.Now()
+	c.since = p.now()
 	p.mu.Lock()
 	kept := !c.pool.gone
 	if kept {
