Learn what a class takes, and how quick servers at ease are, from few samples

Ruled out: quota, ceiling, kept share (tags). Lines at fault: (a) New began the mean latency at 0.15 of the shortest aim (30 ms on lagos; 300 ms were true), so that a class's first samples passed for a multiple of the mean; (b) judge moved a class's size by 1/40 a sample from a guess of 1: one that is refused never shows what it is (1.2 to 1.8 learnt, 0.4 true); (c) idle was the least that the mean latency ever was: of few, scattered samples 33 ms where 200 ms were true, and a limit of a small multiple of that.

Now: begun by the classes' mean aim; a guess counts as 16 samples; idle falls within some samples. No constant is a site's.

What is served of the cheap class costs dear ones there; floors go first.

--- a/gateway.go
+++ b/gateway.go
@@ -36,7 +36,7 @@
 	retryBurst    = 10.0       // and this many at once
 	latencyWeight = 0.1        // of a new sample in a server's latency
 	maxWeight     = 0.4        // of one after a while in which there was none
-	startLatency  = 0.15       // of the shortest aim: a server's latency before it has answered
+	startLatency  = 0.15       // of the classes' mean aim: a server's latency before it has answered
 	sendSpan      = 5 * second // over which a gateway's own rate is measured
 	coldUse       = 0.5        // of what is sent and what asks for a server: a cold one's part, by its capacity
 	failures      = 3          // unanswered attempts show that a server hangs; it is avoided for so many turns
@@ -48,6 +48,7 @@
 	leastAperture = 6      // of servers
 	minPoints     = 1e-6   // a class that earns nothing still has a place in line
 	maxSize       = 4.0    // of the mean: more is a trouble of the server, not the class
+	sizeGuess     = 16.0   // samples: what a class is taken for until it has shown its size counts as so many
 	maxStray      = 2.0    // of the mean latency: more counts as this much, as it is one server's trouble
 	parallel      = 2.0    // attempts that a server is taken to run side by side
 	crossZone     = 0.1    // what a server of another zone must be better by
@@ -74,11 +75,11 @@
 	budget                    float64
 	latency                   float64 // smoothed, over all servers
 	measured                  Instant // when an answer last told a latency
-	idle                      float64 // the least latency of late: that of servers at ease
+	idle                      float64 // the latency of servers at ease: falls within some samples, rises slowly
 	sent, wanted, tried, good float64 // leaking: attempts, wishes for a server, to go on, attempts in time
 	leaked                    Instant
 	cut                       map[int]float64 // by zone: share of attempts there that speak against it, of late
-	sizes                     []float64       // by class: its latency against the mean of all
+	sizes, sized              []float64       // by class: its latency against the mean of all; samples of it
 	worth                     float64         // mean points of what arrives, for its work
 	minAim                    Span
 }
@@ -93,10 +94,10 @@
 		names: map[string]*customer{}, cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
 		worth: max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
-		g.sizes = append(g.sizes, 1)
+		g.sizes, g.sized = append(g.sizes, 1), append(g.sized, sizeGuess)
 		g.minAim = min(g.minAim, c.Aim)
+		g.latency += startLatency * seconds(c.Aim) / float64(len(s.Classes))
 	}
-	g.latency = startLatency * seconds(g.minAim)
 	g.idle = g.latency
 	return g, nil
 }
--- a/request.go
+++ b/request.go
@@ -42,8 +42,7 @@
 	wait, inside := g.quota(c, r.units, g.kept(r))
 	sure := !c.thin || plan.BeyondEarns > plan.OverrunCost || g.atEase(c) // what harms nobody takes no call
 	ask := inside && !sure && (c.calling || g.mayCall())
-	sure = sure || ask
-	if inside && !sure && !g.chance(c) {
+	if inside && !sure && !ask && !g.chance(c) {
 		inside = false
 		g.draw(c, r.units) // the count of a thin customer is of what was asked for
 	}
@@ -58,7 +57,7 @@
 	}
 	var s *server
 	if !take { // on units alone the servers do not bear
-		if s = g.fit(r, inside && sure); s == nil {
+		if s = g.fit(r, inside && (sure || ask)); s == nil {
 			return
 		}
 	}
@@ -142,12 +141,12 @@
 	if g.warmth(s) < 1 {
 		s.budget.level--
 	}
-	by := r.due
-	if a := r.live(); a != nil && again[r.class.Effect].inGroup { // its group may forget while a connection is awaited
+	by, left := r.due, Span(r.due-g.now)
+	if a := r.live(); a != nil && again[r.class.Effect].inGroup { // its group may forget meanwhile
 		by = min(by, a.at+Instant(r.class.DedupWindow))
 	}
 	r.attempts = append(r.attempts, attempt{server: s, at: g.now, beside: s.out - 1})
-	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: Span(r.due - g.now), Within: Span(by - g.now)})
+	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: left, Within: Span(by - g.now)})
 }
 
 // Rule 2 in one table: by outcome, whether an attempt may have run; by effect, what may follow if one may.
--- a/servers.go
+++ b/servers.go
@@ -95,7 +95,9 @@
 		s.waiting, s.answered = g.now, g.now
 		s.verdicts[r.kind] = verdict{answered: g.now}
 		g.cut[s.Zone] *= 1 - latencyWeight
-		g.sizes[r.kind] += latencyWeight / 4 * (min(sample/crowd(a.beside)/g.latency, maxSize) - g.sizes[r.kind])
+		size := min(sample/crowd(a.beside)/g.latency, maxSize)
+		g.sized[r.kind]++
+		g.sizes[r.kind] += max(latencyWeight/4, 1/g.sized[r.kind]) * (size - g.sizes[r.kind])
 	} else {
 		// Danger: silence is one server's trouble; as slowness of all a few dead servers would have all refused.
 		if g.suspect(r, a) && e.Outcome != OutcomeRejected {
@@ -110,7 +112,7 @@
 		told := (l.Inflight + l.Queue + 1) / (l.Rate + 1/g.latency)
 		s.latency += reportWeight * g.blind() * g.blind() * (told - s.latency)
 	}
-	g.idle = min(g.latency, g.idle*(1+1/idleSamples))
+	g.idle += min(g.idle/idleSamples, latencyWeight*(g.latency-g.idle)) // the least of few samples says little
 	g.measured, s.measured = g.now, g.now
 }
 
--- a/state.go
+++ b/state.go
@@ -111,6 +111,11 @@
 	g.measured = s.Measured
 	g.calls.Resume(s.CallRate, s.CallQuickest)
 	copy(g.sizes, s.Sizes)
+	for i, size := range g.sizes {
+		if size != 1 { // it has shown its size
+			g.sized[i] = 4 / latencyWeight
+		}
+	}
 	for zone, cut := range s.Cut {
 		g.cut[zone] = cut * trust
 	}
