--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -204,6 +204,16 @@
 		if !eventually(func() bool { return p.world.counter.Sum("") == want }) {
 			p.fail("the counter holds %v", p.world.counter.Sum(""))
 		}
+	case "away": // discovery refuses connections
+		p.world.discovery.Refuse()
+	case "known": // the list that the configuration holds, as id=phase words
+		p.world.override = append(p.world.override, fmt.Sprintf(`{"known":{"revision":40,"complete":true,"members":%s}}`, p.world.members(rest)))
+	case "torn": // the configuration is half written when the program is told to read it
+		text := p.world.config()
+		if err := os.WriteFile(p.prog.config, text[:len(text)/2], 0o600); err != nil {
+			p.fail("%v", err)
+		}
+		p.prog.cmd.Process.Signal(syscall.SIGHUP)
 	case "backends": // closed: connections are refused
 		p.world.backends.Refuse()
 	case "window":
