--- a/gateway.go
+++ b/gateway.go
@@ -75,7 +75,7 @@
 	budget                    float64
 	latency                   float64 // smoothed, over all servers
 	measured                  Instant // when an answer last told a latency
-	idle                      float64 // the latency of servers at ease: falls within some samples, rises slowly
+	idle                      float64 // the least latency of late: that of servers at ease
 	sent, wanted, tried, good float64 // leaking: attempts, wishes for a server, to go on, attempts in time
 	leaked                    Instant
 	cut                       map[int]float64 // by zone: share of attempts there that speak against it, of late
--- a/servers.go
+++ b/servers.go
@@ -112,7 +112,7 @@
 		told := (l.Inflight + l.Queue + 1) / (l.Rate + 1/g.latency)
 		s.latency += reportWeight * g.blind() * g.blind() * (told - s.latency)
 	}
-	g.idle += min(g.idle/idleSamples, latencyWeight*(g.latency-g.idle)) // the least of few samples says little
+	g.idle = min(g.latency, g.idle*(1+1/idleSamples))
 	g.measured, s.measured = g.now, g.now
 }
 
