--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -25,7 +25,8 @@
 	largeSize   = 2 << 10  // of a command; those that are larger share what memory there is for them
 	linger      = 300 * time.Millisecond
 	lingerBytes = 256 << 10               // that are read and passed over meanwhile
-	sendTime    = 5 * time.Second         // for one write; a client that takes nothing for so long has gone
+	sendTime    = 5 * time.Second         // a client that takes nothing for so long has gone
+	sendWaits   = 10                      // looks at whether it has taken something meanwhile
 	helloTime   = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
 	byteTime    = 2500 * time.Millisecond // between two bytes of a command: a client may spend 2 s on a head
 	commandTime = 10 * time.Second        // from a command's first byte to its last
@@ -601,12 +602,18 @@
 	}
 }
 
-// send writes b whole. A client may read slowly, but must take something every so often.
+// send writes b whole. A client may read slowly, but must take something every so often. Danger: a write that takes a little at
+// once and then waits for its whole time tells nothing of when; by one long wait a client that reads nothing was given two.
 func (s *session) send(b []byte) (n int, err error) {
-	for n < len(b) {
-		s.conn.SetWriteDeadline(time.Now().Add(sendTime))
+	for waits := 0; n < len(b); {
+		s.conn.SetWriteDeadline(time.Now().Add(sendTime / sendWaits))
 		m, err := s.conn.Write(b[n:])
-		if n += m; err != nil && (m == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+		if n += m; m > 0 {
+			waits = 0
+		} else {
+			waits++
+		}
+		if err != nil && (waits >= sendWaits || !errors.Is(err, os.ErrDeadlineExceeded)) {
 			return n, err
 		}
 	}
