Let nobody in by a link's listener that was shut while the way was silent

A connection accepted from the old listener just as it is shut, and looked at after the way was healed, passed for one that came since. What is left: one whose relay is not scheduled at all during the silence; not seen.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -171,7 +171,7 @@
 			return
 		}
 		l.mu.Lock()
-		filler := l.hung
+		filler := l.hung || l.l != t // who came by a listener that has been shut meanwhile came in the silence
 		for _, f := range l.fill {
 			filler = filler || f.LocalAddr().String() == c.RemoteAddr().String()
 		}
