Look for cold servers only where a fleet feeds them

At every list and retell the planner read the clock for each server listed, for a guess (fewWarm) that overlaid() uses only while a fleet feeds cold servers; the platform has none. The guard stands in cold() itself, for both callers. No behaviour changes.

--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -54,8 +54,11 @@
 	}
 }
 
-// cold tells whether fewer than half of the servers that are to be used are warm.
+// cold tells whether fewer than half of the servers that are to be used are warm. Only where a fleet feeds them does it matter.
 func (p *Planner) cold() bool {
+	if !p.fleet.Fed {
+		return false
+	}
 	warm, all := 0, 0
 	for _, e := range p.listed {
 		if e.State != dw.Ready || p.fleet.Zones[e.Zone].Avoid || p.excluded[e.ID] || p.fleet.Away[e.ID] {
