Say once what pages, drills and sessions said in several places

From a second reading; behaviour stays. The pages of the plan's sections have one handler, the commands that print them one reader, an operator's call in drills one poster (settle and talk had one each), and a session one word for owing nothing. The end of a JSON object is found by a function of its own, which takes the nesting out of splitMessage. Dropped: a deferred close of the listener that Serve closes on its only way out, and a leftover of a test.

--- a/cmd/dewhitch/fleet.go
+++ b/cmd/dewhitch/fleet.go
@@ -210,21 +210,26 @@
 	return text, err
 }
 
+// read reads a page of a member into v; or, raw, prints it as it came, and all is done.
+func (c *fleetCmd) read(page string, raw bool, v any) (done bool, err error) {
+	text, err := c.call(http.MethodGet, page, nil)
+	if err != nil {
+		return false, err
+	}
+	if raw {
+		_, err = os.Stdout.Write(text)
+		return true, err
+	}
+	return false, json.Unmarshal(text, v)
+}
+
 type fleetStatus struct {
 	JSON bool `help:"As JSON."`
 }
 
 func (s fleetStatus) Run() error {
-	text, err := cli.Members.call(http.MethodGet, "/fleet", nil)
-	if err != nil {
-		return err
-	}
-	if s.JSON {
-		_, err = os.Stdout.Write(text)
-		return err
-	}
 	var v agent.Status
-	if err := json.Unmarshal(text, &v); err != nil {
+	if done, err := cli.Members.read("/fleet", s.JSON, &v); done || err != nil {
 		return err
 	}
 	quorum := "fresh: a leader with a quorum said so within the lease"
@@ -291,16 +296,8 @@
 }
 
 func (z fleetZones) Run() error {
-	text, err := cli.Members.call(http.MethodGet, "/fleet/zones", nil)
-	if err != nil {
-		return err
-	}
-	if z.JSON {
-		_, err = os.Stdout.Write(text)
-		return err
-	}
 	v := zone.Verdicts{}
-	if err := json.Unmarshal(text, &v); err != nil {
+	if done, err := cli.Members.read("/fleet/zones", z.JSON, &v); done || err != nil {
 		return err
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
--- a/cmd/dewhitch/work.go
+++ b/cmd/dewhitch/work.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"net/http"
 	"net/url"
 	"os"
 	"slices"
@@ -61,12 +60,8 @@
 }
 
 func (p workPlan) Run() error {
-	text, err := cli.Members.call(http.MethodGet, "/fleet/servers", nil)
-	if err != nil {
-		return err
-	}
 	servers := map[string]work.Server{}
-	if err := json.Unmarshal(text, &servers); err != nil {
+	if _, err := cli.Members.read("/fleet/servers", false, &servers); err != nil {
 		return err
 	}
 	if len(p.Machines) == 0 {
@@ -124,16 +119,8 @@
 }
 
 func (l workList) Run() error {
-	text, err := cli.Members.call(http.MethodGet, "/fleet/work", nil)
-	if err != nil {
-		return err
-	}
-	if l.JSON {
-		_, err = os.Stdout.Write(text)
-		return err
-	}
 	var b work.Book
-	if err := json.Unmarshal(text, &b); err != nil {
+	if done, err := cli.Members.read("/fleet/work", l.JSON, &b); done || err != nil {
 		return err
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -93,5 +93,3 @@
 		}
 	}
 }
-
-var _ core.Books = noRefs{}
--- a/internal/director/split.go
+++ b/internal/director/split.go
@@ -18,11 +18,23 @@
 	if rest := bytes.TrimLeft(data, " \t\r\n"); len(rest) < len(data) {
 		return len(data) - len(rest), []byte{}, nil
 	}
-	end, depth, quoted := 0, 0, false
+	end := objectEnd(data)
 	if data[0] != '{' {
 		end = bytes.IndexByte(data, '\n') + 1
 	}
-	for i := 0; i < len(data) && end == 0 && data[0] == '{'; i++ {
+	switch {
+	case end > 0:
+		return end, data[:end], nil
+	case atEOF:
+		return 0, nil, errCut
+	}
+	return 0, nil, nil
+}
+
+// objectEnd is where the object ends that data begins with; 0: not yet.
+func objectEnd(data []byte) int {
+	depth, quoted := 0, false
+	for i := 0; i < len(data); i++ {
 		switch c := data[i]; {
 		case quoted && c == '\\':
 			i++
@@ -33,15 +45,9 @@
 			depth++
 		case c == '}' || c == ']':
 			if depth--; depth == 0 {
-				end = i + 1
+				return i + 1
 			}
 		}
 	}
-	switch {
-	case end > 0:
-		return end, data[:end], nil
-	case atEOF:
-		return 0, nil, errCut
-	}
-	return 0, nil, nil
+	return 0
 }
--- a/internal/drill/fleetlog.go
+++ b/internal/drill/fleetlog.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"net/url"
 	"slices"
 	"sort"
@@ -246,16 +244,13 @@
 		return
 	}
 	w.all.Go(func() {
-		c := http.Client{Timeout: 15 * time.Second}
 		began := time.Now()
-		answer, err := c.PostForm("http://"+g.show+"/fleet/"+verb, url.Values{"by": {"drill"}, "why": {why}})
+		text, _, err := g.post(verb, url.Values{"by": {"drill"}, "why": {why}}, 15*time.Second)
 		if err != nil {
 			w.say("%s: %s: %v", g.name, verb, err)
 			return
 		}
-		defer answer.Body.Close()
-		text, _ := io.ReadAll(io.LimitReader(answer.Body, 4096))
-		w.say("%s: %s: %s after %v", g.name, verb, strings.TrimSpace(string(text)), time.Since(began).Round(time.Millisecond))
+		w.say("%s: %s: %s after %v", g.name, verb, text, time.Since(began).Round(time.Millisecond))
 	})
 }
 
--- a/internal/drill/work.go
+++ b/internal/drill/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -192,20 +193,29 @@
 
 // talk makes an operator's call at a gateway.
 func (w *world) talk(g *gateway, verb string, form url.Values) error {
-	c := http.Client{Timeout: 10 * time.Second}
-	answer, err := c.PostForm("http://"+g.show+"/fleet/"+verb, form)
+	text, ok, err := g.post(verb, form, 10*time.Second)
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(answer.Body, 4096))
-	if answer.StatusCode != http.StatusOK {
-		w.say("%s: %s: %s", g.name, verb, strings.TrimSpace(string(text)))
-		return fmt.Errorf("%s", text)
+	if !ok {
+		w.say("%s: %s: %s", g.name, verb, text)
+		return errors.New(text)
 	}
 	return nil
 }
 
+// post makes an operator's call at a gateway: what it answers, and whether it did as it was told.
+func (g *gateway) post(verb string, form url.Values, patience time.Duration) (text string, ok bool, err error) {
+	c := http.Client{Timeout: patience}
+	answer, err := c.PostForm("http://"+g.show+"/fleet/"+verb, form)
+	if err != nil {
+		return "", false, err
+	}
+	defer answer.Body.Close()
+	b, _ := io.ReadAll(io.LimitReader(answer.Body, 4096))
+	return strings.TrimSpace(string(b)), answer.StatusCode == http.StatusOK, nil
+}
+
 const (
 	handCall = 300 * time.Millisecond // that a person takes for a call at one gateway
 	handWait = 2 * time.Second        // that one waits for what is open
--- a/internal/fleet/agent/show.go
+++ b/internal/fleet/agent/show.go
@@ -31,34 +31,28 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(s)
 	})
-	mux.HandleFunc("GET /fleet/zones", func(w http.ResponseWriter, _ *http.Request) {
-		v := zone.Verdicts{}
-		var broken error
-		err := a.call(func() {
-			p := a.node.Plan()
-			_, broken = p.Section(zone.Section, &v)
-		})
-		if err = errors.Join(err, broken); err != nil {
-			http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(v)
-	})
-	mux.HandleFunc("GET /fleet/work", func(w http.ResponseWriter, _ *http.Request) {
-		var b work.Book
-		var broken error
-		err := a.call(func() {
-			p := a.node.Plan()
-			b, broken = work.Read(&p)
+	settled := func(page string, read func(*fleet.Plan) (any, error)) {
+		mux.HandleFunc("GET /fleet/"+page, func(w http.ResponseWriter, _ *http.Request) {
+			var v any
+			var broken error
+			err := a.call(func() {
+				p := a.node.Plan()
+				v, broken = read(&p)
+			})
+			if err = errors.Join(err, broken); err != nil {
+				http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(v)
 		})
-		if err = errors.Join(err, broken); err != nil {
-			http.Error(w, "NO "+err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(b)
+	}
+	settled("zones", func(p *fleet.Plan) (any, error) {
+		v := zone.Verdicts{}
+		_, err := p.Section(zone.Section, &v)
+		return v, err
 	})
+	settled("work", func(p *fleet.Plan) (any, error) { return work.Read(p) })
 	mux.HandleFunc("GET /fleet/servers", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(a.machines())
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,7 +37,6 @@
 	f.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { lastAccepts(f.Listener) })
 	defer stop()
-	defer f.Listener.Close()
 	if f.Keep > 0 {
 		go f.thin(ctx)
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -302,8 +302,7 @@
 func (s *session) mayLeave(limit time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := time.Since(s.born)
-	idle := len(s.slots) == 0 && s.owed == 0 && len(s.out) == 0
+	age, idle := time.Since(s.born), s.owesNothing()
 	switch {
 	case s.over:
 		return true
@@ -712,9 +711,12 @@
 func (s *session) idle() (since time.Time, useful, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.busy, s.taken > s.bad, len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 && !s.last && s.asked == nobody
+	return s.busy, s.taken > s.bad, s.owesNothing() && !s.last && s.asked == nobody
 }
 
+// owesNothing tells that no answer waits, to be given or to be written; the lock is held.
+func (s *session) owesNothing() bool { return len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 }
+
 // resting tells the same of a session that waits for its client's next command: one that is in the midst of sending it, and
 // may be slow at that, is not resting. One that ends is of no more use.
 func (s *session) resting() (since time.Time, useful, resting bool) {
