Bring the pace of counter calls back quickly after an outage of the counter

The counter was away from second 6.5 to 13; the pace fell to its floor, 1.0 calls a second a gateway (9 before), and rose by a tenth with each answer: 1.4 at second 18, 2.7 at 22, 9.2 at 28. With a time-out of 50 ms the floor is low, and the four calls a time-out that one answer gives back are shared by 100. Ruled out: slow or missing answers after second 16 (0.00 to 0.03), the limits of fit for asked customers.

Now eight calls in a row without an answer are an outage, which says nothing against the pace that was borne before: good answers triple the pace up to that, and raise it by a tenth from there, as ever. Slow answers and fewer lost ones lower it as they did.

Measured, virtual service (TestCallersComeBackAfterAnOutage, red without it): 60 callers, time-out 0.1 s, 6 s away: 2,668 calls in 3 s from the third second on (2,682 before the outage, 233 without the change).

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -11,6 +11,9 @@
 	slow    = 0.25   // of the time-out: an answer slower than the quickest by more shows a line at the service
 	up      = 1.1    // what a good answer makes of the pace
 	down    = 0.85   // and a slow one, or none
+	again   = 3.0    // and a good one after an outage, up to the pace that was borne before
+	outage  = 8      // calls in a row without an answer: that is no line at the service any more, it is away
+	borne   = 0.2    // weight of a good answer's pace in what the service is known to bear
 	forget  = 1000.0 // answers, after which the quickest of them is forgotten
 )
 
@@ -18,6 +21,8 @@
 type Pacer struct {
 	timeout, callers float64
 	rate, quickest   float64 // calls a second; the quickest answer of late
+	bore             float64 // calls a second that were answered well; an outage says nothing against it
+	lost             int     // calls in a row that got no answer
 	stock            float64 // calls that may be made now
 	at               int64
 }
@@ -38,15 +43,27 @@
 func (p *Pacer) Called() { p.stock-- }
 
 // Answered learns from the end of a call. Danger: the way to the service alone may take long, and is no line at it;
-// so what counts is how much slower than the quickest an answer was.
+// so what counts is how much slower than the quickest an answer was. Danger: after an outage the pace is least, and so are
+// the answers that would raise it: by up alone it took longer to come back than the outage had lasted.
 func (p *Pacer) Answered(ok bool, latency float64) {
+	p.lost++
 	if ok {
 		p.quickest = min(p.quickest+p.quickest/forget, latency)
+		p.lost = 0
 	}
-	if !ok || latency > p.quickest+slow*p.timeout {
+	switch {
+	case !ok || latency > p.quickest+slow*p.timeout:
 		p.rate = max(down*p.rate, 1/(backoff*p.timeout))
-	} else if p.stock < 1 { // a pace that is not used up says nothing of what the service bears
-		p.rate = min(most/p.timeout, max(p.rate*up, back/p.timeout/p.callers))
+		if p.lost < outage {
+			p.bore *= down
+		}
+	case p.rate < p.bore:
+		p.rate = min(again*p.rate, p.bore)
+	default:
+		if p.stock < 1 { // a pace that is not used up says nothing of what the service bears
+			p.rate = min(most/p.timeout, max(p.rate*up, back/p.timeout/p.callers))
+		}
+		p.bore += borne * (p.rate - p.bore)
 	}
 }
 
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -5,9 +5,10 @@
 	"testing"
 )
 
-// play has callers that always want to call share a service of so many calls a second, and counts second by second.
-func play(callers int, capacity float64, seconds int) (calls, late []int) {
-	const timeout, step = 0.03, 0.001
+// play has callers that always want to call share a service of so many calls a second, and counts second by second. While
+// it is away, from one second to another, it answers nothing.
+func play(callers int, timeout, capacity float64, seconds int, away [2]int) (calls, late []int) {
+	const step = 0.001
 	rng := rand.New(rand.NewPCG(1, 2))
 	all := make([]*Pacer, callers)
 	for i := range all {
@@ -33,6 +34,9 @@
 			all[i].Called()
 			free = max(free, now) + 1/capacity
 			latency := free - now + 0.004
+			if int(now) >= away[0] && int(now) < away[1] {
+				free, latency = 0, 2*timeout
+			}
 			at := tick + 1 + int(min(latency, 3*timeout)/step)
 			due[at] = append(due[at], answer{all[i], latency})
 			if calls[int(now)]++; latency > timeout {
@@ -46,7 +50,7 @@
 // Callers that know nothing of each other find a pace that the service bears, few or many, and use what it has.
 func TestCallersShareAService(t *testing.T) {
 	for _, callers := range []int{3, 80} {
-		calls, late := play(callers, 400, 20)
+		calls, late := play(callers, 0.03, 400, 20, [2]int{})
 		all, slow := 0, 0
 		for i := 10; i < 20; i++ {
 			all, slow = all+calls[i], slow+late[i]
@@ -57,3 +61,25 @@
 		}
 	}
 }
+
+// Once a service that was away answers again, its callers soon use it as they did before, and no herd of them is late.
+func TestCallersComeBackAfterAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		callers           int
+		timeout, capacity float64
+	}{{3, 0.03, 400}, {80, 0.03, 400}, {100, 0.05, 600}, {60, 0.1, 1000}} {
+		for _, span := range []int{2, 6, 20} {
+			calls, late := play(c.callers, c.timeout, c.capacity, 40+span, [2]int{30, 30 + span})
+			before, after, slow := 0, 0, 0
+			for i := range 3 {
+				before += calls[27+i]
+				after, slow = after+calls[32+span+i], slow+late[32+span+i]
+			}
+			t.Logf("%v, away for %d s: %d calls in 3 s before, %d from the third second after, %d late; each second %v, late %v",
+				c, span, before, after, slow, calls[30+span:], late[30+span:])
+			if after < before*7/10 || slow > after/5 {
+				t.Errorf("%v, away for %d s: %d calls in 3 s, %d of them late, where there were %d before", c, span, after, slow, before)
+			}
+		}
+	}
+}
