Count in drills what is sent on after its client left while it waited

fleet(leave = ...) has a share of the clients go within their wanted time; the judge books who had nothing at a server then, how many were sent on, and how many 0.3 s after and more, which breaks the new rule `left`. Planted breaches are found, and only these.

--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,10 +28,11 @@
 	noWay   // no gateway took the connection
 	excused // not answered, at a gateway that the script hurt meanwhile
 	lost
+	left // its client went while it waited
 	outcomes
 )
 
-var outcomeNames = [outcomes]string{"served", "late", "refused", "failed", "no_way", "excused", "lost"}
+var outcomeNames = [outcomes]string{"served", "late", "refused", "failed", "no_way", "excused", "lost", "left"}
 
 // second adds up the reqs that were sent in one second.
 type second struct {
@@ -58,6 +61,7 @@
 	key     string
 	first   int
 	spread  int
+	leave   time.Duration // after which its client goes; zero: it stays
 }
 
 func (r *req) words() []string {
@@ -89,6 +93,9 @@
 		if r.class.Effect == "keyed" {
 			r.key = fmt.Sprintf("%016x", n+1)
 		}
+		if l.w.Leave > 0 && rng.Float64() < l.w.Leave {
+			r.leave = 1 + time.Duration(rng.Float64()*float64(r.class.Aim))
+		}
 		at := rng.IntN(r.spread)
 		l.all.Go(func() { l.play(r, at) })
 	}
@@ -172,13 +179,21 @@
 		}
 		return lost, false, answered
 	}
-	c.SetDeadline(sent.Add(r.class.Deadline + lateness))
+	until := r.class.Deadline + lateness
+	if r.leave > 0 {
+		until = r.leave
+	}
+	c.SetDeadline(sent.Add(until))
 	if c.Send(r.words()) != nil {
 		return gone(false)
 	}
 	v, err := c.Reply()
 	took := time.Since(sent)
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && r.leave > 0:
+		c.Close()
+		l.w.judge.leaves(r.id, time.Now())
+		return left, false, true
 	case err != nil && took >= r.class.Deadline:
 		return gone(true)
 	case err != nil:
--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -19,9 +19,11 @@
 	ruleCeiling = "ceiling" // beyond a plan's hard ceiling, over all gateways
 	rulePushed  = "pushed"  // a server pushed over
 	ruleFree    = "free"    // sent to a machine between its being free and its being given back
+	ruleLeft    = "left"    // sent on long after its client had gone while it waited
 	ruleEnded   = "ended"   // a process ended that nobody ended
 	slack       = 50 * time.Millisecond
 	ceilingLate = 150 * time.Millisecond // the ceiling's rate gives as much more
+	leftLate    = 300 * time.Millisecond // after its client has gone, nothing that waited is sent on
 )
 
 // class of reqs, with what a rule needs of it.
@@ -67,7 +69,9 @@
 	mu       sync.Mutex
 	classes  map[string]class
 	reqs     map[string]*history
-	keys     map[string]*arrival // the first that may have run under a key
+	keys     map[string]*arrival  // the first that may have run under a key
+	gone     map[string]time.Time // reqs that waited for their first fetch when their clients left
+	left     Left
 	drains   map[string]time.Time
 	free     map[string]time.Time // machines that somebody works on, since they were told that they may
 	checks   []check
@@ -92,10 +96,17 @@
 	at    time.Time
 }
 
+// Left is what became of reqs whose clients left before any fetch of theirs had come to a server.
+type Left struct {
+	Waiting int `json:"waiting"`
+	Sent    int `json:"sent_on"`
+	Late    int `json:"sent_on_late"` // 0.3 s after, and more
+}
+
 const mostBreaches = 50
 
 func newJudge(classes []class, plans []standin.Plan) *judge {
-	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
+	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{}, gone: map[string]time.Time{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
 		ceilings: map[string]*bucket{}, plans: map[string]standin.Plan{}, counts: map[string]int{},
 		sends: map[string][]time.Time{}, by: map[[2]string][]time.Time{}}
 	for _, c := range classes {
@@ -143,6 +154,13 @@
 		h = &history{class: c.Class}
 		j.reqs[c.ID] = h
 		j.ceiling(c, a.at)
+		if at, gone := j.gone[c.ID]; gone {
+			j.left.Sent++
+			if late := a.at.Sub(at); late > leftLate+slack {
+				j.left.Late++
+				j.fault(a.at, ruleLeft, c.ID, "sent on %v after its client had left", late)
+			}
+		}
 	}
 	j.sends[a.server] = append(j.sends[a.server], a.at)
 	way := [2]string{a.gateway, a.server}
@@ -171,6 +189,23 @@
 	}
 }
 
+// leaves books that the client of a req has left without an answer.
+func (j *judge) leaves(id string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.reqs[id] == nil {
+		j.gone[id] = at
+		j.left.Waiting++
+	}
+}
+
+// leavers is what became of those who left while they waited.
+func (j *judge) leavers() Left {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.left
+}
+
 // worked books that somebody was told that a server is free, or gives it back.
 func (j *judge) worked(server string, at time.Time, on bool) { j.mark(j.free, server, at, on) }
 
--- a/internal/drill/rules_test.go
+++ b/internal/drill/rules_test.go
@@ -69,6 +69,38 @@
 	}
 }
 
+// A req that is sent on long after its client left while it waited is found, and nothing else is.
+func TestPlantedLeavers(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		left, sent int // ms; sent below 0: never
+		want       Left
+		late       int
+	}{
+		{"left behind a first fetch", 100, 50, Left{}, 0},
+		{"never sent on", 100, -1, Left{Waiting: 1}, 0},
+		{"sent on at once", 100, 150, Left{Waiting: 1, Sent: 1}, 0},
+		{"sent on late", 100, 500, Left{Waiting: 1, Sent: 1, Late: 1}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := newJudge(classesOf("mixed"), nil)
+			arrive := func() {
+				j.arrived(&standin.Command{ID: "r", Class: "space-query"}, &arrival{at: at(c.sent), link: leaves{}})
+			}
+			if c.sent >= 0 && c.sent < c.left {
+				arrive()
+			}
+			j.leaves("r", at(c.left))
+			if c.sent >= c.left {
+				arrive()
+			}
+			if counts, _ := j.broken(); j.leavers() != c.want || counts[ruleLeft] != c.late || len(counts) != c.late {
+				t.Errorf("found %+v, %v", j.leavers(), counts)
+			}
+		})
+	}
+}
+
 func TestPlantedCeiling(t *testing.T) {
 	play := func(every time.Duration) int {
 		j := newJudge(nil, []standin.Plan{{Name: "fleet", CapRate: 10, HardBurst: 5, Tolerance: 1}})
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -34,6 +34,7 @@
 	Ends        map[string]int   `json:"ends"`
 	Lost        int              `json:"lost"`
 	Rules       map[string]int   `json:"rules"` // breaches by name
+	Left        Left             `json:"left"`
 	CPU         float64          `json:"cpu_us_per_req"`
 	FleetBytes  float64          `json:"fleet_bytes_per_s"` // a gateway, between gateways
 	Fleet       *FleetResult     `json:"fleet,omitempty"`
@@ -232,6 +233,7 @@
 		cpu += g.cpu
 	}
 	r.CPU = cpu.Seconds() * 1e6 / float64(max(1, r.Reqs))
+	r.Left = w.judge.leavers()
 	var breaches []breach
 	r.Rules, breaches = w.judge.broken()
 	if r.Lost > 0 {
--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -64,6 +64,27 @@
 	}
 }
 
+// Clients leave while their reqs wait for connections that come up late or never, and for a counter that is away: what
+// waited is not sent on once they are gone.
+func TestLeavers(t *testing.T) {
+	t.Parallel()
+	slot(t)
+	r, err := play(t, `fleet(zones = ["a", "b"], gateways = 2, servers = 2, load = 0.5, length = 9, leave = 0.6)
+at(1, delay(gateways(), servers("a"), ms = 300, jitter = 100))
+at(3, cut(gateways(), servers("b")))
+at(3, cut(gateways(), counter()))
+at(6, heal())
+expect(lost = 0)
+`, 7)
+	if err != nil {
+		t.Fatal(err, r.Breaches, r.Fallen)
+	}
+	t.Logf("%+v", r.Left)
+	if r.Left.Waiting < 5 || r.Left.Late > 0 {
+		t.Errorf("of those that left while they waited: %+v", r.Left)
+	}
+}
+
 // What a drill is for: a process that ends of itself, and an expectation that is not met, are found.
 func TestDrillFalls(t *testing.T) {
 	t.Parallel()
--- a/internal/drill/scenario.go
+++ b/internal/drill/scenario.go
@@ -39,6 +39,7 @@
 	Load        float64 // of what all servers can do
 	Rate        float64 // reqs a second; 0: by Load
 	Length      time.Duration
+	Leave       float64 // the share of reqs whose client goes, after up to its wanted time, if it has no answer by then
 	Coordinated bool
 	Class       string            // mixed, safe, keyed or unsafe
 	Regions     map[string]string // by zone
@@ -283,12 +284,12 @@
 	}
 	b.fleet = true
 	zones := starlark.NewList([]starlark.Value{starlark.String("a"), starlark.String("b"), starlark.String("c")})
-	gateways, servers, hauliers, load, length, rate := 2, 4, 40, number(0.6), number(60), number(0)
+	gateways, servers, hauliers, load, length, rate, leave := 2, 4, 40, number(0.6), number(60), number(0), number(0)
 	regions := starlark.NewDict(0)
 	s.Coordinated = true
 	if err := c.unpack("zones?", &zones, "gateways?", &gateways, "servers?", &servers, "hauliers?", &hauliers, "Load?", &load,
 		"length?", &length, "coordinated?", &s.Coordinated, "rate?", &rate, "cls?", &s.Class,
-		"found?", &s.Found, "regions?", &regions); err != nil {
+		"found?", &s.Found, "regions?", &regions, "leave?", &leave); err != nil {
 		return nil, err
 	}
 	if b.size.Gateways > 0 {
@@ -305,13 +306,14 @@
 		return nil, fmt.Errorf("zones: none; expected one at least")
 	}
 	s.Gateways, s.Servers, s.Hauliers, s.Load, s.Rate, s.Length = gateways, servers, hauliers, float64(load), float64(rate), seconds(length)
+	s.Leave = float64(leave)
 	for _, v := range []struct {
 		what        string
 		v           float64
 		least, most float64
 	}{{"gateways", float64(gateways), 1, float64(mostProcs / len(s.Zones))},
 		{"servers", float64(servers), 1, float64(mostServers / len(s.Zones))},
-		{"hauliers", float64(hauliers), 1, mostHauliers}, {"load", s.Load, 0.01, 1.5}, {"rate", s.Rate, 0, mostLoad},
+		{"hauliers", float64(hauliers), 1, mostHauliers}, {"load", s.Load, 0.01, 1.5}, {"rate", s.Rate, 0, mostLoad}, {"leave", s.Leave, 0, 1},
 		{"length", s.Length.Seconds(), 1, mostLength.Seconds()}} {
 		if err := within(v.what, v.v, v.least, v.most); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/drill/scenarios/leavers.star
@@ -0,0 +1,13 @@
+# Clients go while they wait: for a connection that comes up late or never, for the counter, behind servers that hang.
+fleet(zones = ["a", "b", "c"], gateways = 2, servers = 4, hauliers = 40, load = 0.6, length = 30, leave = 0.5)
+at(3, delay(gateways(), servers("b"), ms = 250, jitter = 100))
+at(6, cut(gateways(), servers("c")))
+at(10, delay(gateways(), counter(), ms = 200, jitter = 100))
+at(14, heal())
+at(15, silent(servers("a")))
+at(19, well(servers("a")))
+at(20, cut(gateway("a", 1), servers("b"), how = "refused"))
+at(20, cut(gateways(), counter()))
+at(24, heal())
+at(25, term(gateway("c", 2), back = 1))
+expect(lost = 0)
