--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -175,6 +175,12 @@
 			if line, err := r.ReadString('\n'); line != "+OK\r\n" {
 				t.Fatalf("%q, %v", line, err)
 			}
+			// Before that it is busy with the first, and one that is asked to make room then goes on.
+			eventually(t, "the half command is not being read", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.taken == 1 && !s.until.IsZero()
+			})
 			ask(s)
 			if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
 				t.Errorf("%q, %v", rest, err)
