Reckon a cold server's answers as of a warm one, and do not take its slowness for pressure

Lines at fault: judge() learnt a cold server's long answers as they were, and expect() divides by its warmth once more; and pick() held a cold server that is idle against a limit made for queues.

Now a cold server's answers count as of a warm one; and as far as a gateway sees its servers (1 - blind), a cold one's slowness counts against half of what is left of the aim, not against the limit.

--- a/counting.go
+++ b/counting.go
@@ -107,8 +107,7 @@
 	name := strconv.FormatUint(uint64(c.id), 36) + "." + strconv.FormatInt(c.turn, 36)
 	c.adding, c.tally, c.calling, c.wants = c.tally, 0, true, false
 	c.asking, c.asks = c.asks, nil
-	c.lastPush = g.now
-	c.period = g.now + Instant(c.window)/pushesAWindow
+	c.lastPush, c.period = g.now, g.now+Instant(c.window)/pushesAWindow
 	g.names[name] = c
 	g.calls.Called()
 	g.acts = append(g.acts, Count{Name: name, Customer: c.id, Add: c.adding, TTL: min(maxWindow, 2*c.window)})
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -307,3 +307,59 @@
 		t.Errorf("%d attempts to cold servers in 6 s, %d to one in 2 s, where %.0f push it over", all, most, limit)
 	}
 }
+
+// Six in nine servers are replaced by cold ones, which warm up from a fifth of what they can do. Two gateways that see them
+// all the time must use what they can do: a cold one that is idle is slow, and not pressed. Its answers, long as it is cold,
+// say nothing against what it will be once it is warm.
+func TestColdServersAreUsedByThoseWhoSeeThem(t *testing.T) {
+	s := vast()
+	s.Instances, s.Plans[0] = 2, dw.Plan{Price: 1}
+	s.Classes[0].Aim = sec
+	f := newFleet(t, s, 9)
+	for _, m := range f.servers {
+		m.work = 100 * ms
+	}
+	asked := 0
+	for gate := range f.gates {
+		var next func()
+		next = func() {
+			asked++
+			f.ask(gate, dw.Arrival{Remaining: 4 * sec, Spread: 1})
+			f.after(dw.Span(f.rng.ExpFloat64()*float64(sec/65)), next)
+		}
+		f.after(0, next)
+	}
+	f.run(10 * sec)
+	var news []dw.ServerEntry
+	for i := range 6 {
+		news = append(news, dw.ServerEntry{ID: dw.ServerID(i * 7919), State: dw.Gone})
+		m := f.add(dw.ServerEntry{ID: dw.ServerID(1e6 + i), Since: f.now}, 0)
+		var warm func()
+		warm = func() {
+			part := min(1, s.StartCapacity+(1-s.StartCapacity)*float64(f.now-m.Since)/float64(s.ColdSpan))
+			m.work = dw.Span(float64(100*ms) / part)
+			f.after(sec/4, warm)
+		}
+		warm()
+		news = append(news, m.ServerEntry)
+	}
+	for gate := range f.gates {
+		f.do(gate, dw.ServerList{Kind: dw.ListDelta, Servers: news})
+	}
+	for _, m := range f.servers {
+		m.begun = 0
+	}
+	asked = 0
+	f.run(s.ColdSpan)
+	begun, cold := 0, 0
+	for id, m := range f.servers {
+		if begun += m.begun; id >= 1e6 {
+			cold += m.begun
+		}
+	}
+	share, use := float64(begun)/float64(asked), float64(cold)/(6*3*0.6*float64(s.ColdSpan)/float64(sec)/0.1)
+	t.Logf("%d asked, %.3f of them sent; the cold ones were sent %.2f of what they can do", asked, share, use)
+	if share < 0.9 {
+		t.Errorf("of %d requests %.3f were sent", asked, share)
+	}
+}
--- a/quota.go
+++ b/quota.go
@@ -81,8 +81,7 @@
 
 // advance brings the account to the present: the store fills at the rate, less what others are taken to use.
 func (g *Gateway) advance(c *customer) {
-	dt := seconds(g.now - c.at)
-	o := g.othersRate(c)
+	dt, o := seconds(g.now-c.at), g.othersRate(c)
 	gain := c.plan.Rate * dt
 	loss := min(o*dt, max(0, c.level)+gain) // an empty store gives nothing, whoever asks
 	c.level = min(c.plan.Burst, c.level+gain-loss)
--- a/servers.go
+++ b/servers.go
@@ -13,7 +13,7 @@
 	ServerEntry
 	out               int     // attempts out from this gateway
 	waiting, answered Instant // since when something is out with no answer; the last answer, of any class
-	latency           float64 // smoothed
+	latency           float64 // smoothed, as of a warm one
 	measured          Instant // when an answer last told it
 	verdicts          []verdict
 	budget            bucket // of a cold server
@@ -107,7 +107,7 @@
 	}
 	sample /= crowd(a.beside)
 	g.latency += g.weight(g.measured, latencyWeight/4) * (min(sample, maxStray*g.latency) - g.latency)
-	s.latency += g.weight(s.measured, latencyWeight) * (sample/g.sizes[r.kind] - s.latency)
+	s.latency += g.weight(s.measured, latencyWeight) * (sample*g.warmth(s)/g.sizes[r.kind] - s.latency)
 	if l := e.Load; l.Has&HasInflight != 0 && l.Has&HasRate != 0 { // Little's law, with one more of the mean
 		told := (l.Inflight + l.Queue + 1) / (l.Rate + 1/g.latency)
 		s.latency += reportWeight * g.blind() * g.blind() * (told - s.latency)
@@ -170,9 +170,8 @@
 
 // isOut tells that evidence speaks against s.
 func (g *Gateway) isOut(s *server, r *request) bool {
-	for k, v := range s.verdicts { // one class's failures speak for all until the server answers another
-		speaks := v.failed > 0 && (k == r.kind || s.answered <= v.at)
-		if speaks && (g.now < v.ejected || s.out > 0) { // then one request at a time, until one is answered
+	for k, v := range s.verdicts { // one class's speak for all until another is answered; then one at a time
+		if v.failed > 0 && (k == r.kind || s.answered <= v.at) && (g.now < v.ejected || s.out > 0) {
 			return true
 		}
 	}
@@ -231,6 +230,9 @@
 		if cost /= 1 - g.cut[s.Zone]; s.Zone != g.set.Zone {
 			cost *= 1 + crossZone
 		}
+		if expect < hedgeAt*seconds(r.aim-g.now) { // a cold one's slowness is no pressure, for who sees it
+			expect *= math.Pow(g.warmth(s), 1-blind)
+		}
 		late, was := expect > limit, soonest > limit
 		if best == nil || late == was && cost < least || was && !late {
 			best, least, soonest = s, cost, expect
