--- a/cmd/dewhitch/fleet_test.go
+++ b/cmd/dewhitch/fleet_test.go
@@ -19,10 +19,10 @@
 	backends, err := standin.NewBackends(1, false, standin.Always(standin.Step{}))
 	kept(t, backends, err)
 	counter := newCounter(t)
-	director := newDirector(t, standin.Members(standin.Member("s-00000001", backends.Nodes[0].Addr(), "up")), 1)
+	discovery := newDiscovery(t, standin.Members(standin.Member("s-00000001", backends.Nodes[0].Addr(), "up")), 1)
 	p = &standin.Process{Name: "n0", Dir: t.TempDir(), Listen: standin.OwnAddr(), Path: program}
 	show = standin.OwnAddr()
-	config, err := standin.Config{Name: "n0", Listen: p.Listen, Director: director.Addr(), Counter: counter.Addr(), Instances: 1,
+	config, err := standin.Config{Name: "n0", Listen: p.Listen, Discovery: discovery.Addr(), Counter: counter.Addr(), Instances: 1,
 		Zones: []string{"hall-a", "hall-b"}, Plans: []standin.Plan{{Name: "basic", QuotaRate: 10, Depth: 10, Pays: 1}},
 		Classes: []standin.Class{{Name: "space-query", Effect: "safe", Aim: time.Second, Deadline: 2 * time.Second, Points: 1}}}.JSON()
 	if err != nil {
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -16,7 +16,7 @@
 	"dewhitch/internal/config"
 	"dewhitch/internal/core"
 	"dewhitch/internal/counter"
-	"dewhitch/internal/director"
+	"dewhitch/internal/discovery"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
@@ -33,7 +33,7 @@
 	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
 	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
 	keepPart    = 6                      // of the descriptors: clients hold a third at most, and half of that may be idle
-	listWait    = time.Second            // at the start, for the director's first list
+	listWait    = time.Second            // at the start, for discovery's first list
 	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
 	planWait    = 10 * time.Second       // at the start, for the fleet's plan
 	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
@@ -59,10 +59,10 @@
 	pools           *backend.Pools
 	count           *counter.Client
 	planner         *core.Planner
-	decoder         *director.Decoder
+	decoder         *discovery.Decoder
 	known           core.Listing
-	list            *director.Director
-	patience        time.Duration // for the director's first list
+	list            *discovery.Client
+	patience        time.Duration // for discovery's first list
 
 	// The fleet.
 	fleet *agent.Agent    // nil: none
@@ -105,10 +105,10 @@
 	return err
 }
 
-// openOutward opens the planner and what it calls: pools, counter and director.
+// openOutward opens the planner and what it calls: pools, counter and discovery.
 func (g *gateway) openOutward() (err error) {
 	n, books := g.n, g.keep.books
-	sockets := n.Sockets - spare - counter.Sockets - director.Sockets
+	sockets := n.Sockets - spare - counter.Sockets - discovery.Sockets
 	g.fetches = int(fetchShare * float64(sockets))
 	g.places = sockets - g.fetches
 	connect := time.Duration(n.Settings.ConnectTimeout)
@@ -123,11 +123,11 @@
 	if g.keep.desk != nil {
 		g.keep.desk.Tallies(g.planner.Tallies)
 	}
-	g.decoder = director.NewDecoder(director.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds})
+	g.decoder = discovery.NewDecoder(discovery.Names{Zones: n.Words.Zones, Kinds: n.Words.Kinds})
 	if g.known, err = g.decoder.Known(n.Known); err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	g.list, g.patience = director.New(n.Discovery, g.decoder, g.planner.Listed, n.Seed, g.log), listWait
+	g.list, g.patience = discovery.New(n.Discovery, g.decoder, g.planner.Listed, n.Seed, g.log), listWait
 	if n.Settings.ListOnRequest {
 		known := len(g.known.List.Servers) > 0
 		g.list.Shared(known, g.known.List.Version, n.Settings.Instances)
@@ -262,7 +262,7 @@
 // serve takes client sessions until the context ends, and returns with the last of them.
 func (g *gateway) serve(ctx context.Context) error {
 	// The list that the configuration holds may be old or empty, and a client that is answered counts on the
-	// gateway: it waits for the director's, but not for long, as the director may be away.
+	// gateway: it waits for discovery's, but not for long, as discovery may be away.
 	select {
 	case <-g.list.First:
 	case <-ctx.Done():
@@ -292,7 +292,7 @@
 }
 
 // reload reads the configuration anew at each signal. All of it is checked before any of it is applied: with a fault
-// in it, the old one stays. The director's and the counter's addresses are what can change while the program runs.
+// in it, the old one stays. Discovery's and the counter's addresses are what can change while the program runs.
 func (g *gateway) reload(ctx context.Context, again <-chan os.Signal) {
 	for {
 		select {
--- a/cmd/dewhitch/operate.go
+++ b/cmd/dewhitch/operate.go
@@ -13,7 +13,7 @@
 	"dewhitch/internal/admin"
 	"dewhitch/internal/config"
 	"dewhitch/internal/core"
-	"dewhitch/internal/director"
+	"dewhitch/internal/discovery"
 	"dewhitch/internal/front"
 	"dewhitch/internal/handover"
 	"dewhitch/internal/ops"
@@ -24,7 +24,7 @@
 	state   *ops.State
 	figures *ops.Figures
 	planner *core.Planner
-	decoder *director.Decoder
+	decoder *discovery.Decoder
 	log     *zap.Logger
 }
 
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -191,7 +191,7 @@
 		}
 	case "moves": // to a past of its own, and an older one: discovery and the counter are at other addresses, and the list there has these members
 		old := *p.world
-		p.world.counter, p.world.discovery = newCounter(p.t), newDirector(p.t, p.world.members(rest), 7)
+		p.world.counter, p.world.discovery = newCounter(p.t), newDiscovery(p.t, p.world.members(rest), 7)
 		p.happen("anew", "{}")
 		old.counter.Refuse()
 		old.discovery.Refuse()
@@ -341,7 +341,7 @@
 	self           int
 	backends       *byHand
 	counter        *standin.Counter
-	discovery      *standin.Director
+	discovery      *standin.Discovery
 	registry       string // address of a ZooKeeper stand-in, or empty
 	operator       string // address of the operators' listener, or empty
 	operations     string // more of the operators' file
@@ -349,7 +349,7 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, listen: standin.OwnAddr(), limits: standin.OwnAddr(), backends: newByHand(t), counter: newCounter(t)}
-	w.discovery = newDirector(t, w.members("s-00000001=up"), 41)
+	w.discovery = newDiscovery(t, w.members("s-00000001=up"), 41)
 	return w
 }
 
--- a/cmd/dewhitch/standins_test.go
+++ b/cmd/dewhitch/standins_test.go
@@ -60,8 +60,8 @@
 	return kept(t, c, err)
 }
 
-func newDirector(t *testing.T, members string, revision int) *standin.Director {
-	d, err := standin.NewDirector(members, revision)
+func newDiscovery(t *testing.T, members string, revision int) *standin.Discovery {
+	d, err := standin.NewDiscovery(members, revision)
 	return kept(t, d, err)
 }
 
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -77,7 +77,7 @@
 	JSON          string `help:"Where to write what it came to; - for standard output."`
 	HTML          string `help:"Where to write a page with plots."`
 	Uncoordinated bool   `help:"Play it without the fleet view."`
-	Told          bool   `help:"Play it without the fleet view, with directors that tell of servers' troubles as they begin and end: the most that can be had."`
+	Told          bool   `help:"Play it without the fleet view, with discovery services that tell of servers' troubles as they begin and end: the most that can be had."`
 	Gateways      int    `help:"In each zone, in place of what the scenario says."`
 	Quiet         bool   `help:"Print no line a second."`
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,7 +67,7 @@
 }
 
 // ReloadNode reads the same anew, all of it. It guards against a change that goes unheard: the environment keeps the
-// director's address of the start, and the file's, which is newer, must not lose to it.
+// discovery's address of the start, and the file's, which is newer, must not lose to it.
 func ReloadNode(getenv func(string) string) (*Node, error) {
 	return loadNode(getenv, true)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,7 +77,7 @@
 	Units      float64       // of an adjustment that was served: those booked
 }
 
-// Backend is a server as the director's list has it.
+// Backend is a server as discovery's list has it.
 type Backend struct {
 	ID   dw.ServerID
 	Addr string
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -189,7 +189,7 @@
 			heap.Push(&p.timers, a)
 		case dw.Count:
 			p.count(now, a)
-		case dw.Subscribe: // the director is subscribed at all times
+		case dw.Subscribe: // discovery is subscribed at all times
 		default:
 			p.log.Error("no such action on this platform", zap.String("action", fmt.Sprintf("%T", a)))
 		}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -7,13 +7,13 @@
 	dw "dewhitch"
 )
 
-// Listing is news of the director's list, with the addresses of the backends named in it.
+// Listing is news of discovery's list, with the addresses of the backends named in it.
 type Listing struct {
 	List  dw.ServerList
 	Addrs []string // in the order of List.Servers
 }
 
-// Listed passes on what the director told, in the order told.
+// Listed passes on what discovery told, in the order told.
 func (p *Planner) Listed(l Listing) error { return p.post(l) }
 
 func (l Listing) handle(p *Planner) {
--- a/internal/director/director.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bufio"
@@ -22,21 +22,21 @@
 const (
 	path        = "/api/targets"
 	silence     = 3 * time.Second // a watch writes at least an empty line every 2 s, or has broken without a word
-	olderTime   = 2 * time.Second // a director that has only older lists for so long began anew: theirs is the list now
+	olderTime   = 2 * time.Second // discovery that has only older lists for so long began anew: theirs is the list now
 	answerTime  = time.Second     // the agent answers at once, unless it is cut off or has nothing to say
 	lineTime    = 6 * time.Second // but a service that many ask has a line, and serves those too who have left it
 	dialTime    = time.Second
 	backoffFrom = 100 * time.Millisecond
 	backoffTo   = 500 * time.Millisecond // news must not wait: drains count as told, heard or not
-	askEvery    = 50 * time.Millisecond  // for each gateway: a director that all ask bears so much at a start
+	askEvery    = 50 * time.Millisecond  // for each gateway: discovery that all ask bears so much at a start
 	messageSize = 256 << 10              // of one message of a watch
 )
 
-// Sockets is how many descriptors a director holds at most.
+// Sockets is how many descriptors a client holds at most.
 const Sockets = 1
 
-// Director keeps a planner told of the list: first all of it, then each change as it comes.
-type Director struct {
+// Client keeps a planner told of the list: first all of it, then each change as it comes.
+type Client struct {
 	First    chan struct{} // closed when a whole list has been read
 	decoder  *Decoder
 	listed   func(core.Listing) error
@@ -57,21 +57,21 @@
 	moved chan struct{} // closed by Move
 }
 
-// New makes a director; listed is called for each message, in order. The seed scatters when it asks again.
-func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Director {
-	return &Director{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log, patience: answerTime,
+// New makes a client; listed is called for each message, in order. The seed scatters when it asks again.
+func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Client {
+	return &Client{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log, patience: answerTime,
 		silence: silence, now: time.Now, moved: make(chan struct{}), again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo,
 			Rand: rand.New(rand.NewPCG(seed, 2))}}
 }
 
-// Shared says that one director serves all of so many gateways, each of which asks it on its own, and whether the planner
+// Shared says that one discovery service serves all of so many gateways, each of which asks it on its own, and whether the planner
 // holds a list, of that revision. It is to be called before Run.
 //
-// Danger: gateways that start together all ask at once, and a director that bears each of them serves none. So the first
+// Danger: gateways that start together all ask at once, and discovery that bears each of them serves none. So the first
 // question is scattered over a span, it is for what changed since and not for all of the list if there is one, and a
-// director that says it is busy is left alone for the longer the more gateways there are. It has a line: whoever leaves
+// discovery that says it is busy is left alone for the longer the more gateways there are. It has a line: whoever leaves
 // that early, with a list or without, is never served.
-func (d *Director) Shared(have bool, revision int64, gateways int) {
+func (d *Client) Shared(have bool, revision int64, gateways int) {
 	span := time.Duration(gateways) * askEvery
 	d.have, d.revision, d.patience = have, revision, lineTime
 	d.scatter = time.Duration(d.again.Rand.Int64N(int64(span)))
@@ -79,7 +79,7 @@
 }
 
 // Move has the list read at another address from now on, all of it: what the old one had is a past of its own.
-func (d *Director) Move(addr string) {
+func (d *Client) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.addr = addr
@@ -88,14 +88,14 @@
 }
 
 // place is where to read the list, and tells when that changes.
-func (d *Director) place() (addr string, moved <-chan struct{}) {
+func (d *Client) place() (addr string, moved <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.addr, d.moved
 }
 
 // Run follows the list until the context ends.
-func (d *Director) Run(ctx context.Context) error {
+func (d *Client) Run(ctx context.Context) error {
 	at := ""
 	select {
 	case <-ctx.Done():
@@ -131,8 +131,8 @@
 	return nil
 }
 
-// followUntil follows the list at addr until it breaks off or the director has moved.
-func (d *Director) followUntil(ctx context.Context, addr string, moved <-chan struct{}) (told bool, err error) {
+// followUntil follows the list at addr until it breaks off or the client has moved.
+func (d *Client) followUntil(ctx context.Context, addr string, moved <-chan struct{}) (told bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() {
@@ -148,7 +148,7 @@
 }
 
 // follow reads the list, unless it has one, and then a watch until that ends. It tells whether anything came.
-func (d *Director) follow(ctx context.Context, addr string) (told bool, err error) {
+func (d *Client) follow(ctx context.Context, addr string) (told bool, err error) {
 	conn, err := (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
@@ -202,12 +202,12 @@
 	}
 }
 
-// statusError is an answer other than 200: there is a director, and it turned the call away.
+// statusError is an answer other than 200: discovery is there, and turned the call away.
 type statusError int
 
 func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
 
-func (d *Director) ask(conn net.Conn, r *bufio.Reader, addr, target string) (http1.Answer, error) {
+func (d *Client) ask(conn net.Conn, r *bufio.Reader, addr, target string) (http1.Answer, error) {
 	conn.SetDeadline(time.Now().Add(d.patience))
 	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, addr)); err != nil {
 		return http1.Answer{}, err
@@ -222,9 +222,9 @@
 // errOlder says that what came is of an older revision than what the planner holds.
 var errOlder = errors.New("an older list")
 
-// take passes a message on. Danger: a director that lags, or was put back, may tell of a server as it was before it drained;
-// of an older list only what forbids is taken, until the director has had nothing else for a while.
-func (d *Director) take(text []byte) error {
+// take passes a message on. Danger: discovery that lags, or was put back, may tell of a server as it was before it drained;
+// of an older list only what forbids is taken, until discovery has had nothing else for a while.
+func (d *Client) take(text []byte) error {
 	l, err := d.decoder.Decode(text)
 	if err != nil {
 		return err
--- a/internal/director/director_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 	"dewhitch/internal/standin"
 )
 
-// A director that all gateways ask is asked for what changed, not for all of the list, and again when it was too busy.
+// Discovery that all gateways ask is asked for what changed, not for all of the list, and again when it was too busy.
 // One of a gateway's own is asked for the list at once.
 func TestFirstQuestion(t *testing.T) {
 	const whole, since = "/api/targets", "/api/targets?follow=1&since=41"
--- a/internal/director/list.go
+++ b/internal/discovery/list.go
@@ -1,5 +1,5 @@
-// Package director follows discovery's list of the backends.
-package director
+// Package discovery follows the discovery service's list of the backends.
+package discovery
 
 import (
 	"encoding/json"
@@ -40,7 +40,7 @@
 // Decoder turns discovery's messages into the module's terms.
 type Decoder struct {
 	names Names
-	mu    sync.Mutex // operators look ids up while the director decodes
+	mu    sync.Mutex // operators look ids up while the client decodes
 	ids   map[string]dw.ServerID
 }
 
--- a/internal/director/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bufio"
@@ -24,7 +24,7 @@
 
 const patience = 20 * time.Second
 
-// answer is what a director does with one question; the connection is closed after it, unless it says to go on.
+// answer is what discovery does with one question; the connection is closed after it, unless it says to go on.
 type answer func(c *net.TCPConn) (goOn bool)
 
 func message(revision int, complete bool, phase string) string {
@@ -85,9 +85,9 @@
 	return false
 }
 
-// bed is a director before an agent that gives one answer after the other, over all its connections.
+// bed is a client before an agent that gives one answer after the other, over all its connections.
 type bed struct {
-	*Director
+	*Client
 	mu      sync.Mutex
 	answers []answer
 	asked   []string
@@ -116,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Director = New(l.Addr(), NewDecoder(Names{}), func(l core.Listing) error {
+	b.Client = New(l.Addr(), NewDecoder(Names{}), func(l core.Listing) error {
 		b.told <- l
 		return nil
 	}, 1, zap.NewNop())
@@ -125,7 +125,7 @@
 	return b
 }
 
-// follow has the director run until all of these were told: of which revision, and in which state the server is.
+// follow has the client run until all of these were told: of which revision, and in which state the server is.
 func (b *bed) follow(t *testing.T, want ...string) {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
@@ -211,8 +211,8 @@
 	b.follow(t, "42 draining")
 }
 
-// A director that has only older lists for a while began anew: theirs is the list now.
-func TestDirectorBeganAnew(t *testing.T) {
+// Discovery that has only older lists for a while began anew: theirs is the list now.
+func TestDiscoveryBeganAnew(t *testing.T) {
 	b := newBed(t, whole(message(41, true, "draining")), watch(ends), watch(silent, message(7, true, "up")+"\n"),
 		whole(message(7, true, "up")), whole(message(7, true, "up")), watch(silent, message(8, false, "draining")+"\n"))
 	var mu sync.Mutex
@@ -226,9 +226,9 @@
 	b.follow(t, "41 draining", "41 none", "41 none", "7 up", "8 draining")
 }
 
-// One director for all gateways has a line, and serves those too who have left it: also a gateway that holds no list yet
+// One discovery service for all gateways has a line, and serves those too who have left it: also a gateway that holds no list yet
 // must wait for its turn.
-func TestSharedDirectorIsWaitedFor(t *testing.T) {
+func TestSharedDiscoveryIsWaitedFor(t *testing.T) {
 	for _, have := range []bool{true, false} {
 		b := newBed(t)
 		b.Shared(have, 41, 3)
@@ -241,7 +241,7 @@
 	}
 }
 
-// A director that is told to move while a watch is silent reads the new list at once, whatever its revision.
+// A client that is told to move while a watch is silent reads the new list at once, whatever its revision.
 func TestMoveUnderASilentWatch(t *testing.T) {
 	next := newBed(t, whole(message(3, true, "draining")))
 	b := newBed(t, whole(message(41, true, "up")), func(c *net.TCPConn) bool { return silent(c) })
--- a/internal/director/split.go
+++ b/internal/discovery/split.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bytes"
--- a/internal/drill/rest.go
+++ b/internal/drill/rest.go
@@ -48,13 +48,13 @@
 // rest is the processes of a Rest.
 type rest struct {
 	Rest
-	all      []*standin.Process
-	shows    []string
-	mu       sync.Mutex
-	plans    map[string]map[string]time.Time // by epoch, when each process acted on it
-	fresh    map[string]bool
-	director *standin.Director
-	counter  *standin.Counter
+	all       []*standin.Process
+	shows     []string
+	mu        sync.Mutex
+	plans     map[string]map[string]time.Time // by epoch, when each process acted on it
+	fresh     map[string]bool
+	discovery *standin.Discovery
+	counter   *standin.Counter
 }
 
 // Run starts the processes, lets them rest, and measures.
@@ -104,7 +104,7 @@
 }
 
 func (r *rest) open() (err error) {
-	if r.director, err = standin.NewDirector(standin.Members(), 1); err != nil {
+	if r.discovery, err = standin.NewDiscovery(standin.Members(), 1); err != nil {
 		return err
 	}
 	if r.counter, err = standin.NewCounter(); err != nil {
@@ -130,7 +130,7 @@
 		p.Args = []string{"--limits", p.File("limits.toml"), "--operations", p.File("operations.toml"), "serve"}
 		p.Env = []string{"TMPDIR=" + p.Dir}
 		p.Line = func(line string) { r.line(name, line) }
-		config, err := standin.Config{Name: name, Listen: p.Listen, Director: r.director.Addr(), Counter: door.Addr(), Seed: uint64(i),
+		config, err := standin.Config{Name: name, Listen: p.Listen, Discovery: r.discovery.Addr(), Counter: door.Addr(), Seed: uint64(i),
 			Instances: r.Processes, Number: i, Zones: zones, Zone: i % len(zones),
 			Plans:   []standin.Plan{{Name: "basic", QuotaRate: 10, Depth: 10, Pays: 1}},
 			Classes: []standin.Class{classesOf("safe")[0].Class}}.JSON()
@@ -291,8 +291,8 @@
 	for _, p := range r.all {
 		p.Kill()
 	}
-	if r.director != nil {
-		r.director.Close()
+	if r.discovery != nil {
+		r.discovery.Close()
 	}
 	if r.counter != nil {
 		r.counter.Close()
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -18,7 +18,7 @@
 	Dir           string // for the processes' files; it must be empty
 	Seed          uint64
 	Uncoordinated bool
-	Told          bool      // without the fleet view, but the directors tell of servers' troubles as they begin and end
+	Told          bool      // without the fleet view, but discovery tells of servers' troubles as they begin and end
 	Lines         io.Writer // a line a second; nil: none
 }
 
--- a/internal/drill/work.go
+++ b/internal/drill/work.go
@@ -47,7 +47,7 @@
 	} `json:"requests"`
 }
 
-// id is the server's as the directors list it.
+// id is the server's as discovery lists it.
 func (s *server) id() string { return fmt.Sprintf("s-%08x", s.at+1) }
 
 // work asks for machines and works on each as it becomes free: a watched while, a restart, and given back. Without the fleet view a
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -47,7 +47,7 @@
 	number     int
 	talk, show string // where it speaks to the fleet, and its operators' listener
 	admin      string // its operators' address
-	director   *standin.Director
+	discovery  *standin.Discovery
 	servers    []*link.Link // by server
 
 	mu      sync.Mutex
@@ -208,10 +208,10 @@
 	if err != nil {
 		return err
 	}
-	if g.director, err = standin.NewDirector(w.members(g), 1); err != nil {
+	if g.discovery, err = standin.NewDiscovery(w.members(g), 1); err != nil {
 		return err
 	}
-	director, err := w.net.Open(g.name, "director", standin.OwnAddr(), g.director.Addr(), false)
+	discovery, err := w.net.Open(g.name, "director", standin.OwnAddr(), g.discovery.Addr(), false)
 	if err != nil {
 		return err
 	}
@@ -226,7 +226,7 @@
 	for _, c := range w.classes {
 		classes = append(classes, c.Class)
 	}
-	config, err := standin.Config{Name: g.name, Listen: g.Listen, Director: director.Addr(), Counter: counter.Addr(), Admin: g.admin,
+	config, err := standin.Config{Name: g.name, Listen: g.Listen, Discovery: discovery.Addr(), Counter: counter.Addr(), Admin: g.admin,
 		Seed: w.Seed + uint64(g.number), Instances: len(w.Zones) * w.Gateways, Number: g.number, Zones: zones, Zone: own, Plans: w.plans,
 		Classes: classes}.JSON()
 	if err != nil {
@@ -306,7 +306,7 @@
 	s.w.farm.Down(s.at)
 }
 
-// well has a server do as it should; one that was down comes back, cold, and the directors say since when.
+// well has a server do as it should; one that was down comes back, cold, and discovery says since when.
 func (s *server) well() {
 	if !s.off {
 		s.set(func(m *machine) { m.mode, m.slow = well, 1 })
@@ -323,7 +323,7 @@
 	s.w.tell()
 }
 
-// drain has the directors say that a server drains, or that it is up.
+// drain has discovery say that a server drains, or that it is up.
 func (w *world) drain(name string, on bool) {
 	w.mu.Lock()
 	w.draining[name] = on
@@ -332,12 +332,12 @@
 	w.judge.drain(name, time.Now(), on)
 }
 
-// tell has every director tell its list anew.
+// tell has every discovery service tell its list anew.
 func (w *world) tell() {
 	for _, g := range w.gateways {
 		var list string
 		w.farm.Locked(func() { w.mu.Lock(); list = w.members(g); w.mu.Unlock() })
-		g.director.Set(list)
+		g.discovery.Set(list)
 	}
 }
 
@@ -536,8 +536,8 @@
 			p.Cmd.Process.Signal(syscall.SIGCONT)
 			g.Kill()
 		}
-		if g.director != nil {
-			g.director.Close()
+		if g.discovery != nil {
+			g.discovery.Close()
 		}
 	}
 	w.all.Wait()
--- a/internal/soak/cost.go
+++ b/internal/soak/cost.go
@@ -83,7 +83,7 @@
 	if w.counter, err = standin.NewCounter(); err != nil {
 		return s, err
 	}
-	if w.director, err = standin.NewDirector(w.members(-1), 1); err != nil {
+	if w.discovery, err = standin.NewDiscovery(w.members(-1), 1); err != nil {
 		return s, err
 	}
 	n := w.node("n0", "", "serve")
--- a/internal/soak/quota.go
+++ b/internal/soak/quota.go
@@ -96,7 +96,7 @@
 		}
 		w.doors = append(w.doors, door)
 	}
-	if w.director, err = standin.NewDirector(w.members(-1), 1); err != nil {
+	if w.discovery, err = standin.NewDiscovery(w.members(-1), 1); err != nil {
 		return err
 	}
 	for i := range gateways {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,13 +52,13 @@
 // world is all of a run.
 type world struct {
 	Plan
-	backends *standin.Backends
-	counter  *standin.Counter
-	director *standin.Director
-	registry *zookeeper.Server
-	doors    []*standin.Listener // of the counter, by gateway; none: all go by the first
-	nodes    []*node             // the gateways, then the forwarder
-	tallies  tallies
+	backends  *standin.Backends
+	counter   *standin.Counter
+	discovery *standin.Discovery
+	registry  *zookeeper.Server
+	doors     []*standin.Listener // of the counter, by gateway; none: all go by the first
+	nodes     []*node             // the gateways, then the forwarder
+	tallies   tallies
 }
 
 // Run carries a plan out and prints the reckoning. An error says what does not hold.
@@ -108,7 +108,7 @@
 	if w.counter, err = standin.NewCounter(); err != nil {
 		return err
 	}
-	if w.director, err = standin.NewDirector(w.members(-1), 1); err != nil {
+	if w.discovery, err = standin.NewDiscovery(w.members(-1), 1); err != nil {
 		return err
 	}
 	if w.registry, err = zookeeper.New(); err != nil {
@@ -161,7 +161,7 @@
 	if i < len(w.doors) {
 		counter = w.doors[i].Addr()
 	}
-	config, err := standin.Config{Name: n.Name, Listen: n.Listen, Director: w.director.Addr(), Counter: counter, Seed: w.Seed + uint64(i),
+	config, err := standin.Config{Name: n.Name, Listen: n.Listen, Discovery: w.discovery.Addr(), Counter: counter, Seed: w.Seed + uint64(i),
 		Instances: gateways, Number: i % gateways, Zones: []string{"hall-a"}, Plans: []standin.Plan{
 			{Name: plans[0], QuotaRate: 20, Depth: 30, OverrunCost: 0.8, Pays: 0.8},
 			{Name: plans[1], QuotaRate: 40, Depth: 80, BeyondEarns: 0.2, Pays: 1.1},
@@ -222,10 +222,10 @@
 	for ctx.Err() == nil {
 		wait(ctx, time.Duration(500+rng.IntN(2000))*time.Millisecond)
 		w.counter.Mode(modes[rng.IntN(len(modes))])
-		w.director.Set(w.members(rng.IntN(nodes)))
+		w.discovery.Set(w.members(rng.IntN(nodes)))
 		wait(ctx, time.Duration(100+rng.IntN(700))*time.Millisecond)
 		w.counter.Mode("add")
-		w.director.Set(w.members(-1))
+		w.discovery.Set(w.members(-1))
 	}
 	w.counter.Mode("add")
 }
@@ -299,13 +299,13 @@
 	if w.backends != nil {
 		w.backends.Close()
 	}
-	for _, s := range []interface{ Close() }{w.counter, w.director, w.registry} {
+	for _, s := range []interface{ Close() }{w.counter, w.discovery, w.registry} {
 		switch s := s.(type) {
 		case *standin.Counter:
 			if s != nil {
 				s.Close()
 			}
-		case *standin.Director:
+		case *standin.Discovery:
 			if s != nil {
 				s.Close()
 			}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -8,14 +8,14 @@
 
 // Config is what a gateway of a run is told, as far as runs differ in it.
 type Config struct {
-	Name, Listen, Director, Counter, Admin string
-	Seed                                   uint64
-	Instances, Number                      int
-	Zones                                  []string // their full names
-	Zone                                   int      // the gateway's own
-	Cores                                  float64  // 0: one
-	Plans                                  []Plan
-	Classes                                []Class
+	Name, Listen, Discovery, Counter, Admin string
+	Seed                                    uint64
+	Instances, Number                       int
+	Zones                                   []string // their full names
+	Zone                                    int      // the gateway's own
+	Cores                                   float64  // 0: one
+	Plans                                   []Plan
+	Classes                                 []Class
 }
 
 // Plan is a plan of the settings, in their words.
@@ -48,7 +48,7 @@
 	if cores == 0 {
 		cores = 1
 	}
-	text, err := json.Marshal(object{"name": c.Name, "listen": c.Listen, "discovery": c.Director, "counter": c.Counter,
+	text, err := json.Marshal(object{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "counter": c.Counter,
 		"admin": c.Admin, "seed": fmt.Sprintf("%016x", c.Seed),
 		"limits": object{"cores": cores, "memory_mb": 192, "sockets": 512},
 		"settings": object{"NInstances": c.Instances, "MyNumber": c.Number, "Areas": c.Zones, "Az": c.Zone,
--- a/internal/standin/director.go
+++ b/internal/standin/discovery.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// Director stands in for the agent that has the list of backends.
-type Director struct {
+// Discovery stands in for the agent that has the list of backends.
+type Discovery struct {
 	*Listener
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -19,9 +19,9 @@
 	members  string
 }
 
-// NewDirector makes a director whose list, a JSON array, has the given revision.
-func NewDirector(members string, revision int) (*Director, error) {
-	d := &Director{revision: revision, members: members}
+// NewDiscovery makes one whose list, a JSON array, has the given revision.
+func NewDiscovery(members string, revision int) (*Discovery, error) {
+	d := &Discovery{revision: revision, members: members}
 	d.changed = sync.NewCond(&d.mu)
 	l, err := Listen("", d.serve)
 	d.Listener = l
@@ -43,18 +43,18 @@
 func Members(members ...string) string { return "[" + strings.Join(members, ",") + "]" }
 
 // Set replaces the list.
-func (d *Director) Set(members string) {
+func (d *Discovery) Set(members string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.revision, d.members = d.revision+1, members
 	d.changed.Broadcast()
 }
 
-func (d *Director) text(complete bool) string {
+func (d *Discovery) text(complete bool) string {
 	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":%s}`, d.revision, complete, d.members)
 }
 
-func (d *Director) serve(conn net.Conn) {
+func (d *Discovery) serve(conn net.Conn) {
 	for r := bufio.NewReader(conn); ; {
 		u, err := readRequest(r)
 		if err != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,4 +1,4 @@
-// Package standin has scripted stand-ins for what a gateway speaks to: backends, the quota counter, the director, and
+// Package standin has scripted stand-ins for what a gateway speaks to: backends, the quota counter, discovery, and
 // hauliers' clients. Tests, tools and the soak build on them. They listen on loopback alone, do what a script says,
 // and tell what they saw. They know nothing of the gateway's inside, and never share code with what they check.
 package standin
