--- a/servers.go
+++ b/servers.go
@@ -230,9 +230,6 @@
 		if cost /= 1 - g.cut[s.Zone]; s.Zone != g.set.Zone {
 			cost *= 1 + crossZone
 		}
-		if expect < hedgeAt*seconds(r.aim-g.now) { // a cold one's slowness is no pressure, for who sees it
-			expect *= math.Pow(g.warmth(s), 1-blind)
-		}
 		late, was := expect > limit, soonest > limit
 		if best == nil || late == was && cost < least || was && !late {
 			best, least, soonest = s, cost, expect
