End the accept of a drill's link before its way falls silent

A silent way's listener has a queue of one that is filled by a connection of the link's own. An accept that was under way as the silence began took that one, closed it, and the next client came up; also, the filler was given 30 ms to come up, which a busy machine does not keep.

Now the accepting ends first, which whoever silences the way waits for, and the listener is of no more use: a healed way has had a new one all along. That ends the looks at who is a filler, too. The filler has 200 ms.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +23,7 @@
 	target      string
 	mu          sync.Mutex
 	l           *net.TCPListener // nil: refused
+	idle        chan struct{}    // closed once nobody accepts from it any more
 	hung        bool
 	fill        []net.Conn // that keep the listener's queue full while it hangs
 	conns       map[*conn]struct{}
@@ -97,8 +97,8 @@
 	if err != nil {
 		return err
 	}
-	l.l = t.(*net.TCPListener)
-	go l.accept(l.l)
+	l.l, l.idle = t.(*net.TCPListener), make(chan struct{})
+	go l.accept(l.l, l.idle)
 	return nil
 }
 
@@ -129,17 +129,22 @@
 }
 
 // hang has new connections never come up: nobody accepts, and the listener's queue of one is full, so that the kernel
-// drops what comes, as a wire that is cut does.
+// drops what comes, as a wire that is cut does. Danger: an accept that is under way would take what fills the queue, and let
+// the next one come up; so that ends first. The listener is of no more use.
 func (l *Link) hang() {
 	l.hung = true
-	l.l.SetDeadline(time.Unix(1, 0)) // accept waits from now on
+	l.l.SetDeadline(time.Unix(1, 0))
+	<-l.idle
 	queue(l.l, 0)
 	// A queue of none holds one; if it does not come up, somebody else's has filled it.
-	if c, err := net.DialTimeout("tcp", l.addr, 30*time.Millisecond); err == nil {
+	if c, err := net.DialTimeout("tcp", l.addr, fillTime); err == nil {
 		l.fill = append(l.fill, c)
 	}
 }
 
+// fillTime bounds the wait for the connection that fills the queue: a busy machine takes its time for one that does come up.
+const fillTime = 200 * time.Millisecond
+
 // shut ends the listener, and with it what waits in its queue.
 func (l *Link) shut() {
 	l.hung = false
@@ -160,25 +165,12 @@
 	}
 }
 
-func (l *Link) accept(t *net.TCPListener) {
+func (l *Link) accept(t *net.TCPListener, idle chan<- struct{}) {
+	defer close(idle)
 	for {
 		c, err := t.AcceptTCP()
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded): // it hangs
-			time.Sleep(5 * time.Millisecond)
-			continue
-		case err != nil:
-			return
-		}
-		l.mu.Lock()
-		filler := l.hung || l.l != t // who came by a listener that has been shut meanwhile came in the silence
-		for _, f := range l.fill {
-			filler = filler || f.LocalAddr().String() == c.RemoteAddr().String()
-		}
-		l.mu.Unlock()
-		if filler {
-			c.Close()
-			continue
+		if err != nil {
+			return // it is shut, or hangs
 		}
 		go l.pass(c)
 	}
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Nobody accepts from the listener of a silent way, whatever was under way as the silence began: what fills its queue stays.
+func TestNobodyAcceptsInASilence(t *testing.T) {
+	n, l := open(t)
+	n.Set("a", "b", func(s *State) { s.Silent = true })
+	l.mu.Lock()
+	l.l.SetDeadline(time.Time{}) // as for an accept that does not know of the silence yet
+	l.mu.Unlock()
+	for range 10 {
+		if c, err := net.DialTimeout("tcp", l.Addr(), 100*time.Millisecond); err == nil {
+			t.Fatal("a new connection comes up through a silent way", c.LocalAddr())
+		}
+	}
+}
+
 func TestRefusedWay(t *testing.T) {
 	n, l := open(t)
 	c, err := net.Dial("tcp", l.Addr())
