Keep the address that may move in one place for the counter's client and discovery's

Both had the same lock, address, channel, Move and place, a dozen lines each; Move and Now of internal/moving serve both.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -19,6 +19,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/http1"
 	"dewhitch/internal/ledger"
+	"dewhitch/internal/moving"
 )
 
 const (
@@ -41,10 +42,7 @@
 	log   *zap.Logger
 	books Books
 	lines [lines]line
-
-	mu    sync.Mutex
-	addr  string
-	moved chan struct{} // closed by Move
+	where *moving.Address
 }
 
 // line is one connection at a time and the calls that go over it.
@@ -90,7 +88,7 @@
 
 // New makes a client; Run makes it work.
 func New(addr string, limit, dial time.Duration, b Books, log *zap.Logger) *Client {
-	c := &Client{addr: addr, limit: limit, dial: dial, log: log, books: b, moved: make(chan struct{})}
+	c := &Client{where: moving.At(addr), limit: limit, dial: dial, log: log, books: b}
 	for i := range c.lines {
 		c.lines[i].calls = make(chan *call, queued)
 	}
@@ -99,20 +97,7 @@
 
 // Move has the calls that are not written yet, and all later ones, go to another address. Those that are written get
 // their answers from the old one.
-func (c *Client) Move(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.addr = addr
-	close(c.moved)
-	c.moved = make(chan struct{})
-}
-
-// place is where the counter is, and tells when that changes.
-func (c *Client) place() (addr string, moved <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.addr, c.moved
-}
+func (c *Client) Move(addr string) { c.where.Move(addr) }
 
 // Add makes one call.
 func (c *Client) Add(o core.Call, done func(dw.Outcome, float64)) {
@@ -163,7 +148,7 @@
 			case first = <-l.calls:
 			}
 		}
-		addr, moved := c.place()
+		addr, moved := c.where.Now()
 		conn, err := (&net.Dialer{Timeout: c.dial}).DialContext(ctx, "tcp", addr)
 		if err != nil {
 			select {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/backoff"
 	"dewhitch/internal/core"
 	"dewhitch/internal/http1"
+	"dewhitch/internal/moving"
 )
 
 const (
@@ -51,21 +52,18 @@
 	older    time.Time     // when the first of a row of older lists came; zero: the last was none
 	again    backoff.Backoff
 	now      func() time.Time
-
-	mu    sync.Mutex
-	addr  string
-	moved chan struct{} // closed by Move
+	where    *moving.Address
 }
 
 // New makes a client; listed is called for each message, in order. The seed scatters when it asks again.
 func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Client {
-	return &Client{First: make(chan struct{}), addr: addr, decoder: d, listed: listed, log: log, patience: answerTime,
-		silence: silence, now: time.Now, moved: make(chan struct{}), again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo,
-			Rand: rand.New(rand.NewPCG(seed, 2))}}
+	return &Client{First: make(chan struct{}), where: moving.At(addr), decoder: d, listed: listed, log: log,
+		patience: answerTime, silence: silence, now: time.Now,
+		again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo, Rand: rand.New(rand.NewPCG(seed, 2))}}
 }
 
-// Shared says that one discovery service serves all of so many gateways, each of which asks it on its own, and whether the planner
-// holds a list, of that revision. It is to be called before Run.
+// Shared says that one discovery service serves all of so many gateways, each of which asks it on its own, and whether the
+// planner holds a list, of that revision. It is to be called before Run.
 //
 // Danger: gateways that start together all ask at once, and discovery that bears each of them serves none. So the first
 // question is scattered over a span, it is for what changed since and not for all of the list if there is one, and a
@@ -79,20 +77,7 @@
 }
 
 // Move has the list read at another address from now on, all of it: what the old one had is a past of its own.
-func (d *Client) Move(addr string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.addr = addr
-	close(d.moved)
-	d.moved = make(chan struct{})
-}
-
-// place is where to read the list, and tells when that changes.
-func (d *Client) place() (addr string, moved <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.addr, d.moved
-}
+func (d *Client) Move(addr string) { d.where.Move(addr) }
 
 // Run follows the list until the context ends.
 func (d *Client) Run(ctx context.Context) error {
@@ -102,7 +87,7 @@
 	case <-time.After(d.scatter):
 	}
 	for ctx.Err() == nil {
-		addr, moved := d.place()
+		addr, moved := d.where.Now()
 		if at != "" && addr != at {
 			d.again.Reset()
 			// Danger: revisions of two agents need not match, and a watch since the old one's would miss changes, or
--- a/internal/discovery/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -249,9 +249,7 @@
 	old := b.listed
 	b.listed = func(l core.Listing) error {
 		if l.List.Version == 41 {
-			next.mu.Lock()
-			addr := next.addr
-			next.mu.Unlock()
+			addr, _ := next.where.Now()
 			b.Move(addr)
 		}
 		return old(l)
