--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -179,11 +179,10 @@
 		}
 		return lost, false, answered
 	}
-	until := r.class.Deadline + lateness
-	if r.leave > 0 {
-		until = r.leave
+	c.SetDeadline(sent.Add(r.class.Deadline + lateness))
+	if r.leave > 0 { // of reading alone: what it asks is written whole
+		c.SetReadDeadline(sent.Add(r.leave))
 	}
-	c.SetDeadline(sent.Add(until))
 	if c.Send(r.words()) != nil {
 		return gone(false)
 	}
