--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -231,7 +231,7 @@
 func (p *Pools) begin(f *fetch) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f.state == waiting && f.ctx.Err() == nil && (f.Begin.IsZero() || time.Now().Before(f.Begin)) {
+	if f.state == waiting && f.ctx.Err() == nil && (f.Begin.IsZero() || p.now().Before(f.Begin)) {
 		f.state = begun
 	}
 	return f.state == begun
--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -106,7 +106,8 @@
 const mostBreaches = 50
 
 func newJudge(classes []class, plans []standin.Plan) *judge {
-	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{}, gone: map[string]time.Time{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
+	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{},
+		gone: map[string]time.Time{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
 		ceilings: map[string]*bucket{}, plans: map[string]standin.Plan{}, counts: map[string]int{},
 		sends: map[string][]time.Time{}, by: map[[2]string][]time.Time{}}
 	for _, c := range classes {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -711,19 +711,22 @@
 func (s *session) idle() (since time.Time, useful, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.busy, s.taken > s.bad, s.owesNothing() && !s.last && s.asked == nobody
+	return s.busy, s.taken > s.bad, s.owesNothing() && !s.ends()
 }
 
+// ends tells that it ends already, or has been asked to; the lock is held.
+func (s *session) ends() bool { return s.last || s.asked != nobody }
+
 // owesNothing tells that no answer waits, to be given or to be written; the lock is held.
 func (s *session) owesNothing() bool { return len(s.slots) == 0 && len(s.out) == 0 && s.owed == 0 }
 
 // resting tells the same of a session that waits for its client's next command: one that is in the midst of sending it, and
 // may be slow at that, is not resting. One that ends is of no more use.
 func (s *session) resting() (since time.Time, useful, resting bool) {
-	since, useful, idle := s.idle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return since, useful && !s.last && s.asked == nobody, idle && s.awaiting
+	stays := !s.ends()
+	return s.busy, stays && s.taken > s.bad, stays && s.owesNothing() && s.awaiting
 }
 
 // makeRoom asks for the session's end, if nothing is owed to its client. A command that crosses the end was not taken; the
--- a/servers.go
+++ b/servers.go
@@ -170,8 +170,9 @@
 
 // isOut tells that evidence speaks against s.
 func (g *Gateway) isOut(s *server, r *request) bool {
-	for k, v := range s.verdicts { // one class's speak for all until another is answered; then one at a time
-		if v.failed > 0 && (k == r.kind || s.answered <= v.at) && (g.now < v.ejected || s.out > 0) {
+	for k, v := range s.verdicts { // one class's failures speak for all until the server answers another
+		speaks := v.failed > 0 && (k == r.kind || s.answered <= v.at)
+		if speaks && (g.now < v.ejected || s.out > 0) { // then one request at a time, until one is answered
 			return true
 		}
 	}
