--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,6 +78,7 @@
 	// Fronts.
 	commands *platform.Commands
 	servers  []*front.Server
+	ready    chan struct{} // closed once the gateway serves
 
 	// What lasts beyond the process.
 	excluded chan []dw.ServerID
@@ -154,17 +156,20 @@
 
 // openFronts opens the clients' addresses.
 func (g *gateway) openFronts() (err error) {
+	g.ready = make(chan struct{})
 	g.commands = &platform.Commands{Planner: g.planner, Books: g.keep.books, Words: g.n.Words, Settings: g.n.Settings,
 		Figures: g.figures, State: g.state}
 	bounds := front.NewBounds(g.n.MemoryMB << 20)
-	first := &front.Server{Open: func() front.Commands { return g.commands }, Bounds: bounds, Log: g.log}
+	first := &front.Server{Open: func() front.Commands { return g.commands }, Bounds: bounds, Log: g.log,
+		Ready: g.ready}
 	if first.Listener, err = listen(g.n); err != nil {
 		return err
 	}
 	g.servers = []*front.Server{first}
 	if g.l.Listen != "" {
 		asks := &limits.Commands{Commands: g.commands}
-		second := &front.Server{Open: func() front.Commands { return sessions.New(asks, version) }, Bounds: bounds, Log: g.log}
+		second := &front.Server{Open: func() front.Commands { return sessions.New(asks, version) }, Bounds: bounds, Log: g.log,
+			Ready: g.ready}
 		if second.Listener, err = net.Listen("tcp", g.l.Listen); err != nil {
 			return fmt.Errorf("configuration: listen (limits file): %w", err)
 		}
@@ -246,21 +251,69 @@
 	return err
 }
 
-// register has forwarders find this planner, where there is a registry.
+// register has forwarders find this planner, where there is a registry, but while it is drained.
 func (g *gateway) register(ctx context.Context) error {
 	if g.l.Listen == "" || len(g.l.Registry.Servers) == 0 {
 		return nil
 	}
+	changes := make(chan struct{}, 1)
+	g.state.Watch(func(bool) {
+		select {
+		case changes <- struct{}{}:
+		default: // the last change is not seen yet, and this one is seen with it
+		}
+	})
+	for ctx.Err() == nil {
+		if g.state.Drained() {
+			select {
+			case <-changes:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := g.registerUntil(ctx, changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// registerUntil keeps this planner in the registry until the context ends or the drain changes.
+func (g *gateway) registerUntil(ctx context.Context, changes <-chan struct{}) error {
 	r, err := registry.Open(g.l.Registry.Servers, g.l.Registry.Path, g.l.Registry.Session, g.log)
 	if err != nil {
 		return err
 	}
 	defer r.Close() // forwarders turn to others before this one ends
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changes:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return r.Register(ctx, registry.Planner{Address: g.l.Listen, Gateway: g.n.Settings.Self})
 }
 
-// serve takes client sessions until the context ends, and returns with the last of them.
+// serve takes client sessions until the context ends, and returns with the last of them. It begins once the gateway is
+// ready; drained before that, it takes sessions in to send their clients away.
 func (g *gateway) serve(ctx context.Context) error {
+	var readiness sync.WaitGroup
+	readiness.Go(func() {
+		g.awaitReady(ctx)
+		g.state.Start()
+		close(g.ready)
+	})
+	err := serveAll(ctx, g.servers, g.places, g.n.Sockets/keepPart)
+	readiness.Wait()
+	g.keeper.last()
+	return err
+}
+
+// awaitReady waits for what the gateway must know before it serves, or until the context ends.
+func (g *gateway) awaitReady(ctx context.Context) {
 	// The list that the configuration holds may be old or empty, and a client that is answered counts on the
 	// gateway: it waits for discovery's, but not for long, as discovery may be away.
 	select {
@@ -277,10 +330,6 @@
 			g.log.Warn("no plan of the fleet was heard: serving without")
 		}
 	}
-	g.state.Start()
-	err := serveAll(ctx, g.servers, g.places, g.n.Sockets/keepPart)
-	g.keeper.last()
-	return err
 }
 
 // retune has reqs come by the classes of the new settings, with no more attempts than they allow.
--- /dev/null
+++ b/internal/front/drain_test.go
@@ -0,0 +1,529 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"dewhitch/internal/resp"
+)
+
+// drainEndsSoon are the times of a drain that was called so long ago that taking requests ends in a moment.
+func drainEndsSoon() drainTimes { return newDrain(time.Now().Add(100*time.Millisecond - takeTime)) }
+
+// drainIsLate are those of one of which the time to take requests is over.
+func drainIsLate() drainTimes { return newDrain(time.Now().Add(-takeTime)) }
+
+func (s *session) is(at state) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life.state >= at
+}
+
+// gated counts what is read of a connection, and notes reads between the end of reading commands and the shut of the
+// sending side: what they got would be lost.
+type gated struct {
+	*net.TCPConn
+	session atomic.Pointer[session]
+	wrong   atomic.Int64 // bytes
+}
+
+func (g *gated) Read(b []byte) (int, error) {
+	s := g.session.Load()
+	closing := s != nil && s.is(stateClosing) && !s.is(stateClosed)
+	n, err := g.TCPConn.Read(b)
+	if closing {
+		g.wrong.Add(int64(n))
+	}
+	return n, err
+}
+
+// gatedPair is a client's connection and a session that has not begun to run, with what sees its reads.
+func gatedPair(t *testing.T, c Commands) (conn *net.TCPConn, g *gated, s *session, run func()) {
+	t.Helper()
+	l := listener(t)
+	defer l.Close()
+	conn = client(t, l, "").(*net.TCPConn)
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g = &gated{TCPConn: far.(*net.TCPConn)}
+	s = newSession(g, c, NewBounds(64<<20))
+	g.session.Store(s)
+	var over sync.WaitGroup
+	t.Cleanup(func() {
+		conn.Close()
+		over.Wait()
+	})
+	return conn, g, s, func() { over.Go(s.run) }
+}
+
+// While an answer is owed at the end of a drain, nothing more is read of the client: what it writes stays unread, so that
+// it can send it elsewhere. Its answer comes, and then an end that is no reset.
+func TestNothingIsReadWhileAnswersAreOwed(t *testing.T) {
+	for name, end := range map[string]func(*session){
+		"by a drain": func(s *session) { s.drain(drainEndsSoon()) },
+		"at the end": (*session).stop,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &slow{answer: make(chan struct{})}
+			c, g, s, run := gatedPair(t, d)
+			run()
+			c.Write([]byte(ping))
+			eventually(t, "the command was not taken", func() bool { return d.taken.Load() == 1 })
+			end(s)
+			eventually(t, "the session goes on reading", func() bool { return s.is(stateClosing) })
+			c.Write([]byte(ping + ping))
+			// Nobody would tell that nothing is read: the looks for a client that has gone have passed a few times.
+			time.Sleep(3 * goneLook)
+			close(d.answer)
+			if got := answers(t, c); got != "+OK\r\n" {
+				t.Errorf("%q", got)
+			}
+			if n := g.wrong.Load(); n > 0 || d.taken.Load() != 1 {
+				t.Errorf("%d bytes were read, and %d commands taken", n, d.taken.Load())
+			}
+		})
+	}
+}
+
+// A client leaves while it is owed an answer and nothing is read any more: its attempt is given up.
+func TestClientLeavesWhileItsSessionCloses(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn) error{"closes": (*net.TCPConn).Close, "half-closes": (*net.TCPConn).CloseWrite} {
+		t.Run(name, func(t *testing.T) {
+			d := &slow{answer: make(chan struct{})}
+			defer close(d.answer)
+			c, _, s, run := gatedPair(t, d)
+			run()
+			c.Write([]byte(ping))
+			eventually(t, "the command was not taken", func() bool { return d.taken.Load() == 1 })
+			s.drain(drainIsLate())
+			eventually(t, "the session goes on reading", func() bool { return s.is(stateClosing) })
+			c.Write([]byte(ping))
+			leave(c)
+			eventually(t, "nobody knows that the client has gone", func() bool { return d.gone.Load() == 1 })
+		})
+	}
+}
+
+// A client with more commands on their way than may wait: as the time ends, those that were read are answered, all of them,
+// and no more are read, however long the others had to wait for room.
+func TestDrainEndsBehindAFullPipeline(t *testing.T) {
+	d := &slow{answer: make(chan struct{})}
+	c, g, s, run := gatedPair(t, d)
+	run()
+	sent := make(chan int, 1)
+	go func() {
+		n := 0
+		for err := error(nil); err == nil; n++ {
+			_, err = c.Write([]byte(ping))
+		}
+		sent <- n
+	}()
+	eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == pipelined })
+	s.drain(drainIsLate())
+	close(d.answer)
+	got, err := io.ReadAll(c)
+	if n := int64(bytes.Count(got, []byte("+OK\r\n"))); n != d.taken.Load() || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("%d answers to %d commands, %v", n, d.taken.Load(), err)
+	}
+	if n := d.taken.Load(); n < pipelined || n > pipelined+readBuffer/int64(len(ping))+1 {
+		t.Errorf("%d commands were taken: not those that had been read", n)
+	}
+	if n := g.wrong.Load(); n > 0 {
+		t.Errorf("%d bytes were read and dropped", n)
+	}
+	c.Close()
+	<-sent
+}
+
+// ragged is a connection of which no read ends between two commands, however much its client writes.
+type ragged struct {
+	*net.TCPConn
+	read int
+}
+
+func (r *ragged) Read(b []byte) (int, error) {
+	const end = 5 // bytes of a command, beyond the whole ones
+	n := len(b) - (r.read+len(b)-end)%len(ping)
+	if n <= 0 {
+		n = len(b)
+	}
+	n, err := io.ReadFull(r.TCPConn, b[:n])
+	r.read += n
+	return n, err
+}
+
+// The reader always has a part of the next command: no moment comes at which nothing is read ahead.
+func TestDrainEndsThoughSomethingIsAlwaysReadAhead(t *testing.T) {
+	c, g, _, _ := gatedPair(t, echo{})
+	s := newSession(&ragged{TCPConn: g.TCPConn}, echo{}, NewBounds(64<<20))
+	var over sync.WaitGroup
+	over.Go(s.run)
+	over.Go(func() {
+		for err := error(nil); err == nil; {
+			_, err = c.Write([]byte(strings.Repeat(ping, 100)))
+		}
+	})
+	s.drain(drainEndsSoon())
+	c.SetReadDeadline(time.Now().Add(drainTerm))
+	if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection is still held after %v", drainTerm)
+	}
+	c.Close()
+	over.Wait()
+}
+
+// largeCommand is one that needs a place among the large commands in hand.
+func largeCommand() []byte {
+	return resp.AppendBulk(resp.AppendBulk(resp.AppendArray(nil, 2), "ECHO"), strings.Repeat("x", 2*largeSize))
+}
+
+// A large command was read, and waits for memory as the time ends: it is answered once there is some, and the connection
+// ends.
+func TestDrainEndsBehindALargeCommand(t *testing.T) {
+	d := &slow{answer: make(chan struct{})}
+	close(d.answer)
+	c, _, s, run := gatedPair(t, d)
+	s.bounds.large = semaphore.NewWeighted(4 * largeSize)
+	if !s.bounds.large.TryAcquire(4 * largeSize) {
+		t.Fatal("no memory to take")
+	}
+	run()
+	c.Write(largeCommand())
+	eventually(t, "the command is not read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return !s.awaiting && s.until.IsZero() && !s.heard.IsZero() && s.taken == 0
+	})
+	s.drain(drainIsLate())
+	s.bounds.large.Release(4 * largeSize)
+	if got := answers(t, c); got != "+OK\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// A client that sent what can't be used waits out no penalty once the gateway drains: what was read is answered.
+func TestDrainEndsAPenalty(t *testing.T) {
+	d := &refusing{slow{answer: make(chan struct{})}}
+	close(d.answer)
+	c, _, s := pair(t, d, false)
+	const commands = strikes - 1
+	c.Write([]byte(strings.Repeat("*1\r\n$3\r\nBAD\r\n", commands)))
+	eventually(t, "nothing was rejected", func() bool { return s.faults() > 2 })
+	s.drain(drainIsLate())
+	began := time.Now()
+	got := answers(t, c)
+	if n := strings.Count(got, "-ERR bad\r\n"); n != commands {
+		t.Errorf("%d of %d commands were answered: %q", n, commands, got)
+	}
+	// The penalties together are over 5 s; one that had begun goes on for a moment at most.
+	if all := time.Since(began); all > longPause*commands/3 {
+		t.Errorf("it took %v", all)
+	}
+}
+
+// A command that was read although its time was over, as by a process that stood still, is refused and not carried out; one
+// that was read in time is not, though it has waited since.
+func TestLateCommandIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		times func() drainTimes
+		want  string
+	}{"read in time": {func() drainTimes { return newDrain(time.Now()) }, "+taken\r\n"}, "read late": {drainIsLate, "-BUSY\r\n"}} {
+		t.Run(name, func(t *testing.T) {
+			client, h, s := pair(t, refusable{}, true)
+			client.Write([]byte(ping))
+			<-h.got
+			s.drain(c.times())
+			close(h.free)
+			if got := answers(t, client); got != c.want {
+				t.Errorf("%q, not %q", got, c.want)
+			}
+		})
+	}
+}
+
+// refusable answers whether it was told to refuse.
+type refusable struct{}
+
+func (refusable) Do(_ time.Time, _ resp.Command, s *Slot) {
+	if s.Refuse() {
+		s.Fill(resp.AppendFailure(nil, "BUSY"))
+		return
+	}
+	s.Fill(resp.AppendStatus(nil, "taken"))
+}
+
+// After its sending side was shut, a connection is closed in time though its client goes on writing.
+func TestDrainEndsUnderAClientThatWritesOn(t *testing.T) {
+	c, _, s, run := gatedPair(t, echo{})
+	run()
+	answered(t, c, ping)
+	s.drain(newDrain(time.Now()))
+	eventually(t, "the session does not end", func() bool { return s.is(stateClosed) })
+	junk := make([]byte, 64<<10)
+	var err error
+	for err == nil { // until the close resets the connection
+		c.SetWriteDeadline(time.Now().Add(drainTerm))
+		_, err = c.Write(junk)
+	}
+	if strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the connection is held for %v and more", drainTerm)
+	}
+}
+
+func answered(t *testing.T, c net.Conn, command string) *bufio.Reader {
+	t.Helper()
+	c.Write([]byte(command))
+	r := bufio.NewReader(c)
+	if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	return r
+}
+
+// A client that has not read its answers yet gets all of them, though the gateway has nothing more to say to it.
+func TestDrainEndsBehindAClientThatReadsLate(t *testing.T) {
+	const size, commands = 60 << 10, 40
+	c, g, s, run := gatedPair(t, values{size})
+	g.SetWriteBuffer(16 << 10)
+	run()
+	c.Write([]byte(strings.Repeat(ping, commands)))
+	eventually(t, "no answer waits to be read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.owed > 0
+	})
+	s.drain(drainIsLate())
+	got, err := io.Copy(io.Discard, c)
+	if want := int64(len(resp.AppendBulk(nil, make([]byte, size)))); got != commands*want || err != nil {
+		t.Errorf("%d bytes came, of %d commands that had been read, %d bytes each: %v", got, commands, want, err)
+	}
+}
+
+// values answers each command with a value of that size.
+type values struct{ size int }
+
+func (v values) Do(_ time.Time, _ resp.Command, s *Slot) {
+	s.Fill(resp.AppendBulk(nil, make([]byte, v.size)))
+}
+
+// dribble is a large value that comes a byte at a time, each when the test says so.
+type dribble struct {
+	left int
+	next chan struct{}
+	over chan struct{}
+	once sync.Once
+}
+
+func (v *dribble) Read(b []byte) (int, error) {
+	if v.left == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-v.next:
+		v.left--
+		b[0] = 'x'
+		return 1, nil
+	case <-v.over:
+		return 0, net.ErrClosed
+	}
+}
+
+func (v *dribble) Close() { v.once.Do(func() { close(v.over) }) }
+
+type dribbling struct{ v *dribble }
+
+func (d dribbling) Do(_ time.Time, _ resp.Command, s *Slot) {
+	s.FillFrom(resp.AppendBulkHead(nil, d.v.left), d.v)
+}
+
+// A large value that was begun before the end of a drain goes out whole, however slowly it comes; then the connection ends.
+func TestDrainEndsBehindALargeValue(t *testing.T) {
+	v := &dribble{left: 3, next: make(chan struct{}), over: make(chan struct{})}
+	c, _, s, run := gatedPair(t, dribbling{v})
+	run()
+	c.Write([]byte(ping))
+	v.next <- struct{}{}
+	s.drain(drainIsLate())
+	eventually(t, "the session goes on reading", func() bool { return s.is(stateClosing) })
+	v.next <- struct{}{}
+	v.next <- struct{}{}
+	if got := answers(t, c); got != "$3\r\nxxx\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// Idle connections that are ended to make room for others, and a drain that comes meanwhile: it ends all the same.
+func TestDrainMeetsAnEviction(t *testing.T) {
+	for name, both := range map[string]func(*session){
+		"evicted first": func(s *session) { s.evict(); s.drain(newDrain(time.Now())) },
+		"drained first": func(s *session) { s.drain(newDrain(time.Now())); s.evict() },
+		"stopped first": func(s *session) { s.stop(); s.drain(newDrain(time.Now())) },
+		"drained again": func(s *session) { s.drain(newDrain(time.Now())); s.drain(newDrain(time.Now())); s.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _, s, run := gatedPair(t, echo{})
+			run()
+			r := answered(t, c, ping)
+			both(s)
+			if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
+				t.Errorf("%q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// Connections stand in the machine's queue as the gateway is drained before it is ready: they are taken in, told so, and
+// ended. A drain that ends before readiness has new ones wait again.
+func TestDrainBeforeReadiness(t *testing.T) {
+	l := &counting{listener(t), make(chan struct{}, 8)}
+	ready := make(chan struct{})
+	f := &Server{Listener: l, Sessions: 4, Ready: ready}
+	servingCommands(t, f, func() Commands { return refusable{} })
+	waiting := client(t, l, ping)
+	f.Drain(true)
+	if got := answers(t, waiting); got != "-BUSY\r\n" {
+		t.Errorf("while it is not ready: %q", got)
+	}
+	<-l.given
+	f.Drain(false)
+	held := client(t, l, ping)
+	f.mu.Lock()
+	sessions := len(f.sessions)
+	f.mu.Unlock()
+	if sessions > 1 { // the one that ended may still be leaving
+		t.Errorf("%d sessions before readiness", sessions)
+	}
+	close(ready)
+	if line, err := bufio.NewReader(held).ReadString('\n'); line != "+taken\r\n" {
+		t.Errorf("once it is ready: %q, %v", line, err)
+	}
+	held.Close()
+}
+
+// All places are taken by sessions that are owed answers as the gateway is drained: a connection that waits for a place is
+// served without one, and ended.
+func TestNoPlaceDuringADrain(t *testing.T) {
+	l := &counting{listener(t), make(chan struct{}, 8)}
+	f := &Server{Listener: l, Sessions: 1}
+	serving(t, f)
+	first := client(t, l, "*1\r\n$4\r\nWAIT\r\n")
+	<-l.given
+	second := client(t, l, ping)
+	<-l.given
+	f.Drain(true)
+	if got := answers(t, second); got != "+OK\r\n" {
+		t.Errorf("%q", got)
+	}
+	first.Close()
+}
+
+// The drain ends while connections are ending: they end, new ones stay, and a drain that follows ends those too.
+func TestDrainEndsAndBeginsAgain(t *testing.T) {
+	l := listener(t)
+	f := &Server{Listener: l, Sessions: 8}
+	d := &slow{answer: make(chan struct{})}
+	servingCommands(t, f, func() Commands { return d })
+	owed := client(t, l, ping)
+	eventually(t, "the command was not taken", func() bool { return d.taken.Load() == 1 })
+	f.Drain(true)
+	f.Drain(false)
+	next := client(t, l, ping)
+	eventually(t, "the command was not taken", func() bool { return d.taken.Load() == 2 })
+	close(d.answer)
+	if got := answers(t, owed); got != "+OK\r\n" {
+		t.Errorf("of the drain: %q", got)
+	}
+	r := bufio.NewReader(next)
+	for i := range 3 {
+		if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+			t.Fatalf("after the drain, command %d: %q, %v", i, line, err)
+		}
+		if i < 2 {
+			next.Write([]byte(ping))
+		}
+	}
+	f.Drain(true)
+	if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
+		t.Errorf("of the second drain: %q, %v", rest, err)
+	}
+}
+
+// drainBy drains a server by given times.
+func drainBy(f *Server, d drainTimes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drained = &d
+}
+
+// Connections that come during a drain: each ends, and what it said whole is answered.
+func TestConnectionsThatComeDuringADrain(t *testing.T) {
+	early := newDrain(time.Now().Add(patience)) // its time to take requests does not end while the test goes on
+	for name, c := range map[string]struct {
+		times      drainTimes
+		says, want string
+	}{
+		"silent":                  {early, "", ""},
+		"whole":                   {early, ping, "+taken\r\n"},
+		"half a command":          {newDrain(time.Now()), ping[:9], ""},
+		"late and silent":         {drainIsLate(), "", ""},
+		"late and whole":          {drainIsLate(), ping, "-BUSY\r\n"},
+		"late and half a command": {drainIsLate(), ping[:9], ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := listener(t)
+			f := &Server{Listener: l, Sessions: 8}
+			servingCommands(t, f, func() Commands { return refusable{} })
+			drainBy(f, c.times)
+			if got := answers(t, client(t, l, c.says)); got != c.want {
+				t.Errorf("%q, not %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Twenty connections in each of the states that a client can hold one in, ended at once by a drain: none is left.
+func TestDrainLeavesNoConnection(t *testing.T) {
+	l := listener(t)
+	f := &Server{Listener: l, Sessions: 200}
+	servingCommands(t, f, func() Commands { return refusable{} })
+	var conns []net.Conn
+	for i := range 60 {
+		conns = append(conns, client(t, l, []string{"", ping, ping[:5]}[i%3]))
+	}
+	eventually(t, "not all are taken in", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		taken := 0
+		for s := range f.sessions {
+			s.mu.Lock()
+			taken += s.taken
+			s.mu.Unlock()
+		}
+		return len(f.sessions) == len(conns) && taken == len(conns)/3
+	})
+	f.Drain(true)
+	for i, c := range conns {
+		if got := answers(t, c); i%3 == 1 && got != "+taken\r\n" || i%3 != 1 && got != "" {
+			t.Errorf("connection %d: %q", i, got)
+		}
+	}
+	eventually(t, "connections are left", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.sessions) == 0
+	})
+}
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -110,10 +110,12 @@
 	return string(text)
 }
 
+func drainNow(s *session) { s.drain(newDrain(time.Now())) }
+
 // A command that has been read as a session at rest is asked to end is served, whoever asks.
 func TestCommandIsReadAsTheSessionIsAskedToEnd(t *testing.T) {
-	for name, ask := range map[string]func(*session){"for room": (*session).makeRoom, "at the end": (*session).stop,
-		"by a drain": (*session).drained} {
+	for name, ask := range map[string]func(*session){"for room": (*session).evict, "at the end": (*session).stop,
+		"by a drain": drainNow} {
 		t.Run(name, func(t *testing.T) {
 			c, h, s := pair(t, echo{}, true)
 			c.Write([]byte(ping))
@@ -139,7 +141,7 @@
 	eventually(t, "the session goes on taking", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.last
+		return s.life.state >= stateClosing
 	})
 	c.Write([]byte(ping + ping))
 	close(d.answer)
@@ -167,7 +169,7 @@
 
 // Half a command at the end was not taken: nothing is said to it, and what came before is answered.
 func TestHalfACommandAtTheEnd(t *testing.T) {
-	for name, ask := range map[string]func(*session){"for room": (*session).makeRoom, "at the end": (*session).stop} {
+	for name, ask := range map[string]func(*session){"for room": (*session).evict, "at the end": (*session).stop} {
 		t.Run(name, func(t *testing.T) {
 			c, _, s := pair(t, echo{}, false)
 			c.Write([]byte(ping + ping[:9]))
@@ -198,11 +200,11 @@
 		defer s.mu.Unlock()
 		return s.taken == 1 && s.owed == 0 && s.awaiting
 	})
-	s.makeRoom()
+	s.evict()
 	eventually(t, "it does not end", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.over
+		return s.life.state == stateClosed
 	})
 	c.Write([]byte(ping)) // crosses the end
 	if got := answers(t, c); got != "+OK\r\n" {
@@ -266,8 +268,12 @@
 // serving is a server at work, until stop.
 func serving(t *testing.T, f *Server) (stop func()) {
 	t.Helper()
-	f.Bounds, f.Log = NewBounds(64<<20), zap.NewNop()
-	f.Open = func() Commands { return echo{} }
+	return servingCommands(t, f, func() Commands { return echo{} })
+}
+
+func servingCommands(t *testing.T, f *Server, open func() Commands) (stop func()) {
+	t.Helper()
+	f.Bounds, f.Log, f.Open = NewBounds(64<<20), zap.NewNop(), open
 	ctx, stop := context.WithCancel(t.Context())
 	over := make(chan error, 1)
 	go func() { over <- f.Serve(ctx) }()
--- /dev/null
+++ b/internal/front/lifecycle_test.go
@@ -0,0 +1,131 @@
+package front
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The times of a drain hold the operators' term with the margins that they ask for.
+func TestDrainTimesHoldTheTerm(t *testing.T) {
+	called := time.Now()
+	d := newDrain(called)
+	// The rule allows sockets 50 ms; the gateway may be held up between its clock and the read, and again before.
+	if last := d.takeUntil.Add(2 * stallMargin); drainTerm-last.Sub(called) < recentWindow {
+		t.Errorf("a request that is read %v after the call would be recent at the end of the term", last.Sub(called))
+	}
+	if last := d.goneBy.Add(stallMargin); last.Sub(called) >= drainTerm {
+		t.Errorf("a connection may be held for %v", last.Sub(called))
+	}
+	// A wall clock that is stepped moves neither: both carry the monotonic clock's reading.
+	for _, at := range []time.Time{d.takeUntil, d.goneBy} {
+		if !strings.Contains(at.String(), "m=") {
+			t.Errorf("%v is a time of the wall clock alone", at)
+		}
+	}
+}
+
+// Whatever happens to a connection, in whatever order: its state never goes back, its times never move later once it
+// drains, nothing is read after its time, and a connection that was told to drain and is owed nothing is gone in time.
+func TestLifecycleHoldsItsTimes(t *testing.T) {
+	const seed, worlds, steps = 20261202, 20_000, 20
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 37))
+	begin := time.Now() // of a clock that only the test moves
+	for world := range worlds {
+		var l lifecycle
+		var called time.Time // of the first drain; zero: none
+		now, born := begin, begin
+		for range steps {
+			now = now.Add(time.Duration(rng.Int64N(int64(400 * time.Millisecond))))
+			before := l
+			switch rng.IntN(6) {
+			case 0:
+				var first time.Time
+				if rng.IntN(2) == 0 {
+					first = born.Add(firstTime)
+				}
+				if l.drain(newDrain(now), first) {
+					called = now
+				}
+			case 1:
+				l.stop(now.Add(stopTime))
+			case 2:
+				l.close()
+			case 3:
+				l.shut(now)
+			case 4:
+				if rng.IntN(4) == 0 {
+					l.abandon(now)
+				}
+			}
+			checkStep(t, world, before, l, now)
+			if t.Failed() {
+				return
+			}
+			if !called.IsZero() {
+				checkDrained(t, world, l, called, now)
+			}
+		}
+	}
+}
+
+func checkStep(t *testing.T, world int, before, l lifecycle, now time.Time) {
+	t.Helper()
+	if l.state < before.state {
+		t.Errorf("world %d: from state %d back to %d", world, before.state, l.state)
+	}
+	if before.state == stateDraining && l.takeUntil.After(before.takeUntil) {
+		t.Errorf("world %d: the time to take requests went from %v to %v", world, before.takeUntil, l.takeUntil)
+	}
+	if reads := l.reads(now); reads && (l.state >= stateClosing || l.state == stateDraining && !now.Before(l.takeUntil)) {
+		t.Errorf("world %d: state %d reads", world, l.state)
+	} else if !reads && l.state == stateOpen {
+		t.Errorf("world %d: an open connection does not read", world)
+	}
+	if l.state == stateDraining && l.readBy(now.Add(time.Hour)).After(l.takeUntil) {
+		t.Errorf("world %d: a read goes on beyond the time to take requests", world)
+	}
+}
+
+// checkDrained holds a connection to the term: called is when the gateway was drained.
+func checkDrained(t *testing.T, world int, l lifecycle, called, now time.Time) {
+	t.Helper()
+	if now.Sub(called) >= takeTime+firstTime && l.reads(now) {
+		t.Errorf("world %d: it reads %v after the call", world, now.Sub(called))
+	}
+	if read := called.Add(takeTime); l.state == stateDraining && !l.refuses(read) {
+		t.Errorf("world %d: a request that is read %v after the call is not refused", world, takeTime)
+	}
+	if l.state == stateClosed && !l.goneBy.Before(called.Add(drainTerm)) && now.Before(called.Add(drainTerm-discardTime)) {
+		t.Errorf("world %d: closed %v after the call, and held for %v", world, now.Sub(called), l.goneBy.Sub(called))
+	}
+}
+
+// A drain that comes again, ends and begins anew, or meets the gateway's end, gives nobody more time.
+func TestDrainAgainGivesNoMoreTime(t *testing.T) {
+	begin := time.Now()
+	var l lifecycle
+	l.drain(newDrain(begin), time.Time{})
+	if l.drain(newDrain(begin.Add(time.Second)), time.Time{}) || l.takeUntil != begin.Add(takeTime) {
+		t.Errorf("after a second drain: %+v", l)
+	}
+	l.stop(begin.Add(time.Hour))
+	if l.takeUntil != begin.Add(takeTime) {
+		t.Errorf("after a stop that is later: %+v", l)
+	}
+	l.stop(begin.Add(time.Second))
+	if l.takeUntil != begin.Add(time.Second) {
+		t.Errorf("after a stop that is earlier: %+v", l)
+	}
+	l.close()
+	l.shut(begin.Add(goneTime - time.Millisecond))
+	if want := begin.Add(goneTime - time.Millisecond + leastDiscardTime); l.goneBy != want {
+		t.Errorf("shut just before its end, it goes at %v, not %v", l.goneBy.Sub(begin), want.Sub(begin))
+	}
+	l.shut(begin.Add(time.Hour))
+	if l.goneBy.After(begin.Add(drainTerm)) {
+		t.Errorf("shut again: %+v", l)
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -71,7 +71,7 @@
 func (c *Commands) Do(came time.Time, cmd resp.Command, s *front.Slot) {
 	switch string(bytes.ToUpper(cmd[0])) {
 	case "PING":
-		if c.State != nil && c.State.Drained() {
+		if c.Drained() {
 			// The platform's front sends no more clients here. Not so after SIGTERM: the process that replaces this
 			// one serves at the same address, and the front would take the gateway for drained.
 			s.Fill(resp.AppendFailure(nil, "ERR draining"))
@@ -87,6 +87,9 @@
 	}
 }
 
+// Drained reports whether clients should be sent elsewhere.
+func (c *Commands) Drained() bool { return c.State != nil && c.State.Drained() }
+
 // take decodes a req and hands it to the planner.
 func (c *Commands) take(came time.Time, cmd resp.Command, query bool, s *front.Slot) {
 	r, err := c.decode(cmd, query)
@@ -142,6 +145,11 @@
 		}
 		c.Books.Post(end)
 	})
+	if s.Refuse() { // it came too late into a drain; nobody has heard of it
+		kept = true
+		r.Answer(core.Answer{Verdict: core.Refused})
+		return
+	}
 	ticket, err := c.Planner.Take(r)
 	if err != nil {
 		kept = true
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -8,69 +8,110 @@
 	"dewhitch/internal/resp"
 )
 
-// read takes commands until the session is over or the client has broken the protocol.
+// How a session's client is waited for.
+const (
+	readBuffer   = 2 << 10
+	helloTime    = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
+	byteTime     = 2500 * time.Millisecond // between two bytes of a command: a client may spend 2 s on a head
+	commandTime  = 10 * time.Second        // from a command's first byte to its last
+	idleTime     = 5 * time.Second         // a client that asks for nothing for so long can connect again
+	drainLook    = 50 * time.Millisecond   // between two looks at whether a draining session is owed nothing
+	lastLook     = time.Millisecond        // for what is on its way, before a session ends
+	stopTime     = 100 * time.Millisecond  // for a command that is on its way as the gateway ends
+	goneLook     = 50 * time.Millisecond   // while nothing is read: between two looks at whether the client has gone
+	discardBytes = 256 << 10               // of input that is discarded; a client that writes more waits for the close
+)
+
+// The penalties for commands that can't be used.
+const (
+	strikes     = 16 // after which the session ends
+	strikePause = 50 * time.Millisecond
+	longPause   = time.Second
+)
+
+var (
+	errOver = errors.New("the session takes no more commands")
+	errSlow = errors.New("the command is not whole in time")
+)
+
+// read takes commands until the session ends or its client has broken the protocol.
 func (s *session) read() {
-	r, before := resp.NewReader(s, readBuffer), 0
-	for {
-		if err := s.await(r); errors.Is(err, errOver) && s.taken > 0 {
-			s.finish()
-			return
-		} else if err != nil { // one that never asked is owed nothing, and its place is free at once
-			s.lost()
-			return
-		}
-		c, err := r.ReadCommand()
-		s.mu.Lock()
-		asked := s.asked != nobody
-		s.until = time.Time{}
-		s.mu.Unlock()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if asked { // it was not taken: its client sends it elsewhere
-				s.finish()
-				return
-			}
-			err = errSlow
-		} else if err != nil && !errors.Is(err, resp.ErrProtocol) {
-			s.lost()
-			return
-		}
-		if time.Since(s.heard) > goneLook {
-			s.leaveIfGone() // it has waited behind others, or for a pause
-		}
-		slot := s.open(c)
-		if slot == nil {
-			return
-		}
-		if err != nil {
-			// Answered in its turn; then the session is over, as no command can be told from what follows.
-			slot.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
-			s.finish()
-			return
-		}
-		s.commands.Do(s.heard, c, slot)
-		s.mu.Lock()
-		bad, quit, late := s.bad, s.quit, s.drain && time.Since(s.drainedAt) >= drainLast
-		s.mu.Unlock()
-		if quit {
-			return
-		}
-		if late && r.Buffered() == 0 {
-			// A client that always has a command out would keep its session for good: after this one, what it writes
-			// is not read, and it sends that again on a connection of another gateway.
-			s.finish()
-			return
-		}
-		if bad > before && !s.strike(bad) {
-			return
-		}
-		before = bad
+	for r := resp.NewReader(s, readBuffer); s.readCommand(r); {
 	}
 }
 
-// errOver says that the session takes no more commands.
-var errOver = errors.New("the session is over")
+// readCommand takes one command; false: it was the last.
+func (s *session) readCommand(r *resp.Reader) bool {
+	if err := s.await(r); err != nil {
+		s.endReading(err)
+		return false
+	}
+	c, err := r.ReadCommand()
+	err = s.commandRead(err)
+	if err != nil && !errors.Is(err, errSlow) && !errors.Is(err, resp.ErrProtocol) {
+		s.endReading(err)
+		return false
+	}
+	if time.Since(s.heard) > goneLook {
+		s.leaveIfGone() // it has waited behind others, or for a pause
+	}
+	slot := s.open(c)
+	if slot == nil {
+		return false
+	}
+	if err != nil {
+		// Answered in its turn; then the session is over, as no command can be told from what follows.
+		slot.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
+		s.finish()
+		return false
+	}
+	before := s.faults()
+	s.commands.Do(s.heard, c, slot)
+	return s.goesOn(before)
+}
 
-var errSlow = errors.New("the command is not whole in time")
+// commandRead notes that no command is being read any more, and says what its error means.
+func (s *session) commandRead(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = time.Time{}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if s.evicted || s.life.state != stateOpen { // it was not taken: its client sends it elsewhere
+		return errOver
+	}
+	return errSlow
+}
+
+// endReading ends a session by whose reader nothing more is taken. One that never asked is owed nothing, and its place is
+// free at once; while draining, what it sends just then must not be reset.
+func (s *session) endReading(err error) {
+	s.mu.Lock()
+	graceful := errors.Is(err, errOver) && (s.taken > 0 || s.life.state != stateOpen)
+	s.mu.Unlock()
+	if graceful {
+		s.finish()
+	} else {
+		s.lost()
+	}
+}
+
+// faults is how many commands could not be used.
+func (s *session) faults() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bad
+}
+
+// goesOn tells whether another command is read after one that was carried out, and has a client that sends what can't be
+// used wait first; before that command, so many could not be used.
+func (s *session) goesOn(before int) bool {
+	s.mu.Lock()
+	bad, closing := s.bad, s.life.state >= stateClosing
+	s.mu.Unlock()
+	return !closing && (bad == before || s.strike(bad))
+}
 
 // await waits for the first byte of a command. Danger: clients that connect and say nothing, or keep a session for
 // good, must take nobody's place.
@@ -95,29 +136,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch s.until = time.Now().Add(commandTime); {
-	case s.over:
+	if s.life.state >= stateClosing {
 		return errOver
-	case s.asked == stop:
-		s.until = time.Now().Add(stopTime)
-	case s.asked == room: // it is busy: another may be asked, or this one again
-		s.asked = nobody
 	}
+	s.until = s.life.readBy(time.Now().Add(commandTime))
+	s.evicted = false // it is busy: another may be asked to make room, or this one again
 	return nil
 }
 
-// Read reads from the client's connection: in the midst of a command it bounds each read. A wait for a command, and what is
-// passed over at the end, have deadlines of their own.
+// Read reads from the client's connection, which nothing else does while commands are taken: once the lifecycle forbids it,
+// no more is read, wherever in a command that is. In the midst of a command it bounds each read; a wait for a command has a
+// deadline of its own.
 func (s *session) Read(b []byte) (int, error) {
 	s.mu.Lock()
-	if !s.until.IsZero() && !s.over {
-		next := time.Now().Add(byteTime)
-		if next.After(s.until) {
-			next = s.until
-		}
-		s.conn.SetReadDeadline(next)
+	now := time.Now()
+	reads := s.life.reads(now)
+	if reads && !s.until.IsZero() {
+		s.conn.SetReadDeadline(earlier(s.until, now.Add(byteTime)))
 	}
 	s.mu.Unlock()
+	if !reads {
+		return 0, errOver
+	}
 	n, err := s.conn.Read(b)
 	if n > 0 {
 		s.heard = time.Now()
@@ -125,43 +165,33 @@
 	return n, err
 }
 
-// watch bounds a wait for the next command; false: the session is over. A drained session looks often, and one that others
-// want to end at once.
+// watch bounds a wait for the next command; false: none is taken any more. A draining session looks often, and one that is
+// to make room at once.
 func (s *session) watch(limit time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.over {
+	now := time.Now()
+	if !s.life.reads(now) {
 		return false
 	}
-	if s.drain {
+	if s.life.state == stateDraining {
 		limit = drainLook
 	}
-	if s.asked != nobody {
+	if s.evicted {
 		limit = lastLook
 	}
 	s.awaiting = true
-	s.conn.SetReadDeadline(time.Now().Add(limit))
+	s.conn.SetReadDeadline(s.life.readBy(now.Add(limit)))
 	return true
 }
 
-// The pace of a drained session.
-const (
-	drainLook = 50 * time.Millisecond   // between two looks at whether it is idle
-	lastLook  = time.Millisecond        // for what is on its way, before a session ends
-	drainLast = 1500 * time.Millisecond // after which it takes no command but those it has read
-	newcomer  = 200 * time.Millisecond  // in which a new session's first command comes
-	stopTime  = 100 * time.Millisecond  // after which nothing is taken any more, where the gateway ends
-)
-
 // leave tells whether the session ends now, between two commands: someone wants it to, or it has said nothing for so long.
 // Danger: whatever came before the end was taken, and would be lost; so it looks once more, and serves what came.
 func (s *session) leave(r *resp.Reader, limit time.Duration) bool {
 	if !s.mayLeave(limit) {
 		return false
 	}
-	if !s.deadline(lastLook) {
-		return true
-	}
+	s.conn.SetReadDeadline(time.Now().Add(lastLook))
 	_, err := r.Peek()
 	return err != nil
 }
@@ -169,33 +199,20 @@
 func (s *session) mayLeave(limit time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age, idle := time.Since(s.born), s.owesNothing()
+	idle := s.owesNothing()
 	switch {
-	case s.over:
-		return true
-	case s.asked == stop: // a new one's first command may be on its way
-		return s.taken > 0 || age >= stopTime
-	case s.asked == room:
-		s.asked = nobody // if it is busy again, another is asked
+	case s.evicted:
+		s.evicted = false // if it is busy again, another is asked
 		return idle
-	case s.drain:
-		return idle && (s.taken > 0 || age >= newcomer || time.Since(s.drainedAt) >= drainLast)
+	case s.life.state == stateDraining: // a new one's first command may be on its way
+		return idle && (s.taken > 0 || time.Since(s.born) >= firstTime)
 	}
 	return idle && time.Since(s.busy) >= limit
 }
 
-// deadline bounds the next read; false: the session is over, and its last deadline stands.
-func (s *session) deadline(d time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.over {
-		s.conn.SetReadDeadline(time.Now().Add(d))
-	}
-	return !s.over
-}
-
 // strike has a client that sends what can't be used wait before its next command is read: an error at full speed, and
-// the same again, would take the time of all others. At last it ends the session.
+// the same again, would take the time of all others. At last it ends the session. While it drains there is no time to wait,
+// and not much is read.
 func (s *session) strike(n int) bool {
 	if n >= strikes {
 		s.finish()
@@ -203,6 +220,7 @@
 	}
 	select {
 	case <-s.ctx.Done():
+	case <-s.drained:
 	case <-time.After(min(time.Duration(n)*strikePause, longPause)):
 	}
 	return true
@@ -225,7 +243,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for (len(s.slots) >= pipelined || int64(s.owed) > s.bounds.unsent) && !s.over {
+	for (len(s.slots) >= pipelined || int64(s.owed) > s.bounds.unsent) && s.life.state < stateClosed {
 		look := time.AfterFunc(goneLook, func() {
 			s.leaveIfGone()
 			s.room.Broadcast()
@@ -233,11 +251,12 @@
 		s.room.Wait()
 		look.Stop()
 	}
-	if s.over {
+	if s.life.state == stateClosed {
 		s.bounds.large.Release(slot.large)
 		return nil
 	}
 	s.taken++
+	slot.refuse = s.life.refuses(s.heard)
 	s.slots = append(s.slots, slot)
 	return slot
 }
@@ -250,32 +269,38 @@
 	}
 }
 
-// passOver reads what still comes, which is not taken, until the client ends or a moment after all is answered: a
-// close with something unread would reset the connection, and the client could lose answers that are on their way.
-// It reads so much and no more, as a client may write without end; one that goes on waits for the close.
-func (s *session) passOver() {
-	buf := make([]byte, readBuffer)
-	for left := lingerBytes; left > 0; {
-		n, err := s.conn.Read(buf)
-		if left -= n; err == nil {
-			continue
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !s.passesOver() {
+// awaitAnswers waits until all that was taken is answered and the sending side is shut. Danger: nothing may be read
+// meanwhile, as what was read and is not answered would be lost; unread, its client sends it elsewhere.
+func (s *session) awaitAnswers() {
+	look := time.NewTicker(goneLook)
+	defer look.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
 			return
+		case <-look.C:
+			s.leaveIfGone()
 		}
 	}
-	<-s.ctx.Done() // what it is owed is on its way, or it has gone
-	time.Sleep(linger)
 }
 
-// passesOver bounds the next read of what is passed over; false: the time for that is up, or the client has gone.
-func (s *session) passesOver() bool {
+// discard reads what still comes until the client ends, or its time is up: a close over unread input would reset the
+// connection, and the client could lose answers that are on their way. It reads so much and no more, as a client may write
+// without end; one that goes on waits for the close.
+func (s *session) discard() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	until := s.closeBy
-	if !s.over {
-		until = time.Now().Add(linger)
+	until := s.life.goneBy
+	s.mu.Unlock()
+	if !time.Now().Before(until) {
+		return
+	}
+	buf := make([]byte, readBuffer)
+	for left := discardBytes; left > 0; {
+		n, err := s.conn.Read(buf)
+		if err != nil {
+			return
+		}
+		left -= n
 	}
-	s.conn.SetReadDeadline(until)
-	return time.Now().Before(until)
+	time.Sleep(time.Until(until))
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -20,11 +20,13 @@
 	Keep     int             // idle ones beyond so many sessions end early; 0: none does
 	Bounds   *Bounds
 	Log      *zap.Logger
+	Ready    <-chan struct{} // closed once sessions may be taken in; nil: from the start
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
-	draining bool
+	drained  *drainTimes   // nil: the gateway is not drained
+	changed  chan struct{} // closed at the next change of drained; nil: nobody waits for one
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
@@ -42,16 +44,18 @@
 	}
 	places := make(chan struct{}, f.Sessions)
 	for {
+		f.awaitOpen(ctx)
 		conn, ok := Accept(f.Listener, f.Log, "a client session")
 		if !ok {
 			break
 		}
+		f.awaitOpen(ctx) // a drain may have ended meanwhile
 		placed := f.place(ctx, places)
 		s := newSession(conn, f.Open(), f.Bounds)
 		f.mu.Lock()
 		f.sessions[s] = struct{}{}
-		if f.draining {
-			s.drained()
+		if f.drained != nil {
+			s.drain(*f.drained)
 		}
 		f.mu.Unlock()
 		f.all.Go(func() {
@@ -74,8 +78,42 @@
 	return nil
 }
 
-// place waits for a place for a new session, which holds a descriptor of the reserve meanwhile. False: the gateway ends, and
-// it is served without. Danger: its client has connected and may have sent its command; closing it would lose that.
+// awaitOpen waits until sessions may be taken in: the gateway is ready, ends, or is drained, as a drained gateway may not keep
+// connections waiting.
+func (f *Server) awaitOpen(ctx context.Context) {
+	for !f.ready() {
+		f.mu.Lock()
+		drained := f.drained != nil
+		if f.changed == nil {
+			f.changed = make(chan struct{})
+		}
+		changed := f.changed
+		f.mu.Unlock()
+		if drained {
+			return
+		}
+		select {
+		case <-changed:
+		case <-f.Ready:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ready reports whether the gateway is ready.
+func (f *Server) ready() bool {
+	select {
+	case <-f.Ready:
+		return true
+	default:
+		return f.Ready == nil
+	}
+}
+
+// place waits for a place for a new session, which holds a descriptor of the reserve meanwhile. False: the gateway ends, or
+// drains and has none, and it is served without. Danger: its client has connected and may have sent its command; closing it
+// would lose that.
 func (f *Server) place(ctx context.Context, places chan<- struct{}) bool {
 	for {
 		select {
@@ -91,9 +129,18 @@
 			return false
 		case <-time.After(roomEvery):
 		}
+		if f.draining() {
+			return false
+		}
 	}
 }
 
+func (f *Server) draining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drained != nil
+}
+
 // lastAccepts has a listener take in what the machine has accepted by now, for a moment. Danger: a client whose connection
 // stands in the queue has been served, as far as it can tell, and may have sent its command; closing the listener resets it.
 func lastAccepts(l net.Listener) {
@@ -125,19 +172,26 @@
 )
 
 // Drain has every session end between two commands, and those that come meanwhile as well, until it is called with
-// false. None is refused: a client that connected is served what it sends before the end.
+// false. What is read within the time for that is served, and refused after it: at once, where the gateway is not ready.
 func (f *Server) Drain(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.sessions == nil {
-		f.sessions = map[*session]struct{}{}
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
 	}
-	f.draining = on
 	if !on {
+		f.drained = nil
 		return
 	}
+	now := time.Now()
+	d := newDrain(now)
+	if !f.ready() {
+		d.takeUntil = now
+	}
+	f.drained = &d
 	for s := range f.sessions {
-		s.drained()
+		s.drain(d)
 	}
 }
 
@@ -178,7 +232,7 @@
 		f.mu.Unlock()
 		slices.SortFunc(all, func(a, b candidate) int { return a.since.Compare(b.since) })
 		for _, c := range all[:max(0, min(len(all), asked-f.Keep))] {
-			c.s.makeRoom()
+			c.s.evict()
 		}
 	}
 }
@@ -201,6 +255,6 @@
 		}
 	}
 	if longest != nil {
-		longest.makeRoom()
+		longest.evict()
 	}
 }
--- a/internal/front/sessions/sessions.go
+++ b/internal/front/sessions/sessions.go
@@ -97,7 +97,14 @@
 // go by the error.
 func refuse(s *front.Slot, words string) { s.Fill(resp.AppendFailure(nil, words)) }
 
+// drainer is what may have to send its clients elsewhere; they ask by PING whether it does.
+type drainer interface{ Drained() bool }
+
 func (c *Commands) ping(args [][]byte, s *front.Slot) {
+	if d, ok := c.Commands.(drainer); ok && d.Drained() {
+		refuse(s, "ERR draining")
+		return
+	}
 	if len(args) > 0 {
 		c.echo(args, s)
 		return
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -16,6 +16,7 @@
 	large   int64  // bytes of the command that Bounds.large holds a place for
 	gone    func() // called if the client leaves before the slot is filled
 	settled func(Fate)
+	refuse  bool
 }
 
 // Value is a large value as it comes.
@@ -40,6 +41,10 @@
 	settled func(Fate)
 }
 
+// Refuse reports whether the gateway took no more requests when the command came: one must be refused, and not be carried
+// out.
+func (o *Slot) Refuse() bool { return o.refuse }
+
 // Reject gives the slot an error, for a command that can't be used.
 func (o *Slot) Reject(why string) {
 	o.session.mu.Lock()
@@ -50,12 +55,8 @@
 
 // Last gives the slot its answer, and has the session end as soon as all that came before it is answered too.
 func (o *Slot) Last(answer []byte) {
-	s := o.session
-	s.mu.Lock()
-	s.quit = true
-	s.mu.Unlock()
 	o.Fill(answer)
-	s.finish()
+	o.session.finish()
 }
 
 // OnGone sets what is to happen if the client leaves before the slot is filled.
@@ -63,7 +64,7 @@
 	s := o.session
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.over && !o.filled {
+	if s.life.state < stateClosed && !o.filled {
 		o.gone = f
 	} else if !o.filled {
 		go f() // it left while the command was being taken in
@@ -88,7 +89,7 @@
 	s := o.session
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v != nil && (o.filled || s.over) {
+	if v != nil && (o.filled || s.life.state == stateClosed) {
 		v.Close()
 	}
 	if o.filled {
@@ -96,7 +97,7 @@
 	}
 	o.answer, o.value, o.filled, o.gone = answer, v, true, nil
 	s.bounds.large.Release(o.large)
-	if s.over {
+	if s.life.state == stateClosed {
 		return
 	}
 	s.owed += len(answer)
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -11,6 +11,13 @@
 	"dewhitch/internal/resp"
 )
 
+// How a session's answers are written.
+const (
+	keptBuffer = 16 << 10        // a larger buffer of answers is not kept
+	sendTime   = 5 * time.Second // a client that takes nothing for so long has gone
+	sendWaits  = 10              // looks at whether it has taken something meanwhile
+)
+
 // write sends answers as they come into order.
 func (s *session) write() {
 	defer s.cancel()
@@ -21,12 +28,11 @@
 		buf, s.out = s.out, buf[:0]
 		marks, s.marks = s.marks, marks[:0]
 		value := s.value
-		if s.last && len(s.slots) == 0 && len(buf) == 0 && value == nil {
-			s.over = true // all is answered, and nothing more is taken from here on
-			s.closeBy = time.Now().Add(linger)
-			s.conn.SetReadDeadline(s.closeBy)
+		if s.life.state == stateClosing && len(s.slots) == 0 && len(buf) == 0 && value == nil {
+			s.life.shut(time.Now())
+			s.conn.SetReadDeadline(s.life.goneBy)
 		}
-		over := s.over
+		over := s.life.state == stateClosed
 		s.mu.Unlock()
 		if over {
 			settle(marks, 0)
@@ -58,7 +64,7 @@
 			// Danger: read may be waiting for room, which only this goroutine makes. It would wait for good, and with it
 			// the session's place and all that it holds.
 			s.mu.Lock()
-			s.over = true
+			s.life.abandon(time.Now())
 			s.room.Broadcast()
 			s.mu.Unlock()
 			s.conn.Close() // read sees the end
