--- a/internal/standin/build.go
+++ b/internal/standin/build.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// raceDetector is whether this program was built with the race detector.
+var raceDetector bool
+
 // Build builds one of the program's commands, such as dewhitch, into a folder, and returns where it is.
 //
 // The sources are opened for the test cache: it follows the files that a test opens, but not what a program that it
@@ -37,7 +40,11 @@
 		return "", err
 	}
 	program := filepath.Join(dir, command)
-	if out, err := exec.Command("go", "build", "-o", program, "dewhitch/cmd/"+command).CombinedOutput(); err != nil {
+	args := []string{"build", "-o", program}
+	if raceDetector { // what a test starts is watched as the test is
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "dewhitch/cmd/"+command)...).CombinedOutput(); err != nil {
 		return "", fmt.Errorf("standin: %w: %s", err, out)
 	}
 	return program, nil
--- /dev/null
+++ b/internal/standin/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package standin
+
+func init() { raceDetector = true }
