--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 )
@@ -96,3 +97,32 @@
 		t.Fatalf("%v %v", s.Ready(), told)
 	}
 }
+
+// Operators and the gateway itself may drain it, in any order: it is drained as long as either does, and those that watch
+// are told of each change once.
+func TestDrainsOfTwo(t *testing.T) {
+	steps := map[string]func(*State){
+		"operators drain": func(s *State) { s.Drain(true) }, "operators end": func(s *State) { s.Drain(false) },
+		"it drains itself": func(s *State) { s.DrainItself(true) }, "it ends": func(s *State) { s.DrainItself(false) },
+	}
+	for _, c := range []struct {
+		order []string
+		want  []bool
+	}{
+		{[]string{"it drains itself", "operators drain", "it ends"}, []bool{true}},
+		{[]string{"it drains itself", "operators drain", "it ends", "operators end"}, []bool{true, false}},
+		{[]string{"operators drain", "it drains itself", "operators end", "operators drain", "it ends", "operators end"}, []bool{true, false}},
+		{[]string{"operators drain", "operators end", "it drains itself", "operators end"}, []bool{true, false, true}},
+		{[]string{"operators end", "it ends"}, nil},
+	} {
+		var s State
+		var told []bool
+		s.Watch(func(on bool) { told = append(told, on) })
+		for _, step := range c.order {
+			steps[step](&s)
+		}
+		if !slices.Equal(told, c.want) || s.Drained() != (len(c.want)%2 == 1) {
+			t.Errorf("%q: told %v, drained %v, not %v", c.order, told, s.Drained(), c.want)
+		}
+	}
+}
