--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -51,9 +51,8 @@
 	servers    []*link.Link // by server
 
 	mu      sync.Mutex
-	hurt    []span // when the script had it dead, stopped or leaving
-	expects bool   // the script ended it
-	stopped bool
+	hurt    []span      // when the script had it dead, stopped or leaving
+	expects bool        // the script ended it
 	in      atomic.Bool // the clients' front sends it reqs
 	cpu     time.Duration
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -84,7 +84,6 @@
 
 	plan       Plan // that it acts on: the newest it knows
 	leader     string
-	leaderTerm uint64
 	leaderAt   time.Duration // when there last was word of one
 	freshUntil time.Duration
 	wasFresh   bool
@@ -129,7 +128,6 @@
 type queued struct {
 	ask  ask
 	from string
-	set  map[string]cbor.RawMessage // of a change of the leader's own
 }
 
 type asked struct {
--- a/internal/fleet/vault/vault.go
+++ b/internal/fleet/vault/vault.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -43,7 +44,7 @@
 		return nil, nil, err
 	}
 	db, err := bbolt.Open(filepath.Join(dir, file), 0o640, &bbolt.Options{Timeout: lockTime})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bbolterrors.ErrTimeout) {
 		err = ErrHeld
 	}
 	if err != nil {
@@ -121,7 +122,7 @@
 
 func whole(tx *bbolt.Tx, s *fleet.Saved) error {
 	for _, name := range [][]byte{bucketVoter, bucketLog} {
-		if err := tx.DeleteBucket(name); err != nil && !errors.Is(err, bbolt.ErrBucketNotFound) {
+		if err := tx.DeleteBucket(name); err != nil && !errors.Is(err, bbolterrors.ErrBucketNotFound) {
 			return err
 		}
 		if _, err := tx.CreateBucket(name); err != nil {
--- a/internal/ledger/ledgertest/storm.go
+++ b/internal/ledger/ledgertest/storm.go
@@ -5,74 +5,78 @@
 import (
 	"math/rand/v2"
 
-	. "dewhitch/internal/ledger"
+	"dewhitch/internal/ledger"
 )
 
 // script is the legal postings on one req or call, in any order that the owners could post in. After each prefix the
 // books must add up.
-type script []Posting
+type script []ledger.Posting
 
-func reqScript(r *rand.Rand, ref uint64, k Key) script {
+func reqScript(r *rand.Rand, ref uint64, k ledger.Key) script {
 	units := int64(1+r.IntN(5)) * 1e6
-	p := func(e Event, u int64) Posting { return Posting{Event: e, Key: k, Ref: ref, Units: u} }
-	s := script{p(FrontTaken, units)}
+	p := func(e ledger.Event, u int64) ledger.Posting {
+		return ledger.Posting{Event: e, Key: k, Ref: ref, Units: u}
+	}
+	s := script{p(ledger.FrontTaken, units)}
 	if k.Class == 1 {
-		s = append(s, p(FrontKeyed, int64(ref%7)))
+		s = append(s, p(ledger.FrontKeyed, int64(ref%7)))
 	}
 	if r.IntN(20) == 0 {
-		return append(s, p(FrontKept, units))
+		return append(s, p(ledger.FrontKept, units))
 	}
 	goneFirst := r.IntN(12) == 0
 	if goneFirst {
-		s = append(s, p(FrontGone, 0))
+		s = append(s, p(ledger.FrontGone, 0))
 	}
-	s = append(s, p(PlanTaken, units))
+	s = append(s, p(ledger.PlanTaken, units))
 	fetches, ok := 0, false
 	if k.Class >= 0 {
 		fetches = r.IntN(3)
 	}
 	for i := range fetches {
-		end := FetchError + Event(r.IntN(int(FetchNotSent-FetchError)+1))
+		end := ledger.FetchError + ledger.Event(r.IntN(int(ledger.FetchNotSent-ledger.FetchError)+1))
 		if ok = i == fetches-1 && r.IntN(2) == 0; ok {
-			end = FetchOK
+			end = ledger.FetchOK
 		}
-		s = append(s, p(PlanSent, 0), p(FetchBegan, 0), p(end, 0), p(PlanHeard, 0))
+		s = append(s, p(ledger.PlanSent, 0), p(ledger.FetchBegan, 0), p(end, 0), p(ledger.PlanHeard, 0))
 	}
 	if goneFirst {
-		return append(s, p(PlanGone, 0))
+		return append(s, p(ledger.PlanGone, 0))
 	}
-	decision, end := PlanRefusedQuota+Event(r.IntN(5)), FrontRefused
+	decision, end := ledger.PlanRefusedQuota+ledger.Event(r.IntN(5)), ledger.FrontRefused
 	if ok || k.Class < 0 && r.IntN(2) == 0 {
-		decision, end = PlanServed, FrontServed
+		decision, end = ledger.PlanServed, ledger.FrontServed
 	} else if r.IntN(3) == 0 {
-		decision, end = PlanFailedGaveUp+Event(r.IntN(3)), FrontFailed
+		decision, end = ledger.PlanFailedGaveUp+ledger.Event(r.IntN(3)), ledger.FrontFailed
 	}
 	if r.IntN(10) == 0 {
-		end = FrontCut
+		end = ledger.FrontCut
 	}
 	if s = append(s, p(decision, 0)); r.IntN(6) == 0 && k.Class >= 0 { // a fetch that ends after the answer
-		late := []Posting{p(PlanSent, 0), p(FetchBegan, 0), p(FetchCancelled, 0), p(PlanHeard, 0)}
+		late := []ledger.Posting{p(ledger.PlanSent, 0), p(ledger.FetchBegan, 0), p(ledger.FetchCancelled, 0), p(ledger.PlanHeard, 0)}
 		s = append(s[:len(s)-1], late[0], late[1], s[len(s)-1], p(end, 0), late[2], late[3])
 		return s
 	}
 	return append(s, p(end, 0))
 }
 
-func callScript(r *rand.Rand, ref uint64, k Key) script {
+func callScript(r *rand.Rand, ref uint64, k ledger.Key) script {
 	units := int64(1+r.IntN(9)) * 1e6
-	p := func(e Event, ref uint64) Posting { return Posting{Event: e, Key: k, Ref: ref, Units: units} }
-	s := script{p(UnitsDrawn, 0), p(UnitsTold, ref), p(CallBegan, ref)}
+	p := func(e ledger.Event, ref uint64) ledger.Posting {
+		return ledger.Posting{Event: e, Key: k, Ref: ref, Units: units}
+	}
+	s := script{p(ledger.UnitsDrawn, 0), p(ledger.UnitsTold, ref), p(ledger.CallBegan, ref)}
 	switch r.IntN(3) {
 	case 0:
-		return append(s, p(CallAdded, ref))
+		return append(s, p(ledger.CallAdded, ref))
 	case 1:
-		return append(s, p(CallUnknown, ref))
+		return append(s, p(ledger.CallUnknown, ref))
 	}
-	return append(s, p(CallRejected, ref), p(UnitsReturned, ref))
+	return append(s, p(ledger.CallRejected, ref), p(ledger.UnitsReturned, ref))
 }
 
 // Storm interleaves many scripts at random and calls each after every posting.
-func Storm(seed uint64, reqs, hauliers int, each func(Posting)) {
+func Storm(seed uint64, reqs, hauliers int, each func(ledger.Posting)) {
 	r := rand.New(rand.NewPCG(seed, 5))
 	var open []script
 	for i := 0; i < reqs || len(open) > 0; {
@@ -80,9 +84,9 @@
 			i++
 			h := uint64(1 + r.IntN(hauliers))
 			if r.IntN(4) == 0 {
-				open = append(open, callScript(r, uint64(i), Account(h)))
+				open = append(open, callScript(r, uint64(i), ledger.Account(h)))
 			} else {
-				open = append(open, reqScript(r, uint64(i), Key{Customer: h, Plan: int16(r.IntN(3)), Class: int16(r.IntN(4)) - 2}))
+				open = append(open, reqScript(r, uint64(i), ledger.Key{Customer: h, Plan: int16(r.IntN(3)), Class: int16(r.IntN(4)) - 2}))
 			}
 			continue
 		}
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.uber.org/zap"
 
 	"dewhitch/internal/ledger"
@@ -95,10 +96,9 @@
 
 // Store implements desk.Keeper.
 type Store struct {
-	o     Options
-	lock  *os.File
-	meta  meta
-	names ledger.Names
+	o    Options
+	lock *os.File
+	meta meta
 
 	// Under the desk's lock, and in Run.
 	cur  *segment
@@ -627,5 +627,5 @@
 func corrupt(err error) bool {
 	var path *fs.PathError
 	var errno syscall.Errno
-	return !errors.As(err, &path) && !errors.As(err, &errno) && !errors.Is(err, bbolt.ErrTimeout)
+	return !errors.As(err, &path) && !errors.As(err, &errno) && !errors.Is(err, bbolterrors.ErrTimeout)
 }
--- a/internal/soak/reckon.go
+++ b/internal/soak/reckon.go
@@ -190,7 +190,7 @@
 		haulier uint64
 		class   string
 	}
-	type figures struct{ seen, answered, served, begun, ok, replied uint64 }
+	type figures struct{ seen, served, begun, ok, replied uint64 }
 	sums := map[key]*figures{}
 	at := func(haulier uint64, class string) *figures {
 		k := key{haulier, class}
