Sort the errors of sockets, and blame no server for what this machine lacks

Terms: accept, socket and connect may fail for a moment (ECONNABORTED, ENFILE, ENOBUFS, EADDRNOTAVAIL ...). Accept logged each try, 100 lines a second, and tried a listener that is broken for good for ever.

internal/sockets sorts errors into classes. A dial that fails for want of something here is tried again for as long as a connection may take, and is "not sent" after that, as where the pool is full. Accept goes on at once behind a connection that failed, waits 10 ms in a shortage and says so once a second, and ends the process if its listener is broken.

Ruled out: ECONNREFUSED, EHOSTUNREACH, ENETUNREACH and ETIMEDOUT at connect stay the server's, as a way may be missing to one server alone.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"dewhitch/internal/front"
+	"dewhitch/internal/sockets"
 )
 
 // Gateway carries out the calls; none of its methods may block for long, as every answer is due within a second.
@@ -40,7 +40,8 @@
 	all     sync.WaitGroup
 }
 
-// Serve answers calls until the context ends, and returns when the last caller has been answered or let go.
+// Serve answers calls until the context ends, and returns when the last caller has been answered or let go. A listener that
+// breaks ends it with an error.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
 		s.Listener.Close()
@@ -53,9 +54,11 @@
 	defer stop()
 	defer s.all.Wait()
 	for {
-		conn, ok := front.Accept(s.Listener, s.Log, "an operator's call")
-		if !ok {
+		conn, err := sockets.Accept(s.Listener, s.Log, "an operator's call")
+		if errors.Is(err, sockets.ErrEnded) {
 			return nil
+		} else if err != nil {
+			return err
 		}
 		s.hold(conn)
 		s.all.Go(func() {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/resp"
+	"dewhitch/internal/sockets"
 )
 
 const (
@@ -278,7 +279,9 @@
 		err = errLate
 	}
 	if err != nil {
-		if errors.Is(f.ctx.Err(), context.Canceled) || errors.Is(err, errFull) { // no fault of the backend's
+		// No fault of the backend's; blamed, every backend would be avoided for what this machine lacks.
+		ours := errors.Is(err, errFull) || sockets.DialClass(err) == sockets.Shortage
+		if ours || errors.Is(f.ctx.Err(), context.Canceled) {
 			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
 		}
 		return core.FetchEnd{Outcome: dw.OutcomeConnectFailed}
@@ -425,6 +428,25 @@
 	return l
 }
 
+// shortageWait is the time between two dials while this machine lacks something.
+const shortageWait = 5 * time.Millisecond
+
+// connect dials a fetch's backend. What this machine lacks it may have in a moment, so that a dial is tried again, for as long
+// as a connection may take to come up; nothing was sent by any.
+func (p *Pools) connect(f *fetch) (net.Conn, error) {
+	for until := p.now().Add(p.limits.Connect); ; {
+		c, err := p.dial(f.ctx, f.Backend.Addr, f.Begin)
+		if sockets.DialClass(err) != sockets.Shortage || !p.now().Before(until) {
+			return c, err
+		}
+		select {
+		case <-time.After(shortageWait):
+		case <-f.ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 var (
 	errFull = errors.New("backend: no descriptor is free")
 	errLate = errors.New("backend: the connection came up too late")
@@ -460,7 +482,7 @@
 	if spare != nil {
 		p.drop(spare)
 	}
-	n, err := p.dial(f.ctx, l.Addr, f.Begin)
+	n, err := p.connect(f)
 	if err != nil {
 		p.closed()
 		return nil, err
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"dewhitch/internal/sockets"
 )
 
 // Server takes client sessions in at one address.
@@ -30,7 +31,7 @@
 }
 
 // Serve takes sessions in until the context ends: then it closes the listener, lets every session end as soon
-// as nothing is owed to its client, and returns when the last has.
+// as nothing is owed to its client, and returns when the last has. A listener that breaks ends it likewise, with an error.
 func (f *Server) Serve(ctx context.Context) error {
 	f.mu.Lock()
 	if f.sessions == nil {
@@ -43,10 +44,12 @@
 		go f.thin(ctx)
 	}
 	places := make(chan struct{}, f.Sessions)
+	var broken error // of the listener
 	for {
 		f.awaitOpen(ctx)
-		conn, ok := Accept(f.Listener, f.Log, "a client session")
-		if !ok {
+		conn, err := sockets.Accept(f.Listener, f.Log, "a client session")
+		if err != nil {
+			broken = err
 			break
 		}
 		f.awaitOpen(ctx) // a drain may have ended meanwhile
@@ -75,7 +78,10 @@
 	}
 	f.mu.Unlock()
 	f.all.Wait()
-	return nil
+	if errors.Is(broken, sockets.ErrEnded) {
+		return nil
+	}
+	return broken
 }
 
 // awaitOpen waits until sessions may be taken in: the gateway is ready, ends, or is drained, as a drained gateway may not keep
@@ -149,22 +155,6 @@
 	}
 }
 
-// Accept takes the next connection; false once the listener is closed or its time is up. Out of descriptors, or a caller that
-// left at once: neither ends the gateway, nor the last that it takes in, and the error is logged and waited out.
-func Accept(l net.Listener, log *zap.Logger, what string) (net.Conn, bool) {
-	for {
-		conn, err := l.Accept()
-		if err == nil {
-			return conn, true
-		}
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, false
-		}
-		log.Warn(what+" could not be taken in", zap.Error(err))
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 const (
 	acceptsOn = 20 * time.Millisecond  // at the end
 	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
