Count a forwarder's planners by their addresses, not by one port

TestForwarder failed since the suite starts more programs: stand-ins' addresses go on with port 7380 after 250 hosts, and the test looked for :7379 three times. It counts as many addresses as before; seen failing in two whole runs of cmd/dewhitch, passing alone, and passing in a whole run now.

--- a/cmd/dewhitch/limits_test.go
+++ b/cmd/dewhitch/limits_test.go
@@ -192,7 +192,7 @@
 	told := func(planners int) bool {
 		return eventually(func() bool {
 			log := strings.Split(strings.TrimSpace(f.log()), "\n")
-			return strings.Count(log[len(log)-1], ":7379") == planners && strings.Contains(log[len(log)-1], "planners")
+			return strings.Count(log[len(log)-1], `":"127.`) == planners && strings.Contains(log[len(log)-1], "planners")
 		})
 	}
 	if !told(3) {
