Name the waits of a client session by what they are, and move eviction to its own file

Renames only, within internal/front: thin is evictIdle, strike penalize, pipelined maxPipelined, the looks and pauses intervals and times; Keep of the server is KeepIdle. The time for a new session's first command was there twice, as grace and as firstTime, both 200 ms: one is left. No behaviour changes; the front's tests pass under the race detector.

--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -378,7 +378,7 @@
 func serveAll(ctx context.Context, servers []*front.Server, sessions, keep int) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, s := range servers {
-		s.Sessions, s.Keep = sessions/len(servers), keep/len(servers)
+		s.Sessions, s.KeepIdle = sessions/len(servers), keep/len(servers)
 		group.Go(func() error { return s.Serve(ctx) })
 	}
 	return group.Wait()
--- a/internal/front/bounds.go
+++ b/internal/front/bounds.go
@@ -22,7 +22,7 @@
 	sessionPart   = 8         // of those: of one session
 	largePart     = 8         // of the memory: large commands in hand
 	mostOfSession = 512 << 10 // bytes, whatever the memory
-	pipelined     = 64        // commands of one session that may wait for their answers; more are left unread
+	maxPipelined  = 64        // commands of one session that may wait for their answers; more are left unread
 	largeSize     = 2 << 10   // of a command; those that are larger share what memory there is for them
 )
 
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -86,7 +86,7 @@
 			eventually(t, "the session goes on reading", func() bool { return s.is(stateClosing) })
 			c.Write([]byte(ping + ping))
 			// Nobody would tell that nothing is read: the looks for a client that has gone have passed a few times.
-			time.Sleep(3 * goneLook)
+			time.Sleep(3 * goneInterval)
 			close(d.answer)
 			if got := answers(t, c); got != "+OK\r\n" {
 				t.Errorf("%q", got)
@@ -131,14 +131,14 @@
 		}
 		sent <- n
 	}()
-	eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == pipelined })
+	eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == maxPipelined })
 	s.drain(drainIsLate())
 	close(d.answer)
 	got, err := io.ReadAll(c)
 	if n := int64(bytes.Count(got, []byte("+OK\r\n"))); n != d.taken.Load() || err != nil && !strings.Contains(err.Error(), "reset") {
 		t.Errorf("%d answers to %d commands, %v", n, d.taken.Load(), err)
 	}
-	if n := d.taken.Load(); n < pipelined || n > pipelined+readBuffer/int64(len(ping))+1 {
+	if n := d.taken.Load(); n < maxPipelined || n > maxPipelined+readBuffer/int64(len(ping))+1 {
 		t.Errorf("%d commands were taken: not those that had been read", n)
 	}
 	if n := g.wrong.Load(); n > 0 {
@@ -219,7 +219,7 @@
 	d := &refusing{slow{answer: make(chan struct{})}}
 	close(d.answer)
 	c, _, s := pair(t, d, false)
-	const commands = strikes - 1
+	const commands = maxFaults - 1
 	c.Write([]byte(strings.Repeat("*1\r\n$3\r\nBAD\r\n", commands)))
 	eventually(t, "nothing was rejected", func() bool { return s.faults() > 2 })
 	s.drain(drainIsLate())
@@ -229,7 +229,7 @@
 		t.Errorf("%d of %d commands were answered: %q", n, commands, got)
 	}
 	// The penalties together are over 5 s; one that had begun goes on for a moment at most.
-	if all := time.Since(began); all > longPause*commands/3 {
+	if all := time.Since(began); all > maxPenalty*commands/3 {
 		t.Errorf("it took %v", all)
 	}
 }
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -220,14 +220,14 @@
 			d := &slow{answer: make(chan struct{})}
 			defer close(d.answer)
 			c, _, _ := pair(t, d, false)
-			for range 3 * pipelined {
+			for range 3 * maxPipelined {
 				c.Write([]byte(ping))
 			}
-			eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == pipelined })
+			eventually(t, "the pipeline is not full", func() bool { return d.taken.Load() == maxPipelined })
 			leave(c)
-			eventually(t, "nobody knows that the client has gone", func() bool { return d.gone.Load() == pipelined })
-			if n := d.taken.Load(); n != pipelined {
-				t.Errorf("%d commands were taken, want %d", n, pipelined)
+			eventually(t, "nobody knows that the client has gone", func() bool { return d.gone.Load() == maxPipelined })
+			if n := d.taken.Load(); n != maxPipelined {
+				t.Errorf("%d commands were taken, want %d", n, maxPipelined)
 			}
 		})
 	}
--- a/internal/front/thin_test.go
+++ b/internal/front/eviction_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
-	f := &Server{Listener: l, Open: func() Commands { return echo{} }, Sessions: 100, Keep: 10, Bounds: NewBounds(64 << 20),
+	f := &Server{Listener: l, Open: func() Commands { return echo{} }, Sessions: 100, KeepIdle: 10, Bounds: NewBounds(64 << 20),
 		Log: zap.NewNop()}
 	over := make(chan error, 1)
 	go func() { over <- f.Serve(ctx) }()
@@ -73,7 +73,7 @@
 	for begin := asked; time.Since(begin) < 10*time.Second && seen < 33; {
 		busy.Write([]byte("*1\r\n$4\r\nECHO\r\n"))
 		line, err := answers.ReadString('\n')
-		if gap := time.Since(asked); err != nil && gap < restTime {
+		if gap := time.Since(asked); err != nil && gap < evictableAfter {
 			t.Fatalf("the busy one, which asked %v ago: %q, %v", gap, line, err)
 		} else if err != nil { // a machine that stands still has made it an idle one
 			busy, answers = dial("ECHO")
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -10,23 +10,23 @@
 
 // How a session's client is waited for.
 const (
-	readBuffer   = 2 << 10
-	helloTime    = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
-	byteTime     = 2500 * time.Millisecond // between two bytes of a command: a client may spend 2 s on a head
-	commandTime  = 10 * time.Second        // from a command's first byte to its last
-	idleTime     = 5 * time.Second         // a client that asks for nothing for so long can connect again
-	drainLook    = 50 * time.Millisecond   // between two looks at whether a draining session is owed nothing
-	lastLook     = time.Millisecond        // for what is on its way, before a session ends
-	stopTime     = 100 * time.Millisecond  // for a command that is on its way as the gateway ends
-	goneLook     = 50 * time.Millisecond   // while nothing is read: between two looks at whether the client has gone
-	discardBytes = 256 << 10               // of input that is discarded; a client that writes more waits for the close
+	readBuffer    = 2 << 10
+	helloTime     = 1500 * time.Millisecond // from connecting to the first byte: a client connects to say something
+	byteTime      = 2500 * time.Millisecond // between two bytes of a command: a client may spend 2 s on a head
+	commandTime   = 10 * time.Second        // from a command's first byte to its last
+	idleTime      = 5 * time.Second         // a client that asks for nothing for so long can connect again
+	drainInterval = 50 * time.Millisecond   // between two looks at whether a draining session is owed nothing
+	lastReadTime  = time.Millisecond        // for what is on its way, before a session ends
+	stopTime      = 100 * time.Millisecond  // for a command that is on its way as the gateway ends
+	goneInterval  = 50 * time.Millisecond   // while nothing is read: between two looks at whether the client has gone
+	discardBytes  = 256 << 10               // of input that is discarded; a client that writes more waits for the close
 )
 
 // The penalties for commands that can't be used.
 const (
-	strikes     = 16 // after which the session ends
-	strikePause = 50 * time.Millisecond
-	longPause   = time.Second
+	maxFaults   = 16 // after which the session ends
+	penaltyStep = 50 * time.Millisecond
+	maxPenalty  = time.Second
 )
 
 var (
@@ -52,7 +52,7 @@
 		s.endReading(err)
 		return false
 	}
-	if time.Since(s.heard) > goneLook {
+	if time.Since(s.heard) > goneInterval {
 		s.leaveIfGone() // it has waited behind others, or for a pause
 	}
 	slot := s.open(c)
@@ -110,7 +110,7 @@
 	s.mu.Lock()
 	bad, closing := s.bad, s.life.state >= stateClosing
 	s.mu.Unlock()
-	return !closing && (bad == before || s.strike(bad))
+	return !closing && (bad == before || s.penalize(bad))
 }
 
 // await waits for the first byte of a command. Danger: clients that connect and say nothing, or keep a session for
@@ -175,10 +175,10 @@
 		return false
 	}
 	if s.life.state == stateDraining {
-		limit = drainLook
+		limit = drainInterval
 	}
 	if s.evicted {
-		limit = lastLook
+		limit = lastReadTime
 	}
 	s.awaiting = true
 	s.conn.SetReadDeadline(s.life.readBy(now.Add(limit)))
@@ -191,7 +191,7 @@
 	if !s.mayLeave(limit) {
 		return false
 	}
-	s.conn.SetReadDeadline(time.Now().Add(lastLook))
+	s.conn.SetReadDeadline(time.Now().Add(lastReadTime))
 	_, err := r.Peek()
 	return err != nil
 }
@@ -210,18 +210,18 @@
 	return idle && time.Since(s.busy) >= limit
 }
 
-// strike has a client that sends what can't be used wait before its next command is read: an error at full speed, and
+// penalize has a client that sends what can't be used wait before its next command is read: an error at full speed, and
 // the same again, would take the time of all others. At last it ends the session. While it drains there is no time to wait,
 // and not much is read.
-func (s *session) strike(n int) bool {
-	if n >= strikes {
+func (s *session) penalize(n int) bool {
+	if n >= maxFaults {
 		s.finish()
 		return false
 	}
 	select {
 	case <-s.ctx.Done():
 	case <-s.drained:
-	case <-time.After(min(time.Duration(n)*strikePause, longPause)):
+	case <-time.After(min(time.Duration(n)*penaltyStep, maxPenalty)):
 	}
 	return true
 }
@@ -243,8 +243,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for (len(s.slots) >= pipelined || int64(s.owed) > s.bounds.unsent) && s.life.state < stateClosed {
-		look := time.AfterFunc(goneLook, func() {
+	for (len(s.slots) >= maxPipelined || int64(s.owed) > s.bounds.unsent) && s.life.state < stateClosed {
+		look := time.AfterFunc(goneInterval, func() {
 			s.leaveIfGone()
 			s.room.Broadcast()
 		})
@@ -272,7 +272,7 @@
 // awaitAnswers waits until all that was taken is answered and the sending side is shut. Danger: nothing may be read
 // meanwhile, as what was read and is not answered would be lost; unread, its client sends it elsewhere.
 func (s *session) awaitAnswers() {
-	look := time.NewTicker(goneLook)
+	look := time.NewTicker(goneInterval)
 	defer look.Stop()
 	for {
 		select {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,7 @@
 	Listener net.Listener
 	Open     func() Commands // for each session
 	Sessions int             // most at once
-	Keep     int             // idle ones beyond so many sessions end early; 0: none does
+	KeepIdle int             // idle ones beyond so many sessions end early; 0: none does
 	Bounds   *Bounds
 	Log      *zap.Logger
 	Ready    <-chan struct{} // closed once sessions may be taken in; nil: from the start
@@ -40,8 +39,8 @@
 	f.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { lastAccepts(f.Listener) })
 	defer stop()
-	if f.Keep > 0 {
-		go f.thin(ctx)
+	if f.KeepIdle > 0 {
+		go f.evictIdle(ctx)
 	}
 	places := make(chan struct{}, f.Sessions)
 	var broken error // of the listener
@@ -133,7 +132,7 @@
 			return true
 		case <-ctx.Done():
 			return false
-		case <-time.After(roomEvery):
+		case <-time.After(placeInterval):
 		}
 		if f.draining() {
 			return false
@@ -150,15 +149,14 @@
 // lastAccepts has a listener take in what the machine has accepted by now, for a moment. Danger: a client whose connection
 // stands in the queue has been served, as far as it can tell, and may have sent its command; closing the listener resets it.
 func lastAccepts(l net.Listener) {
-	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(acceptsOn)) != nil {
+	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
 		l.Close()
 	}
 }
 
 const (
-	acceptsOn = 20 * time.Millisecond  // at the end
-	roomEvery = 50 * time.Millisecond  // while all places are taken and nobody is idle
-	grace     = 200 * time.Millisecond // in which a new session's first command comes
+	lastAcceptTime = 20 * time.Millisecond // at the end
+	placeInterval  = 50 * time.Millisecond // while all places are taken and nobody is idle
 )
 
 // Drain has every session end between two commands, and those that come meanwhile as well, until it is called with
@@ -184,67 +182,3 @@
 		s.drain(d)
 	}
 }
-
-const (
-	thinEvery = 50 * time.Millisecond
-	restTime  = 250 * time.Millisecond // of a session: a client that asks again does so by then, or can connect again
-)
-
-// thin ends idle sessions beyond those to keep, the longest idle first, until the context ends. It guards clients from each
-// other: a platform lets them hold so many connections and no more, and where each asks once and keeps its own, what is
-// asked next never gets here, though the gateway is at ease and its places are free.
-func (f *Server) thin(ctx context.Context) {
-	tick := time.NewTicker(thinEvery)
-	defer tick.Stop()
-	type candidate struct {
-		s     *session
-		since time.Time
-	}
-	var all []candidate
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		all = all[:0]
-		asked := 0
-		f.mu.Lock()
-		for s := range f.sessions {
-			since, useful, resting := s.resting()
-			if useful { // others are no client's, and have a short time anyway
-				asked++
-			}
-			if useful && resting && time.Since(since) >= restTime {
-				all = append(all, candidate{s, since})
-			}
-		}
-		f.mu.Unlock()
-		slices.SortFunc(all, func(a, b candidate) int { return a.since.Compare(b.since) })
-		for _, c := range all[:max(0, min(len(all), asked-f.Keep))] {
-			c.s.evict()
-		}
-	}
-}
-
-// makeRoom ends the session that has been idle longest, if one is. Clients may keep sessions that they no longer use,
-// and a new one would wait for them for ever. Those that have asked for nothing that could be used go first: whoever
-// connects by hundreds and says nothing takes the place of no client that is served. A client that has connected a
-// moment ago has had no time to ask.
-func (f *Server) makeRoom() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var longest *session
-	var since time.Time
-	served := false
-	for s := range f.sessions {
-		at, useful, idle := s.idle()
-		useful = useful || time.Since(at) < grace
-		if idle && (longest == nil || served && !useful || served == useful && at.Before(since)) {
-			longest, since, served = s, at, useful
-		}
-	}
-	if longest != nil {
-		longest.evict()
-	}
-}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -90,7 +90,7 @@
 func (s *session) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	within := lastLook
+	within := lastReadTime
 	if s.taken == 0 || !s.until.IsZero() { // a command is on its way
 		within = stopTime
 	}
