Write files for the next process in one place, and exclusions until they are written

Terms: writes and syncs may fail for a while (ENOSPC, EIO), a kill may leave a write half done, and what was taken on is still owed.

internal/durable has the one way: temporary file, sync, rename, sync of the folder, over an interface that tests make fail. Exclusions are written again five times a second until they are, and once more at the end.

Red on: TestExclusionIsKeptOnceItCanBe ("the exclusion was not kept"). TestReplaceFails fails each step with ENOSPC, EIO, EDQUOT, EROFS and EINTR, and a write at every byte. Not done: the same for the ledger's store and the fleet's vault; a figure beside the log line.

--- a/cmd/dewhitch/handover_test.go
+++ b/cmd/dewhitch/handover_test.go
@@ -8,10 +8,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"dewhitch/internal/handover"
 )
 
 // adminCall makes one call at an operators' address and returns the first line of the answer; empty if there was none.
@@ -199,3 +202,36 @@
 		t.Errorf("of 8 reqs a warm process served %d, a cold one %d", served["auto"], served["off"])
 	}
 }
+
+// Operators exclude a server while the folder for the next process can't be written: the call is answered, and the file is
+// there once it can be.
+func TestExclusionIsKeptOnceItCanBe(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.scratch = filepath.Join(t.TempDir(), "scratch")
+	if err := os.Mkdir(w.scratch, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	p := w.start("serve")
+	if err := os.RemoveAll(w.scratch); err != nil {
+		t.Fatal(err)
+	}
+	if !eventually(func() bool { return adminCall(t, w.admin, "exclude s-00000001") == "YES" }) {
+		t.Fatalf("the call is not taken\n%s", p.log())
+	}
+	if !eventually(func() bool { return strings.Contains(p.log(), "exclusions are not written") }) {
+		t.Fatalf("the failure is not told\n%s", p.log())
+	}
+	if err := os.Mkdir(w.scratch, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if !eventually(func() bool {
+		s, err := handover.Load(handover.Path(w.scratch, "n0"))
+		return err == nil && slices.Equal(s.Excluded, []string{"s-00000001"})
+	}) {
+		t.Errorf("the exclusion was not kept\n%s", p.log())
+	}
+	if n := strings.Count(p.log(), "exclusions are not written"); n != 1 {
+		t.Errorf("the failure was told %d times", n)
+	}
+}
--- a/cmd/dewhitch/operate.go
+++ b/cmd/dewhitch/operate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -85,22 +86,60 @@
 		}
 		o.log.Info("exclusions taken over", zap.Strings("servers", s.Excluded))
 	}
+	o.keepExclusions(ctx, path, latest)
+}
+
+// keepRetry is the time between two tries to write a file that could not be written.
+const keepRetry = 200 * time.Millisecond
+
+// keepExclusions writes the newest exclusions until the context ends. Danger: a server that operators excluded must stay so
+// in the process that replaces this one, also if the disk was full when they said it: a write that failed is tried again.
+func (o *operated) keepExclusions(ctx context.Context, path string, latest <-chan []dw.ServerID) {
+	var unsaved *handover.State // nil: all is saved
+	var retry <-chan time.Time  // nil: nothing has failed
+	save := func() {
+		err := handover.Save(path, *unsaved)
+		switch {
+		case err == nil && retry != nil:
+			o.log.Info("exclusions are written again")
+		case err != nil && retry == nil:
+			o.log.Warn("exclusions are not written for the next process yet; tried again", zap.Error(err))
+		}
+		if retry = nil; err != nil {
+			retry = time.After(keepRetry)
+			return
+		}
+		unsaved = nil
+	}
 	for {
 		select {
 		case <-ctx.Done():
-			return
-		case ids := <-latest:
-			s := handover.State{Excluded: make([]string, len(ids))}
-			for i, id := range ids {
-				s.Excluded[i] = fmt.Sprintf("s-%08x", uint32(id))
+			select {
+			case ids := <-latest:
+				unsaved = exclusionState(ids)
+			default:
 			}
-			if err := handover.Save(path, s); err != nil {
-				o.log.Warn("exclusions could not be kept for the next process", zap.Error(err))
+			if unsaved != nil {
+				save()
 			}
+			return
+		case ids := <-latest:
+			unsaved = exclusionState(ids)
+			save()
+		case <-retry:
+			save()
 		}
 	}
 }
 
+func exclusionState(ids []dw.ServerID) *handover.State {
+	s := &handover.State{Excluded: make([]string, len(ids))}
+	for i, id := range ids {
+		s.Excluded[i] = fmt.Sprintf("s-%08x", uint32(id))
+	}
+	return s
+}
+
 // exclusions has the planner tell its exclusions, the latest only, to handOver; before the planner runs.
 func (o *operated) exclusions() chan []dw.ServerID {
 	latest := make(chan []dw.ServerID, 1)
--- /dev/null
+++ b/internal/durable/durable_test.go
@@ -0,0 +1,135 @@
+package durable
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+)
+
+// step is a call to the file system.
+type step string
+
+const (
+	stepOpen   step = "open"
+	stepWrite  step = "write"
+	stepSync   step = "sync"
+	stepClose  step = "close"
+	stepRename step = "rename"
+	stepFolder step = "sync of the folder"
+)
+
+// failing is the disk, with one step that fails; a write takes so many bytes first.
+type failing struct {
+	System
+	at    step
+	err   error
+	bytes int
+}
+
+func (f *failing) fails(at step) error {
+	if f.at == at {
+		return f.err
+	}
+	return nil
+}
+
+func (f *failing) OpenFile(name string, flag int, perm fs.FileMode) (File, error) {
+	if err := f.fails(stepOpen); err != nil {
+		return nil, err
+	}
+	file, err := f.System.OpenFile(name, flag, perm)
+	return &failingFile{file, f}, err
+}
+
+func (f *failing) Rename(from, to string) error {
+	if err := f.fails(stepRename); err != nil {
+		return err
+	}
+	return f.System.Rename(from, to)
+}
+
+func (f *failing) SyncDir(name string) error {
+	if err := f.fails(stepFolder); err != nil {
+		return err
+	}
+	return f.System.SyncDir(name)
+}
+
+type failingFile struct {
+	File
+	f *failing
+}
+
+func (w *failingFile) Write(b []byte) (int, error) {
+	if err := w.f.fails(stepWrite); err != nil {
+		n, _ := w.File.Write(b[:min(len(b), w.f.bytes)])
+		return n, err
+	}
+	return w.File.Write(b)
+}
+
+func (w *failingFile) Sync() error { return errors.Join(w.f.fails(stepSync), w.File.Sync()) }
+
+func (w *failingFile) Close() error { return errors.Join(w.f.fails(stepClose), w.File.Close()) }
+
+// Each step fails once, in each way, and a write after each number of bytes: the error is told, the file holds the old text
+// (the new one, if only the folder's sync fails), nothing else is left in the folder, and the next try succeeds.
+func TestReplaceFails(t *testing.T) {
+	const before, after = "before", "after, and longer"
+	file := filepath.Join(t.TempDir(), "file")
+	check := func(what, want string) {
+		t.Helper()
+		if got, err := os.ReadFile(file); err != nil || string(got) != want {
+			t.Errorf("%s: the file holds %q, %v, not %q", what, got, err, want)
+		}
+		if entries, _ := os.ReadDir(filepath.Dir(file)); len(entries) != 1 {
+			t.Errorf("%s: %d files are left", what, len(entries))
+		}
+	}
+	replace := func(s System, text string) error { return Replace(s, file+".part", file, []byte(text)) }
+	for _, err := range []error{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT, syscall.EROFS, syscall.EINTR} {
+		for _, at := range []step{stepOpen, stepWrite, stepSync, stepClose, stepRename, stepFolder} {
+			most := 0
+			if at == stepWrite {
+				most = len(after)
+			}
+			for n := range most + 1 {
+				if err := replace(Disk, before); err != nil {
+					t.Fatal(err)
+				}
+				if got := replace(&failing{Disk, at, err, n}, after); !errors.Is(got, err) {
+					t.Errorf("%s: %v, not %v", at, got, err)
+				}
+				want := before
+				if at == stepFolder {
+					want = after
+				}
+				check(string(at), want)
+				if err := replace(Disk, after); err != nil {
+					t.Fatal(err)
+				}
+				check("the next try", after)
+			}
+		}
+	}
+}
+
+// A kill leaves a temporary file of any length behind: the next write is not disturbed by it.
+func TestReplaceOverWhatAKillLeft(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	const text = "text"
+	for n := range 3 * len(text) {
+		if err := os.WriteFile(file+".part", make([]byte, n), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := Replace(Disk, file+".part", file, []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := os.ReadFile(file); err != nil || string(got) != text {
+			t.Errorf("after %d bytes: %q, %v", n, got, err)
+		}
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -9,6 +9,8 @@
 	"io"
 	"os"
 	"path/filepath"
+
+	"dewhitch/internal/durable"
 )
 
 // State is what goes over.
@@ -28,27 +30,14 @@
 	return filepath.Join(dir, "dewhitch-"+filepath.Base(name)+".handover.json")
 }
 
-// Save writes the state whole: into a file of its own first, then renamed over the last one, so that a process that
-// reads it meanwhile, or a kill, never leaves half of it.
+// Save writes the state whole, so that a process that reads it meanwhile, or a kill, never finds half of it. The temporary
+// file has the process's number: two processes of one gateway may save at the same time.
 func Save(path string, s State) error {
 	text, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(tmp.Name()) // where the rename did not happen
-	if _, err = tmp.Write(text); err == nil {
-		err = tmp.Close()
-	} else {
-		tmp.Close()
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(tmp.Name(), path)
+	return durable.Replace(durable.Disk, fmt.Sprintf("%s.%d.part", path, os.Getpid()), path, text)
 }
 
 // ErrNone says that no process left a state.
--- a/internal/snapshot/files.go
+++ b/internal/snapshot/files.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"dewhitch/internal/durable"
 )
 
 const (
@@ -139,7 +141,7 @@
 		return 0, err
 	}
 	to := path(w.dir, w.node, next.Life)
-	if err := replace(to, w.buf); err != nil {
+	if err := durable.Replace(durable.Disk, to+temporary, to, w.buf); err != nil {
 		return 0, err
 	}
 	if w.last = next; next.Number == 1 {
@@ -148,34 +150,6 @@
 	return len(w.buf), nil
 }
 
-// replace writes a file of its own first, has it reach the disk, and renames it; then the name itself reaches the disk.
-func replace(to string, text []byte) (err error) {
-	part := to + temporary
-	f, err := os.OpenFile(part, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	if _, err = f.Write(text); err == nil {
-		err = f.Sync()
-	}
-	if e := f.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(part, to)
-	}
-	if err != nil {
-		os.Remove(part) // a full disk has no room for it
-		return err
-	}
-	d, err := os.Open(filepath.Dir(to))
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
-
 // prune removes the files of lives before the one that this process started from: that one's process may be at work
 // still, and its last snapshot is the one to go back to.
 func (w *Writer) prune() {
