--- /dev/null
+++ b/comments_test.go
@@ -0,0 +1,100 @@
+package dewhitch_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Every package, and every exported type, function, method of an exported type, constant and variable, says in a comment what
+// it is. A group of constants or variables may say it once, or item by item.
+func TestExportedItemsAreDocumented(t *testing.T) {
+	files := token.NewFileSet()
+	documented := map[string]bool{} // packages, by folder
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (d.Name() == "journal" || d.Name() == "bin" || d.Name() != "." && strings.HasPrefix(d.Name(), ".")):
+			return filepath.SkipDir
+		case d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
+			return nil
+		}
+		file, err := parser.ParseFile(files, path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		folder := filepath.Dir(path)
+		documented[folder] = documented[folder] || file.Doc != nil
+		if file.Name.Name != "main" {
+			for _, name := range undocumented(file) {
+				t.Errorf("%s: %s has no comment", path, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(documented) < 20 {
+		t.Errorf("%d packages were found: the test looks in the wrong place", len(documented))
+	}
+	for folder, ok := range documented {
+		if !ok {
+			t.Errorf("the package in %s has no comment", folder)
+		}
+	}
+}
+
+// undocumented names the exported declarations of a file that have no comment.
+func undocumented(file *ast.File) (names []string) {
+	for _, decl := range file.Decls {
+		switch d := decl.(type) {
+		case *ast.FuncDecl:
+			if d.Name.IsExported() && d.Doc == nil && receiverExported(d) {
+				names = append(names, d.Name.Name)
+			}
+		case *ast.GenDecl:
+			for _, spec := range d.Specs {
+				names = append(names, undocumentedSpec(d, spec)...)
+			}
+		}
+	}
+	return names
+}
+
+func undocumentedSpec(d *ast.GenDecl, spec ast.Spec) (names []string) {
+	switch s := spec.(type) {
+	case *ast.TypeSpec:
+		if s.Name.IsExported() && d.Doc == nil && s.Doc == nil && s.Comment == nil {
+			names = append(names, s.Name.Name)
+		}
+	case *ast.ValueSpec:
+		for _, name := range s.Names {
+			if name.IsExported() && d.Doc == nil && s.Doc == nil && s.Comment == nil {
+				names = append(names, name.Name)
+			}
+		}
+	}
+	return names
+}
+
+// receiverExported tells whether a function is none of a type that is not exported.
+func receiverExported(d *ast.FuncDecl) bool {
+	if d.Recv == nil {
+		return true
+	}
+	receiver := d.Recv.List[0].Type
+	if star, ok := receiver.(*ast.StarExpr); ok {
+		receiver = star.X
+	}
+	if generic, ok := receiver.(*ast.IndexExpr); ok {
+		receiver = generic.X
+	}
+	name, ok := receiver.(*ast.Ident)
+	return ok && name.IsExported()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,7 @@
 	Message, Field, Problem string
 }
 
+// Error implements error.
 func (e *Error) Error() string {
 	return fmt.Sprintf("line %d: message %q, field %s: %s", e.Line, e.Message, e.Field, e.Problem)
 }
