Keep servers in slow start so when the wall clock is stepped

Term: a wall clock may be stepped by seconds or an hour; deadlines, windows and graces are spans of real time. By reading list.go, FromUnixMS and servers.go: a server's start comes as Unix time and was compared with a clock that read Unix time once. After a step back, a server that has just started passed for an hour old and was sent as much as a warm one.

Ruled out: read deadlines, timers and drains, whose times carry the monotonic reading.

--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -73,6 +73,7 @@
 	told       map[dw.ServerID]dw.ServerEntry // of the listed, as the module was told
 	fewWarm    bool
 	coldSpan   dw.Span
+	starts     startTimes
 	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
 }
 
@@ -91,7 +92,7 @@
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, log: log, inbox: make(chan message, inboxSize),
 		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
 		control: make(chan message, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
-		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan}, nil
+		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan, starts: startTimes{}}, nil
 }
 
 // Attempts bounds the fetches of reqs taken from now on, below what the module's settings allow.
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	dw "dewhitch"
 )
@@ -45,6 +46,7 @@
 	if l.Kind == dw.ListFailed {
 		return l
 	}
+	l = p.resolved(l)
 	if l.Kind != dw.ListDelta {
 		clear(p.listed)
 		clear(p.told)
@@ -55,6 +57,7 @@
 		if e.State == dw.Gone {
 			delete(p.listed, e.ID)
 			delete(p.told, e.ID)
+			delete(p.starts, e.ID)
 		} else {
 			p.listed[e.ID] = e
 		}
@@ -62,6 +65,9 @@
 			p.known[e.ID] = true
 		}
 	}
+	if l.Kind != dw.ListDelta {
+		p.starts.keep(p.listed)
+	}
 	p.fewWarm = p.cold()
 	for i, e := range l.Servers {
 		told.Servers[i] = e
@@ -76,6 +82,18 @@
 	return told
 }
 
+// resolved is the list with the servers' starts on the planner's clock.
+func (p *Planner) resolved(l dw.ServerList) dw.ServerList {
+	read := time.Now()
+	now, wall := p.Instant(read), dw.Instant(read.UnixNano())
+	l.Servers = slices.Clone(l.Servers)
+	for i := range l.Servers {
+		e := &l.Servers[i]
+		e.Since = p.starts.resolve(e.ID, e.Since, now, wall)
+	}
+	return l
+}
+
 // route finds the backend that the module named.
 func (p *Planner) route(id dw.ServerID) (Backend, bool) {
 	b, ok := p.routes[id]
