Open the two ends of a test's connection in one place

The comment of waitUntil promised more than a real-time term allows. No assertion changes; the front's tests pass twice under the race detector, the drains of cmd/dewhitch once.

--- a/cmd/dewhitch/drain_test.go
+++ b/cmd/dewhitch/drain_test.go
@@ -30,7 +30,8 @@
 	return called
 }
 
-// waitUntil waits for a moment of the schedule that a test plays; no outcome depends on how late it returns.
+// waitUntil waits for a moment of the schedule that a test plays. A machine that is late by over a second would break the term
+// that the gateway is held to, as it is one of real time.
 func waitUntil(at time.Time) { time.Sleep(time.Until(at)) }
 
 // patientQuery is a request that the settings let wait for a minute.
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -51,14 +51,8 @@
 // gatedPair is a client's connection and a session that has not begun to run, with what sees its reads.
 func gatedPair(t *testing.T, c Commands) (conn *net.TCPConn, g *gated, s *session, run func()) {
 	t.Helper()
-	l := listener(t)
-	defer l.Close()
-	conn = client(t, l, "").(*net.TCPConn)
-	far, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	g = &gated{TCPConn: far.(*net.TCPConn)}
+	conn, far := connected(t)
+	g = &gated{TCPConn: far}
 	s = newSession(g, c, NewBounds(64<<20))
 	g.session.Store(s)
 	var over sync.WaitGroup
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -60,24 +60,24 @@
 	}()
 }
 
-// pair is a client's connection and the session at its other end.
-func pair(t *testing.T, c Commands, hold bool) (*net.TCPConn, *held, *session) {
+// connected is both ends of a connection; the client's is closed with the test.
+func connected(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listener(t)
 	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	near = client(t, l, "").(*net.TCPConn)
 	conn, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	client.SetDeadline(time.Now().Add(patience))
-	h := &held{conn.(*net.TCPConn), make(chan int), make(chan struct{})}
+	return near, conn.(*net.TCPConn)
+}
+
+// pair is a client's connection and the session at its other end.
+func pair(t *testing.T, c Commands, hold bool) (*net.TCPConn, *held, *session) {
+	t.Helper()
+	client, far := connected(t)
+	h := &held{far, make(chan int), make(chan struct{})}
 	if !hold {
 		close(h.free)
 	}
@@ -88,7 +88,7 @@
 		client.Close()
 		over.Wait()
 	})
-	return client.(*net.TCPConn), h, s
+	return client, h, s
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
