Measure how news and endings get through a gateway, and log why connections end

The incident's logs could not say which version of the list was in force, how old it was, how long it had waited, or why a connection was cut off or a request refused. internal/telemetry (Prometheus client) has versions read and applied, age of news at both, the planner's wait by kind of message, answers and retries by reason, ends of client connections by reason, and those held past a drain's time, which the log names. No decision changes.

--- a/api.go
+++ b/api.go
@@ -88,6 +88,11 @@
 	Outcomes                     // how many there are
 )
 
+// String is the outcome's name in metrics and logs.
+func (o Outcome) String() string {
+	return [...]string{"ok", "error", "rejected", "timeout", "connect_failed", "reset", "cancelled", "not_sent"}[o]
+}
+
 // Class describes one kind of request.
 type Class struct {
 	Aim         Span    // answers within it earn full worth
--- a/cmd/dewhitch/books.go
+++ b/cmd/dewhitch/books.go
@@ -83,15 +83,11 @@
 	return []operator.Part{operator.Ledger(k.desk, k.lasting)}
 }
 
-// shown runs the operators' listener, until the context ends; nil: there is none, or nothing to show.
+// shown runs the operators' listener, until the context ends; nil: there is none.
 func shown(o *config.Operations, parts []operator.Part, log *zap.Logger) (part, error) {
 	if o.Operator.Listen == "" {
 		return nil, nil
 	}
-	if len(parts) == 0 {
-		log.Warn("the operators' listener has nothing to show, as no books are kept and there is no fleet: see ledger.enabled")
-		return nil, nil
-	}
 	l, err := net.Listen("tcp", o.Operator.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: operator.listen: %w", err)
--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -19,6 +19,7 @@
 	"dewhitch/internal/ledger/statement"
 	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
+	"dewhitch/internal/telemetry"
 )
 
 type forwardCmd struct{}
@@ -45,7 +46,8 @@
 		return err
 	}
 	defer keep.close()
-	show, err := shown(o, keep.shows(), log)
+	metrics := telemetry.New()
+	show, err := shown(o, append(keep.shows(), metrics), log)
 	if err != nil {
 		return err
 	}
@@ -73,7 +75,7 @@
 		})
 	})
 	taking, stopTaking := context.WithCancel(work)
-	server := &front.Server{Listener: listener, Log: log, Bounds: front.NewBounds(l.Forward.MemoryMB << 20),
+	server := &front.Server{Listener: listener, Log: log, Monitor: metrics, Bounds: front.NewBounds(l.Forward.MemoryMB << 20),
 		Open: func() front.Commands {
 			return sessions.New(forward.New(planners, l.Forward.Gateways, keep.books, log), version)
 		}}
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -28,6 +28,7 @@
 	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
 	"dewhitch/internal/retune"
+	"dewhitch/internal/telemetry"
 )
 
 const (
@@ -53,6 +54,7 @@
 	keep    *keeping
 	state   *ops.State
 	figures *ops.Figures
+	metrics *telemetry.Metrics
 
 	// Calls outward, and who decides on them.
 	fetches, places int // descriptors: for fetches, and for client sessions
@@ -101,7 +103,7 @@
 func (g *gateway) openFigures() (err error) {
 	g.classes, g.n.Settings.Classes = retune.Spared(g.n.Words.Classes, g.n.Settings.Classes)
 	names := ledger.Names{Plans: g.n.Words.Plans, Classes: g.classes}
-	g.state, g.figures = &ops.State{}, &ops.Figures{}
+	g.state, g.figures, g.metrics = &ops.State{}, &ops.Figures{}, telemetry.New()
 	g.figures.Classes(g.n.Words.Classes)
 	g.keep, err = keepBooks(g.o, g.n.Name, statement.Gateway, names, g.log)
 	return err
@@ -122,6 +124,7 @@
 		return err
 	}
 	g.planner.Count(g.figures)
+	g.planner.Monitor(g.metrics)
 	if g.keep.desk != nil {
 		g.keep.desk.Tallies(g.planner.Tallies)
 	}
@@ -130,6 +133,7 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 	g.list, g.patience = discovery.New(n.Discovery, g.decoder, g.planner.Listed, n.Seed, g.log), listWait
+	g.list.Monitor(g.metrics)
 	if n.Settings.ListOnRequest {
 		known := len(g.known.List.Servers) > 0
 		g.list.Shared(known, g.known.List.Version, n.Settings.Instances)
@@ -142,14 +146,14 @@
 
 // openOperators opens the operators' address, and their listener.
 func (g *gateway) openOperators() (err error) {
-	parts := g.keep.shows()
+	parts := append(g.keep.shows(), g.metrics)
 	if g.fleet != nil {
 		parts = append(parts, g.fleet)
 	}
 	if g.show, err = shown(g.o, parts, g.log); err != nil {
 		return err
 	}
-	g.operated = &operated{state: g.state, figures: g.figures, planner: g.planner, decoder: g.decoder, log: g.log}
+	g.operated = &operated{state: g.state, figures: g.figures, metrics: g.metrics, planner: g.planner, decoder: g.decoder, log: g.log}
 	g.desk, err = operators(g.n, g.operated)
 	return err
 }
@@ -161,7 +165,7 @@
 		Figures: g.figures, State: g.state}
 	bounds := front.NewBounds(g.n.MemoryMB << 20)
 	first := &front.Server{Open: func() front.Commands { return g.commands }, Bounds: bounds, Log: g.log,
-		Ready: g.ready}
+		Monitor: g.metrics, Ready: g.ready}
 	if first.Listener, err = listen(g.n); err != nil {
 		return err
 	}
@@ -169,7 +173,7 @@
 	if g.l.Listen != "" {
 		asks := &limits.Commands{Commands: g.commands}
 		second := &front.Server{Open: func() front.Commands { return sessions.New(asks, version) }, Bounds: bounds, Log: g.log,
-			Ready: g.ready}
+			Monitor: g.metrics, Ready: g.ready}
 		if second.Listener, err = net.Listen("tcp", g.l.Listen); err != nil {
 			return fmt.Errorf("configuration: listen (limits file): %w", err)
 		}
--- a/cmd/dewhitch/operate.go
+++ b/cmd/dewhitch/operate.go
@@ -18,21 +18,25 @@
 	"dewhitch/internal/front"
 	"dewhitch/internal/handover"
 	"dewhitch/internal/ops"
+	"dewhitch/internal/telemetry"
 )
 
 // operated is what the operators' calls reach: the gateway's state and figures, its planner and its fronts.
 type operated struct {
 	state   *ops.State
 	figures *ops.Figures
+	metrics *telemetry.Metrics
 	planner *core.Planner
 	decoder *discovery.Decoder
 	log     *zap.Logger
 }
 
-func (o *operated) Ready() bool                     { return o.state.Ready() }
-func (o *operated) AppendTelemetry(b []byte) []byte { return o.figures.AppendJSON(b) }
-func (o *operated) Exclude(id string) error         { return o.exclude(id, true) }
-func (o *operated) Include(id string) error         { return o.exclude(id, false) }
+func (o *operated) Ready() bool { return o.state.Ready() }
+func (o *operated) AppendTelemetry(b []byte) []byte {
+	return o.figures.AppendJSON(b, o.metrics.AppendFields)
+}
+func (o *operated) Exclude(id string) error { return o.exclude(id, true) }
+func (o *operated) Include(id string) error { return o.exclude(id, false) }
 func (o *operated) Drain(on bool) {
 	if o.state.Drained() != on {
 		o.log.Info("operators' call", zap.Bool("drained", on))
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -42,6 +42,7 @@
 	}
 	p.settle(t)
 	t.post(p, as)
+	p.monitor.Answered(as)
 	t.req.Answer(a)
 	p.drop(t)
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -35,6 +35,9 @@
 	p.tell(m.Counted)
 }
 
+func (counted) queue() Queue { return QueueOutcome }
+func (tallies) queue() Queue { return QueueControl }
+
 type tallies struct {
 	f func(tally func(customer uint64) (float64, bool))
 }
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -25,6 +25,8 @@
 	done  chan error
 }
 
+func (exclusion) queue() Queue { return QueueControl }
+
 // ErrUnknownServer says that an id was never listed.
 var ErrUnknownServer = errors.New("no server of this id was ever listed")
 
--- a/internal/core/learnt.go
+++ b/internal/core/learnt.go
@@ -13,6 +13,8 @@
 	done chan error
 }
 
+func (learnt) queue() Queue { return QueueControl }
+
 // Learnt copies out what the module has learnt, with most customers at most, between two events; into is the caller's
 // again when it returns.
 func (p *Planner) Learnt(into *dw.Learnt, most int) error {
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -49,9 +49,10 @@
 	backends Backends
 	counter  Counter
 	books    Books
+	monitor  Monitor
 	log      *zap.Logger
 
-	inbox  chan message
+	inbox  chan posted
 	stop   chan struct{} // closed when Run ends: nobody may wait for it then
 	timers timers
 	reqs   map[dw.RequestID]*taken
@@ -60,7 +61,7 @@
 	lastID uint64
 	acts   []dw.Action
 
-	control    chan message // operators' calls, beside the inbox
+	control    chan posted // operators' calls, beside the inbox
 	listed     map[dw.ServerID]dw.ServerEntry
 	known      map[dw.ServerID]bool // ever listed, up to mostKnown
 	excluded   map[dw.ServerID]bool
@@ -78,7 +79,22 @@
 }
 
 // message is something that happened, told to the planner.
-type message interface{ handle(*Planner) }
+type message interface {
+	handle(*Planner)
+	queue() Queue
+}
+
+// posted is a message that waits for the planner.
+type posted struct {
+	message
+	at time.Time // since when
+}
+
+// take handles a message that has waited.
+func (p *Planner) take(m posted) {
+	p.monitor.Waited(m.queue(), time.Since(m.at))
+	m.handle(p)
+}
 
 // ErrStopped says that the planner takes nothing any more.
 var ErrStopped = errors.New("core: the planner has stopped")
@@ -89,9 +105,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, log: log, inbox: make(chan message, inboxSize),
-		stop: make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
-		control: make(chan message, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
+	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, monitor: noMonitor{}, log: log,
+		inbox: make(chan posted, inboxSize),
+		stop:  make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
+		control: make(chan posted, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
 		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan, starts: startTimes{}}, nil
 }
 
@@ -104,7 +121,7 @@
 // post hands the planner a message, and waits while its inbox is full.
 func (p *Planner) post(m message) error {
 	select {
-	case p.inbox <- m:
+	case p.inbox <- posted{m, time.Now()}:
 		return nil
 	case <-p.stop:
 		return ErrStopped
@@ -115,7 +132,7 @@
 // waits until it is done.
 func (p *Planner) call(m message, done <-chan error) error {
 	select {
-	case p.control <- m:
+	case p.control <- posted{m, time.Now()}:
 	case <-p.stop:
 		return ErrStopped
 	}
@@ -142,9 +159,9 @@
 			return nil
 		case <-wake.C:
 		case m := <-p.inbox:
-			m.handle(p)
+			p.take(m)
 		case m := <-p.control:
-			m.handle(p)
+			p.take(m)
 		}
 	}
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -14,6 +14,7 @@
 		return
 	}
 	t.out--
+	t.last = m.end.Outcome
 	if !m.unsent {
 		t.post(p, ledger.PlanHeard)
 		if p.watcher != nil {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -11,9 +11,12 @@
 // Listing is news of discovery's list, with the addresses of the backends named in it.
 type Listing struct {
 	List  dw.ServerList
-	Addrs []string // in the order of List.Servers
+	Addrs []string  // in the order of List.Servers
+	Read  time.Time // when its first byte was read; zero: it is no message of discovery's
 }
 
+func (l Listing) queue() Queue { return QueueNews }
+
 // Listed passes on what discovery told, in the order told.
 func (p *Planner) Listed(l Listing) error { return p.post(l) }
 
@@ -39,6 +42,9 @@
 		}
 	}
 	p.tell(p.remember(l.List))
+	if !l.Read.IsZero() {
+		p.monitor.ListApplied(l.List.Version, time.Since(l.Read))
+	}
 }
 
 // remember keeps the entries of the list as discovery gave them, and gives the list back as the module is told it.
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -14,6 +14,9 @@
 	value Stream
 }
 
+func (fetchBegan) queue() Queue { return QueueOutcome }
+func (fetchEnded) queue() Queue { return QueueOutcome }
+
 type fetchEnded struct {
 	fetch  Fetch
 	began  time.Time
@@ -34,6 +37,9 @@
 	if a.Within != 0 {
 		f.Begin = now.Add(time.Duration(a.Within))
 	}
+	if t.attempts > 0 {
+		p.monitor.Retried(t.last)
+	}
 	t.attempts++
 	t.out++
 	backend, known := p.route(a.Server)
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -11,9 +11,10 @@
 type taken struct {
 	id       dw.RequestID
 	req      *Req
-	attempts int // fetches asked for
-	most     int // fetches that may be sent, as the settings said at take in; 0: as the module says
-	out      int // fetches that have not ended
+	attempts int        // fetches asked for
+	most     int        // fetches that may be sent, as the settings said at take in; 0: as the module says
+	out      int        // fetches that have not ended
+	last     dw.Outcome // of the fetch that ended last
 	answered bool
 }
 
@@ -27,6 +28,9 @@
 
 type clientGone struct{ ticket *Ticket }
 
+func (takeIn) queue() Queue     { return QueueArrival }
+func (clientGone) queue() Queue { return QueueArrival }
+
 // Take hands a req over: from now on it gets one final answer, unless Leave is called first. The ticket is
 // for Leave alone.
 func (p *Planner) Take(r *Req) (*Ticket, error) {
@@ -49,6 +53,7 @@
 	if name := m.req.Message.Name; m.req.Kind == Book {
 		if p.open[name] {
 			t.post(p, ledger.PlanFailedOpen)
+			p.monitor.Answered(ledger.PlanFailedOpen)
 			m.req.Answer(Answer{Verdict: Failed})
 			return
 		}
@@ -71,6 +76,7 @@
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
 		p.settle(t)
 		t.post(p, ledger.PlanGone)
+		p.monitor.Answered(ledger.PlanGone)
 		p.tell(dw.ClientGone{Request: t.id})
 		p.drop(t)
 	}
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -27,6 +27,8 @@
 	done chan error
 }
 
+func (fleetUse) queue() Queue { return QueueControl }
+
 // Together has servers used as the fleet has settled.
 func (p *Planner) Together(f Fleet) error {
 	m := fleetUse{f: f, done: make(chan error, 1)}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -42,6 +42,7 @@
 	decoder  *Decoder
 	listed   func(core.Listing) error
 	log      *zap.Logger
+	monitor  Monitor
 	first    sync.Once
 	have     bool // the planner holds a whole list, of revision
 	revision int64
@@ -57,7 +58,7 @@
 
 // New makes a client; listed is called for each message, in order. The seed scatters when it asks again.
 func New(addr string, d *Decoder, listed func(core.Listing) error, seed uint64, log *zap.Logger) *Client {
-	return &Client{First: make(chan struct{}), where: moving.At(addr), decoder: d, listed: listed, log: log,
+	return &Client{First: make(chan struct{}), where: moving.At(addr), decoder: d, listed: listed, log: log, monitor: noMonitor{},
 		patience: answerTime, silence: silence, now: time.Now,
 		again: backoff.Backoff{First: backoffFrom, Most: backoffTo, Busy: backoffTo, Rand: rand.New(rand.NewPCG(seed, 2))}}
 }
@@ -105,7 +106,9 @@
 		d.lost = true
 		var refused statusError
 		pause := d.again.Next(errors.As(err, &refused))
+		d.monitor.ListBroke(reason(err))
 		d.log.Warn("the director's list broke off", zap.String("director", addr), zap.Error(err),
+			zap.String("reason", reason(err)), zap.Int64("revision", d.revision), zap.Bool("whole_next", !d.have),
 			zap.Duration("again_in", pause))
 		select {
 		case <-ctx.Done():
@@ -140,7 +143,8 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	r := bufio.NewReaderSize(conn, http1.MaxLine+2)
+	arrived := &arrivals{Reader: conn}
+	r := bufio.NewReaderSize(arrived, http1.MaxLine+2)
 	if !d.have {
 		head, err := d.ask(conn, r, addr, path)
 		if err != nil {
@@ -150,7 +154,7 @@
 		if err != nil {
 			return false, err
 		}
-		if err := d.take(body); err != nil {
+		if err := d.take(body, arrived.take()); err != nil {
 			return false, err
 		}
 		d.have, told = true, true
@@ -171,14 +175,17 @@
 	messages.Split(splitMessage)
 	for {
 		conn.SetReadDeadline(time.Now().Add(d.silence))
+		arrived.first = time.Time{}
 		if !messages.Scan() {
 			if err = messages.Err(); err == nil {
-				err = fmt.Errorf("the watch ended")
+				err = errEnded
+			} else if errors.Is(err, bufio.ErrTooLong) {
+				err = errTooLong
 			}
 			return told, err
 		}
 		if text := messages.Bytes(); len(text) > 0 {
-			if err := d.take(text); err != nil {
+			if err := d.take(text, arrived.take()); err != nil {
 				d.have = false // what it said is lost: read the whole list again
 				return told, err
 			}
@@ -187,6 +194,11 @@
 	}
 }
 
+var (
+	errEnded   = errors.New("the watch ended")
+	errTooLong = fmt.Errorf("a message is over %d bytes", messageSize)
+)
+
 // statusError is an answer other than 200: discovery is there, and turned the call away.
 type statusError int
 
@@ -209,11 +221,12 @@
 
 // take passes a message on. Danger: discovery that lags, or was put back, may tell of a server as it was before it drained;
 // of an older list only what forbids is taken, until discovery has had nothing else for a while.
-func (d *Client) take(text []byte) error {
+func (d *Client) take(text []byte, read time.Time) error {
 	l, err := d.decoder.Decode(text)
 	if err != nil {
 		return err
 	}
+	d.monitor.ListRead(l.List.Version, len(text), time.Since(read))
 	if l.List.Version >= d.revision {
 		d.older = time.Time{}
 	} else if d.older.IsZero() {
@@ -224,7 +237,16 @@
 		l = forbids(l)
 		l.List.Version = d.revision
 	}
-	d.revision = l.List.Version
+	d.revision, l.Read = l.List.Version, read
+	ready := 0
+	for _, s := range l.List.Servers {
+		if s.State == dw.Ready {
+			ready++
+		}
+	}
+	d.log.Info("a change of the list was read", zap.Int64("revision", d.revision), zap.Bool("whole", l.List.Kind == dw.ListFull),
+		zap.Bool("older", older), zap.Int("servers", len(l.List.Servers)), zap.Int("ready", ready), zap.Int("bytes", len(text)),
+		zap.Duration("age", time.Since(read)))
 	if err := d.listed(l); err != nil {
 		return err
 	}
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -26,6 +26,9 @@
 	leastDiscardTime = 50 * time.Millisecond
 )
 
+// String is the state's name in the log.
+func (s state) String() string { return [...]string{"open", "draining", "closing", "closed"}[s] }
+
 // drainTimes are the times of one drain of the gateway.
 type drainTimes struct {
 	takeUntil time.Time // requests that are read later are refused
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -62,7 +62,11 @@
 	if err != nil {
 		// Answered in its turn; then the session is over, as no command can be told from what follows.
 		slot.Fill(resp.AppendFailure(nil, "ERR "+err.Error()))
-		s.finish()
+		if errors.Is(err, errSlow) {
+			s.finish(ClosedSlow)
+		} else {
+			s.finish(ClosedProtocol)
+		}
 		return false
 	}
 	before := s.faults()
@@ -88,12 +92,19 @@
 // free at once; while draining, what it sends just then must not be reset.
 func (s *session) endReading(err error) {
 	s.mu.Lock()
-	graceful := errors.Is(err, errOver) && (s.taken > 0 || s.life.state != stateOpen)
+	over := errors.Is(err, errOver)
+	graceful := over && (s.taken > 0 || s.life.state != stateOpen)
+	if over && s.life.state != stateOpen {
+		s.because(s.ends)
+	}
 	s.mu.Unlock()
-	if graceful {
-		s.finish()
-	} else {
-		s.lost()
+	switch {
+	case graceful:
+		s.finish(ClosedEvicted) // unless it is for another reason, which was noted
+	case over:
+		s.cut(ClosedIdle)
+	default:
+		s.cut(ClosedByClient)
 	}
 }
 
@@ -202,12 +213,17 @@
 	idle := s.owesNothing()
 	switch {
 	case s.evicted:
-		s.evicted = false // if it is busy again, another is asked
+		if s.evicted = false; idle { // if it is busy again, another is asked
+			s.because(ClosedEvicted)
+		}
 		return idle
 	case s.life.state == stateDraining: // a new one's first command may be on its way
 		return idle && (s.taken > 0 || time.Since(s.born) >= firstTime)
 	}
-	return idle && time.Since(s.busy) >= limit
+	if idle = idle && time.Since(s.busy) >= limit; idle {
+		s.because(ClosedIdle)
+	}
+	return idle
 }
 
 // penalize has a client that sends what can't be used wait before its next command is read: an error at full speed, and
@@ -215,7 +231,7 @@
 // and not much is read.
 func (s *session) penalize(n int) bool {
 	if n >= maxFaults {
-		s.finish()
+		s.finish(ClosedFaults)
 		return false
 	}
 	select {
@@ -265,7 +281,7 @@
 // stands behind all that it sent, which is read only as there is room, and each would be sent on for nobody.
 func (s *session) leaveIfGone() {
 	if hungUp(s.conn) {
-		s.lost()
+		s.cut(ClosedByClient)
 	}
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -20,6 +20,7 @@
 	KeepIdle int             // idle ones beyond so many sessions end early; 0: none does
 	Bounds   *Bounds
 	Log      *zap.Logger
+	Monitor  Monitor         // nil: nobody is told
 	Ready    <-chan struct{} // closed once sessions may be taken in; nil: from the start
 
 	mu       sync.Mutex
@@ -62,6 +63,7 @@
 		f.mu.Unlock()
 		f.all.Go(func() {
 			s.run()
+			f.ended(s)
 			f.mu.Lock()
 			delete(f.sessions, s)
 			f.mu.Unlock()
@@ -178,6 +180,7 @@
 		d.takeUntil = now
 	}
 	f.drained = &d
+	time.AfterFunc(drainTerm, func() { f.checkDrained(&d) })
 	for s := range f.sessions {
 		s.drain(d)
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -22,6 +22,7 @@
 // lifecycle's to say. Its reader alone advances that to closing, when it has nothing in hand: whoever closed a session
 // beside its reader would close it over a command that was read and is not answered.
 type session struct {
+	id       uint64 // in the log
 	conn     net.Conn
 	commands Commands
 	bounds   *Bounds
@@ -40,16 +41,19 @@
 	life     lifecycle
 	drained  chan struct{} // closed once the session drains
 	born     time.Time
-	until    time.Time // by which the command that is being read must be whole; zero: none is
-	awaiting bool      // the reader waits for the first byte of a command
-	evicted  bool      // another client needs its place: it ends if nothing is owed
-	heard    time.Time // when the last bytes came; the reader's own
-	taken    int       // commands
-	bad      int       // of those, that could not be used
+	until    time.Time   // by which the command that is being read must be whole; zero: none is
+	awaiting bool        // the reader waits for the first byte of a command
+	evicted  bool        // another client needs its place: it ends if nothing is owed
+	heard    time.Time   // when the last bytes came; the reader's own
+	taken    int         // commands
+	bad      int         // of those, that could not be used
+	ends     CloseReason // if it ends by the state of the gateway
+	closing  bool        // reason is set
+	reason   CloseReason
 }
 
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
-	s := &session{conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), drained: make(chan struct{}),
+	s := &session{id: sessionIDs.Add(1), conn: conn, commands: c, bounds: b, wake: make(chan struct{}, 1), drained: make(chan struct{}),
 		busy: time.Now(), born: time.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.room = sync.NewCond(&s.mu)
@@ -81,6 +85,7 @@
 		first = s.born.Add(firstTime)
 	}
 	if s.life.drain(d, first) {
+		s.ends = ClosedDrained
 		s.draining()
 	}
 }
@@ -94,6 +99,7 @@
 	if s.taken == 0 || !s.until.IsZero() { // a command is on its way
 		within = stopTime
 	}
+	s.ends = ClosedEnding
 	if s.life.stop(time.Now().Add(within)) {
 		s.draining()
 	} else {
@@ -120,9 +126,10 @@
 	}
 }
 
-// finish has the session end as soon as all that it has taken is answered. Only the reader calls it, and takes nothing after.
-func (s *session) finish() {
+// finish has the session end, for a reason, as soon as all that it has taken is answered. Only the reader calls it, and takes nothing after.
+func (s *session) finish(r CloseReason) {
 	s.mu.Lock()
+	s.because(r)
 	s.life.close()
 	s.signal()
 	s.mu.Unlock()
@@ -166,6 +173,14 @@
 	s.rouse()
 }
 
+// cut ends the session at once, for a reason: nothing can be said to its client any more.
+func (s *session) cut(r CloseReason) {
+	s.mu.Lock()
+	s.because(r)
+	s.mu.Unlock()
+	s.lost()
+}
+
 // lost tells those that work for the client that it has left.
 func (s *session) lost() {
 	s.mu.Lock()
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -56,7 +56,7 @@
 // Last gives the slot its answer, and has the session end as soon as all that came before it is answered too.
 func (o *Slot) Last(answer []byte) {
 	o.Fill(answer)
-	o.session.finish()
+	o.session.finish(ClosedRequested)
 }
 
 // OnGone sets what is to happen if the client leaves before the slot is filled.
@@ -102,6 +102,7 @@
 	}
 	s.owed += len(answer)
 	if s.bounds.waiting.Add(int64(len(answer))) > s.bounds.allUnsent && int64(s.owed) > s.bounds.unsent {
+		s.because(ClosedUnread)
 		s.conn.Close() // a client that does not read may not fill the gateway's memory; read sees the end
 	}
 	if s.slots[0] != o {
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -64,6 +64,9 @@
 			// Danger: read may be waiting for room, which only this goroutine makes. It would wait for good, and with it
 			// the session's place and all that it holds.
 			s.mu.Lock()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				s.because(ClosedUnread)
+			}
 			s.life.abandon(time.Now())
 			s.room.Broadcast()
 			s.mu.Unlock()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -159,8 +159,8 @@
 	f.age.Store(age.Milliseconds())
 }
 
-// AppendJSON writes the figures as one JSON object.
-func (f *Figures) AppendJSON(b []byte) []byte {
+// AppendJSON writes the figures as one JSON object, with the fields that more appends behind them, each after a comma.
+func (f *Figures) AppendJSON(b []byte, more ...func([]byte) []byte) []byte {
 	f.mu.Lock()
 	all := f.all
 	f.mu.Unlock()
@@ -191,5 +191,8 @@
 		b = append(strconv.AppendQuote(append(b, ','), v.name), ':')
 		b = strconv.AppendInt(b, v.n, 10)
 	}
+	for _, fields := range more {
+		b = fields(b)
+	}
 	return append(b, '}')
 }
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,181 @@
+// Package telemetry measures how news of the servers and the ends of connections get through a gateway: which version of
+// the list was read and which is in force, how old it was by then, how long messages waited for the planner, and why
+// requests were refused, sent again or cut off. All labels are from fixed sets. It is safe for any goroutine.
+package telemetry
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	dw "dewhitch"
+	"dewhitch/internal/core"
+	"dewhitch/internal/ledger"
+)
+
+const namespace = "dewhitch"
+
+// buckets are bounds of histograms of times, in seconds: from what is no wait at all to the grace of a drain and beyond.
+var buckets = []float64{0.0001, 0.0005, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 6}
+
+// Stage is how far a message of discovery's has come.
+type Stage int
+
+// The stages.
+const (
+	StageRead    Stage = iota // read whole, and decoded
+	StageApplied              // in force for every decision
+	stages
+)
+
+var stageNames = [stages]string{"read", "applied"}
+
+// Metrics are the measurements of one process.
+type Metrics struct {
+	waits       [core.Queues]prometheus.Observer
+	longest     [core.Queues]atomic.Int64 // ns, since the start of the process
+	ages        [stages]prometheus.Observer
+	versions    [stages]atomic.Int64
+	lastAge     [stages]atomic.Int64 // ns
+	oldest      [stages]atomic.Int64 // ns, since the start of the process
+	listBytes   prometheus.Counter
+	listBreaks  *prometheus.CounterVec
+	answers     [ledger.Events]prometheus.Counter
+	retries     [dw.Outcomes]prometheus.Counter
+	closes      *prometheus.CounterVec
+	overdue     prometheus.Counter
+	collectors  []prometheus.Collector
+	versionDesc *prometheus.Desc
+}
+
+// New makes metrics that are all zero.
+func New() *Metrics {
+	m := &Metrics{versionDesc: prometheus.NewDesc(namespace+"_list_version", "Version of the list of servers, by how far it has come.",
+		[]string{"stage"}, nil)}
+	waits := m.histogram("queue_wait_seconds", "How long messages waited for the planner.", "queue")
+	for q := range m.waits {
+		m.waits[q] = waits.WithLabelValues(core.Queue(q).String())
+	}
+	ages := m.histogram("list_age_seconds", "Age of a message of discovery's, from its first byte.", "stage")
+	for s := range m.ages {
+		m.ages[s] = ages.WithLabelValues(stageNames[s])
+	}
+	m.listBytes = m.counter("list_bytes_total", "Bytes of messages of discovery's that were read.").WithLabelValues()
+	m.listBreaks = m.counter("list_breaks_total", "Ends of the list's connection, by reason.", "reason")
+	answers := m.counter("answers_total", "Requests that the planner ended, by reason.", "reason")
+	for e := range m.answers {
+		if ledger.Event(e).Book() == ledger.Planner {
+			m.answers[e] = answers.WithLabelValues(ledger.Event(e).String())
+		}
+	}
+	retries := m.counter("retries_total", "Attempts after a first one, by the end of the one before.", "after")
+	for o := range m.retries {
+		m.retries[o] = retries.WithLabelValues(dw.Outcome(o).String())
+	}
+	m.closes = m.counter("connections_closed_total", "Client connections that ended, by reason.", "reason")
+	m.overdue = m.counter("connections_overdue_total", "Client connections held past the time of a drain or an ending.").WithLabelValues()
+	return m
+}
+
+func (m *Metrics) histogram(name, help, label string) *prometheus.HistogramVec {
+	v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets},
+		[]string{label})
+	m.collectors = append(m.collectors, v)
+	return v
+}
+
+func (m *Metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.collectors = append(m.collectors, v)
+	return v
+}
+
+// Waited implements core.Monitor.
+func (m *Metrics) Waited(q core.Queue, d time.Duration) {
+	m.waits[q].Observe(d.Seconds())
+	raise(&m.longest[q], int64(d))
+}
+
+// ListRead notes that a message of discovery's was read whole, so long after its first byte.
+func (m *Metrics) ListRead(version int64, bytes int, age time.Duration) {
+	m.listBytes.Add(float64(bytes))
+	m.reached(StageRead, version, age)
+}
+
+// ListApplied implements core.Monitor.
+func (m *Metrics) ListApplied(version int64, age time.Duration) {
+	m.reached(StageApplied, version, age)
+}
+
+func (m *Metrics) reached(s Stage, version int64, age time.Duration) {
+	m.versions[s].Store(version)
+	m.lastAge[s].Store(int64(age))
+	m.ages[s].Observe(age.Seconds())
+	raise(&m.oldest[s], int64(age))
+}
+
+// ListBroke notes that the list's connection ended. The reason is one of a fixed set.
+func (m *Metrics) ListBroke(reason string) { m.listBreaks.WithLabelValues(reason).Inc() }
+
+// Answered implements core.Monitor.
+func (m *Metrics) Answered(why ledger.Event) {
+	if c := m.answers[why]; c != nil {
+		c.Inc()
+	}
+}
+
+// Retried implements core.Monitor.
+func (m *Metrics) Retried(after dw.Outcome) { m.retries[after].Inc() }
+
+// ConnectionClosed notes that a client's connection ended. The reason is one of a fixed set.
+func (m *Metrics) ConnectionClosed(reason string) { m.closes.WithLabelValues(reason).Inc() }
+
+// ConnectionsOverdue notes that so many client connections are held past their time.
+func (m *Metrics) ConnectionsOverdue(n int) { m.overdue.Add(float64(n)) }
+
+// raise sets v to at least n.
+func raise(v *atomic.Int64, n int64) {
+	for old := v.Load(); n > old && !v.CompareAndSwap(old, n); old = v.Load() {
+	}
+}
+
+// AppendFields appends the newest figures as fields of a JSON object, each behind a comma. Times are in milliseconds.
+func (m *Metrics) AppendFields(b []byte) []byte {
+	field := func(name string, n int64) {
+		b = append(strconv.AppendQuote(append(b, ','), name), ':')
+		b = strconv.AppendInt(b, n, 10)
+	}
+	for s, name := range stageNames {
+		field("list_version_"+name, m.versions[s].Load())
+		field("list_age_"+name+"_ms", time.Duration(m.lastAge[s].Load()).Milliseconds())
+		field("list_age_"+name+"_max_ms", time.Duration(m.oldest[s].Load()).Milliseconds())
+	}
+	for q := range core.Queues {
+		field("wait_"+q.String()+"_max_ms", time.Duration(m.longest[q].Load()).Milliseconds())
+	}
+	return b
+}
+
+// Pages implements operator.Part: there are none beside the metrics.
+func (m *Metrics) Pages(*http.ServeMux) {}
+
+// Describe implements prometheus.Collector.
+func (m *Metrics) Describe(ch chan<- *prometheus.Desc) {
+	ch <- m.versionDesc
+	for _, c := range m.collectors {
+		c.Describe(ch)
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (m *Metrics) Collect(ch chan<- prometheus.Metric) {
+	for s, name := range stageNames {
+		ch <- prometheus.MustNewConstMetric(m.versionDesc, prometheus.GaugeValue, float64(m.versions[s].Load()), name)
+	}
+	for _, c := range m.collectors {
+		c.Collect(ch)
+	}
+}
