--- /dev/null
+++ b/cmd/dewhitch/large_list_test.go
@@ -0,0 +1,135 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dewhitch/internal/standin"
+)
+
+// The largest fleet that operators run.
+const mostServers = 3200
+
+// The places of the two groups of servers: those that drain are at one address, all others at another.
+const (
+	stays = iota
+	drains
+	groups
+)
+
+// largeFleet is a gateway before many servers.
+type largeFleet struct {
+	*world
+	servers *standin.Backends
+	n       int
+}
+
+// newLargeFleet makes n servers, a quarter of which can be told to drain.
+func newLargeFleet(t *testing.T, n int) *largeFleet {
+	servers, err := standin.NewBackends(groups, true, standin.Always(standin.Step{}))
+	f := &largeFleet{world: newWorld(t), servers: kept(t, servers, err), n: n}
+	f.discovery = newDiscovery(t, f.list("up"), 41)
+	return f
+}
+
+func (f *largeFleet) group(i int) int {
+	if i%4 == 0 {
+		return drains
+	}
+	return stays
+}
+
+// list is the list of all servers, indented as operators may, with the phase of those that can drain.
+func (f *largeFleet) list(phase string) string {
+	members := make([]string, f.n)
+	for i := range members {
+		at := "up"
+		if f.group(i) == drains {
+			at = phase
+		}
+		members[i] = standin.Member(fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), f.servers.Nodes[f.group(i)].Addr(), at)
+	}
+	return "[\n    " + strings.Join(members, ",\n    ") + "\n  ]"
+}
+
+// figure reads one of the operators' figures.
+func figure(t *testing.T, w *world, name string) int64 {
+	t.Helper()
+	line, _, _ := strings.Cut(adminCall(t, w.admin, "telemetry"), "\n")
+	figures := map[string]any{}
+	if err := json.Unmarshal([]byte(line), &figures); err != nil {
+		t.Fatalf("%v: %s", err, line)
+	}
+	value, _ := figures[name].(float64)
+	return int64(value)
+}
+
+// asks has clients ask one request after another until the test is over.
+func (f *largeFleet) asks(clients int) (stop func()) {
+	over := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			c, err := standin.Dial(f.listen, patience)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(2 * time.Millisecond):
+				}
+				id := fmt.Sprintf("c%dr%d", i, n)
+				if c.Send([]string{"SVC.QUERY", fmt.Sprintf("%016x", i+1), id, "c=lookup,t=wide,d=5000,units=1,spread=1,first=0"}) != nil {
+					return
+				}
+				if _, err := c.Reply(); err != nil {
+					return
+				}
+			}
+		})
+	}
+	return func() {
+		close(over)
+		all.Wait()
+	}
+}
+
+// sentTo counts the commands that came to a group of servers.
+func (f *largeFleet) sentTo(group int) (n int) {
+	for _, c := range f.servers.Seen() {
+		if c.Backend == group {
+			n++
+		}
+	}
+	return n
+}
+
+// Servers begin to drain, and the watch is told so by the whole list, which is over 256 KiB: it is applied, and the servers
+// that drain get nothing more.
+func TestWholeListOfALargeFleetIsApplied(t *testing.T) {
+	f := newLargeFleet(t, mostServers)
+	f.discovery.Whole(true)
+	p := f.start("serve")
+	defer f.asks(4)()
+	if !eventually(func() bool { return f.sentTo(drains) > 0 }) {
+		t.Fatalf("no request reached a server\n%s", p.log())
+	}
+	f.discovery.Set(f.list("draining"))
+	if !eventually(func() bool { return figure(t, f.world, "list_version_applied") == 42 }) {
+		t.Fatalf("version %d is in force, 42 was told\n%s", figure(t, f.world, "list_version_applied"), p.log())
+	}
+	before, others := f.sentTo(drains), f.sentTo(stays)
+	if !eventually(func() bool { return f.sentTo(stays) > others+200 }) {
+		t.Fatalf("nothing is served any more\n%s", p.log())
+	}
+	if after := f.sentTo(drains); after != before {
+		t.Errorf("%d requests went to servers that drain", after-before)
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -17,6 +17,7 @@
 	changed  *sync.Cond
 	revision int
 	members  string
+	whole    bool // a watch is told all of the list at each change
 }
 
 // NewDiscovery makes one whose list, a JSON array, has the given revision.
@@ -42,6 +43,13 @@
 // Members is a list.
 func Members(members ...string) string { return "[" + strings.Join(members, ",") + "]" }
 
+// Whole has watches told all of the list at each change, from now on, or what changed alone.
+func (d *Discovery) Whole(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.whole = on
+}
+
 // Set replaces the list.
 func (d *Discovery) Set(members string) {
 	d.mu.Lock()
@@ -76,7 +84,7 @@
 			beat.Stop()
 			text := "\n" // nothing has changed
 			if since != d.revision {
-				text = d.text(false) + "\n"
+				text = d.text(d.whole) + "\n"
 			}
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
 				d.mu.Unlock()
