Apply lists of any length, and have what they forbid in force before anything waits

Cause: the client bounded a watch's message at 256 KiB, and asked again the same way when one was longer; a whole list of over 1,870 servers was never applied, for ever. Behind it the same weakness in three more places: bytes of a message were looked at again at each read, ids compared with all others (65 ms of processor time for a first list of 3,200), and the news waited in one queue behind client work.

Change: messages are found with each byte looked at once, up to 16 MiB, for as long as they come; what can't be used is asked for in another way; the decoder (jsontext) is strict and allocates nothing for known servers; a view passes on only what changes. core.Serving is changed by whoever reads the list and asked by who writes an attempt, so news is in force whatever waits. The planner's inbox has four bounded queues; news goes first, and a request that finds no room in 100 ms is refused.

Tests of follow() now name the state that stands after each message, as an unchanged server is no longer passed on. Ruled out: a faster lax parser (jlexer, 2.7 ms): it takes what is no JSON.

--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -123,6 +123,7 @@
 	if g.planner, err = core.NewPlanner(n.Settings, n.Seed, core.NewClock(), g.pools, g.count, books, g.log); err != nil {
 		return err
 	}
+	g.pools.Allowed = g.planner.Serving().Allows
 	g.planner.Count(g.figures)
 	g.planner.Monitor(g.metrics)
 	if g.keep.desk != nil {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -48,6 +48,8 @@
 
 	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
 	Dispatched func(class string)
+	// Allowed tells whether new work may go to a backend now, if set before the first fetch; nil: to each.
+	Allowed func(core.Backend) bool
 
 	now  func() time.Time
 	dial func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
@@ -228,14 +230,20 @@
 }
 
 // begin tells whether a fetch may be written, from now on. Danger: a connection may come up long after the fetch was
-// asked for: when its client has left, when its backend drains, or when a repeat is one no longer.
-func (p *Pools) begin(f *fetch) bool {
+// asked for: when its client has left, when its backend drains, or when a repeat is one no longer. And the news that a backend
+// drains may still be on its way to who asked for the fetch.
+func (p *Pools) begin(f *fetch) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f.state == waiting && f.ctx.Err() == nil && (f.Begin.IsZero() || p.now().Before(f.Begin)) {
-		f.state = begun
+	switch {
+	case f.state != waiting || f.ctx.Err() != nil, !f.Begin.IsZero() && !p.now().Before(f.Begin):
+		return errLate
+	case p.Allowed != nil && !p.Allowed(f.Backend):
+		f.state = withdrawn
+		return errForbidden
 	}
-	return f.state == begun
+	f.state = begun
+	return nil
 }
 
 // Withdraw implements core.Backends.
@@ -274,13 +282,14 @@
 // run carries out one fetch and tells how it ended.
 func (p *Pools) run(f *fetch) core.FetchEnd {
 	c, err := p.take(f)
-	if err == nil && !p.begin(f) {
-		p.put(c) // it is good, and new
-		err = errLate
+	if err == nil {
+		if err = p.begin(f); err != nil {
+			p.put(c) // it is good, and new
+		}
 	}
 	if err != nil {
 		// No fault of the backend's; blamed, every backend would be avoided for what this machine lacks.
-		ours := errors.Is(err, errFull) || sockets.DialClass(err) == sockets.Shortage
+		ours := errors.Is(err, errFull) || errors.Is(err, errForbidden) || sockets.DialClass(err) == sockets.Shortage
 		if ours || errors.Is(f.ctx.Err(), context.Canceled) {
 			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
 		}
@@ -450,6 +459,8 @@
 var (
 	errFull = errors.New("backend: no descriptor is free")
 	errLate = errors.New("backend: the connection came up too late")
+	// errForbidden says that a backend drains or has gone by news that whoever asked for the fetch had not heard.
+	errForbidden = errors.New("backend: nothing new may go there")
 )
 
 // take finds an idle connection that is still good, or opens one within the descriptor budget.
--- /dev/null
+++ b/internal/backend/forbidden_test.go
@@ -0,0 +1,91 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	dw "dewhitch"
+	"dewhitch/internal/core"
+	"dewhitch/internal/standin"
+)
+
+// listing is a whole list of one backend, in a state.
+func (b *bed) listing(version int64, state dw.ServerState, addr string) core.Listing {
+	return core.Listing{List: dw.ServerList{Kind: dw.ListFull, Version: version,
+		Servers: []dw.ServerEntry{{ID: b.to.ID, Rating: 1, State: state}}}, Addrs: []string{addr}, Read: time.Now()}
+}
+
+// The planner stands still, as it would on a loaded machine, when the list says that a backend drains, or is gone, or is another
+// at the same id: what waits for its connection is not written, though nobody has withdrawn it.
+func TestNewsIsInForceBeforeThePlannerHearsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		news func(b *bed) core.Listing
+		want dw.Outcome
+	}{
+		"draining":        {func(b *bed) core.Listing { return b.listing(2, dw.Draining, b.to.Addr) }, dw.OutcomeNotSent},
+		"removed":         {func(b *bed) core.Listing { return b.listing(2, dw.Gone, b.to.Addr) }, dw.OutcomeNotSent},
+		"left out":        {func(*bed) core.Listing { return core.Listing{List: dw.ServerList{Kind: dw.ListFull, Version: 2}} }, dw.OutcomeNotSent},
+		"another address": {func(b *bed) core.Listing { return b.listing(2, dw.Ready, "127.0.0.1:1") }, dw.OutcomeNotSent},
+		"as it was":       {func(b *bed) core.Listing { return b.listing(2, dw.Ready, b.to.Addr) }, dw.OutcomeOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, standin.Always(standin.Step{}))
+			p, err := core.NewPlanner(settings(true, dw.Safe), 1, core.NewClock(), b.Pools, noCounter{}, noRefs{}, zap.NewNop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Allowed = p.Serving().Allows // the planner itself never runs
+			if err := p.Listed(b.listing(1, dw.Ready, b.to.Addr)); err != nil {
+				t.Fatal(err)
+			}
+			_, end := b.fetch(time.Time{})
+			<-b.dialled
+			if err := p.Listed(c.news(b)); err != nil {
+				t.Fatal(err)
+			}
+			b.up <- struct{}{}
+			b.ended(end, c.want)
+			if sent, want := len(b.node.Seen()), map[bool]int{true: 1}[c.want == dw.OutcomeOK]; sent != want {
+				t.Errorf("%d commands came to the backend, want %d", sent, want)
+			}
+			b.given()
+		})
+	}
+}
+
+// News without end, of every size, does not keep the planner from answering.
+func TestNewsDoesNotStarveClients(t *testing.T) {
+	b := newBed(t, standin.Always(standin.Step{}))
+	close(b.up)
+	p := b.planner(settings(true, dw.Safe))
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for v := int64(2); ctx.Err() == nil; v++ {
+			l := core.Listing{List: dw.ServerList{Kind: dw.ListDelta, Version: v}, Read: time.Now()}
+			for i := range 100 {
+				l.List.Servers = append(l.List.Servers, dw.ServerEntry{ID: dw.ServerID(1000 + i), State: dw.Draining, Rating: 1})
+				l.Addrs = append(l.Addrs, fmt.Sprintf("127.0.0.1:%d", i+1))
+			}
+			if p.Listed(l) != nil {
+				return
+			}
+		}
+	}()
+	answered := make(chan core.Answer, 1)
+	if _, err := p.Take(b.req(func(a core.Answer) { answered <- a })); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-answered:
+	case <-time.After(patience):
+		t.Error("no answer came")
+	}
+	stop()
+	<-over
+}
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -105,13 +105,13 @@
 // The planner is held up while clients ask for more than its inbox holds, and servers begin to drain: it hears of that before
 // it decides on any of the requests, and none goes to a server that drains.
 func TestNewsGoesBeforeClientWork(t *testing.T) {
-	const servers, asked = 40, inboxSize + 50
+	const servers, asked = 40, arrivalSize + 50
 	p := newBusyPlanner(t, servers)
 	var clients sync.WaitGroup
 	for i := range asked {
 		clients.Go(func() { p.Take(request(fmt.Sprint("r", i), func(Answer) {})) })
 	}
-	for p.waiting() < inboxSize { // the rest waits for room
+	for p.waiting() < arrivalSize { // the rest waits for room
 		time.Sleep(time.Millisecond)
 	}
 	draining := func(i int) dw.ServerState {
@@ -120,15 +120,10 @@
 		}
 		return dw.Ready
 	}
-	told := make(chan error, 1)
-	go func() { told <- p.Listed(listing(2, servers, draining)) }()
-	for p.waiting() < inboxSize {
-		time.Sleep(time.Millisecond)
-	}
-	p.release()
-	if err := <-told; err != nil {
+	if err := p.Listed(listing(2, servers, draining)); err != nil {
 		t.Fatal(err)
 	}
+	p.release()
 	clients.Wait()
 	for p.waiting() > 0 {
 		time.Sleep(time.Millisecond)
@@ -142,5 +137,5 @@
 	}
 }
 
-// waiting is how many messages wait in the inbox.
-func (b *busyPlanner) waiting() int { return len(b.inbox) }
+// waiting is how many requests wait for the planner.
+func (b *busyPlanner) waiting() int { return len(b.queues[QueueArrival]) }
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -14,9 +13,9 @@
 	"dewhitch/internal/ledger"
 )
 
-// inboxSize bounds what waits for the planner: as each may be a req with a body of 64 KiB, 16 MB at most. Whoever
-// posts beyond it waits; a session then reads no more.
-const inboxSize = 256
+// timersAtOnce bounds the timers that are told of before the planner looks at its inbox again: news may not wait behind
+// the deadlines of many requests.
+const timersAtOnce = 32
 
 // Clock is the planner's time: Unix time, read once at the start and monotonic from there on.
 //
@@ -52,8 +51,7 @@
 	monitor  Monitor
 	log      *zap.Logger
 
-	inbox  chan posted
-	stop   chan struct{} // closed when Run ends: nobody may wait for it then
+	inbox
 	timers timers
 	reqs   map[dw.RequestID]*taken
 	open   map[string]bool // by the clients' names, the bookings among reqs
@@ -61,7 +59,7 @@
 	lastID uint64
 	acts   []dw.Action
 
-	control    chan posted // operators' calls, beside the inbox
+	serving    Serving
 	listed     map[dw.ServerID]dw.ServerEntry
 	known      map[dw.ServerID]bool // ever listed, up to mostKnown
 	excluded   map[dw.ServerID]bool
@@ -78,27 +76,12 @@
 	most       atomic.Int64 // fetches a req may have, as settings read anew say; 0: as the module's settings say
 }
 
-// message is something that happened, told to the planner.
-type message interface {
-	handle(*Planner)
-	queue() Queue
-}
-
-// posted is a message that waits for the planner.
-type posted struct {
-	message
-	at time.Time // since when
-}
-
 // take handles a message that has waited.
 func (p *Planner) take(m posted) {
 	p.monitor.Waited(m.queue(), time.Since(m.at))
 	m.handle(p)
 }
 
-// ErrStopped says that the planner takes nothing any more.
-var ErrStopped = errors.New("core: the planner has stopped")
-
 // NewPlanner makes a planner that knows no backends yet.
 func NewPlanner(s dw.Settings, seed uint64, c Clock, b Backends, n Counter, k Books, log *zap.Logger) (*Planner, error) {
 	g, err := dw.New(s, seed)
@@ -106,10 +89,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, monitor: noMonitor{}, log: log,
-		inbox: make(chan posted, inboxSize),
-		stop:  make(chan struct{}), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
-		control: make(chan posted, 1), listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
-		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan, starts: startTimes{}}, nil
+		inbox: newInbox(), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
+		listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
+		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan, starts: newStartTimes()}, nil
 }
 
 // Attempts bounds the fetches of reqs taken from now on, below what the module's settings allow.
@@ -118,23 +100,10 @@
 // Count has the planner tell f what operators read of it.
 func (p *Planner) Count(f Figures) { p.figures = f }
 
-// post hands the planner a message, and waits while its inbox is full.
-func (p *Planner) post(m message) error {
-	select {
-	case p.inbox <- posted{m, time.Now()}:
-		return nil
-	case <-p.stop:
-		return ErrStopped
-	}
-}
-
-// call hands the planner a message by a way of its own, as a full inbox would hold it past an operator's second, and
-// waits until it is done.
+// call hands the planner a message and waits until it is done.
 func (p *Planner) call(m message, done <-chan error) error {
-	select {
-	case p.control <- posted{m, time.Now()}:
-	case <-p.stop:
-		return ErrStopped
+	if err := p.post(m); err != nil {
+		return err
 	}
 	select {
 	case err := <-done:
@@ -149,21 +118,16 @@
 	defer close(p.stop)
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
-	for {
+	for ctx.Err() == nil {
 		p.fire()
 		if len(p.timers) > 0 {
 			wake.Reset(time.Until(p.Time(p.timers[0].At)))
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-wake.C:
-		case m := <-p.inbox:
-			p.take(m)
-		case m := <-p.control:
+		if m, ok := p.next(ctx, wake.C); ok {
 			p.take(m)
 		}
 	}
+	return nil
 }
 
 // fire tells the module of the timers that are due.
@@ -175,7 +139,7 @@
 		}
 		p.counted()
 	}
-	for len(p.timers) > 0 && p.timers[0].At <= now {
+	for n := 0; n < timersAtOnce && len(p.timers) > 0 && p.timers[0].At <= now; n++ {
 		t := heap.Pop(&p.timers).(dw.SetTimer)
 		p.tell(dw.TimerFired{ID: t.ID})
 	}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -12,13 +12,20 @@
 type Listing struct {
 	List  dw.ServerList
 	Addrs []string  // in the order of List.Servers
+	Whole bool      // it stands for a list that names every server: what it leaves out is as it was
 	Read  time.Time // when its first byte was read; zero: it is no message of discovery's
 }
 
 func (l Listing) queue() Queue { return QueueNews }
 
-// Listed passes on what discovery told, in the order told.
-func (p *Planner) Listed(l Listing) error { return p.post(l) }
+// Listed passes on what discovery told, in the order told. What it forbids is in force when it returns.
+func (p *Planner) Listed(l Listing) error {
+	p.serving.apply(l)
+	return p.post(l)
+}
+
+// Serving is the set of backends that new work may go to by the newest list.
+func (p *Planner) Serving() *Serving { return &p.serving }
 
 func (l Listing) handle(p *Planner) {
 	named := make(map[dw.ServerID]bool, len(l.List.Servers))
@@ -41,18 +48,18 @@
 			}
 		}
 	}
-	p.tell(p.remember(l.List))
+	p.tell(p.remember(l.List, l.Whole))
 	if !l.Read.IsZero() {
 		p.monitor.ListApplied(l.List.Version, time.Since(l.Read))
 	}
 }
 
 // remember keeps the entries of the list as discovery gave them, and gives the list back as the module is told it.
-func (p *Planner) remember(l dw.ServerList) dw.ServerList {
+func (p *Planner) remember(l dw.ServerList, whole bool) dw.ServerList {
 	if l.Kind == dw.ListFailed {
 		return l
 	}
-	l = p.resolved(l)
+	l = p.resolved(l, whole)
 	if l.Kind != dw.ListDelta {
 		clear(p.listed)
 		clear(p.told)
@@ -63,7 +70,7 @@
 		if e.State == dw.Gone {
 			delete(p.listed, e.ID)
 			delete(p.told, e.ID)
-			delete(p.starts, e.ID)
+			delete(p.starts.servers, e.ID)
 		} else {
 			p.listed[e.ID] = e
 		}
@@ -89,9 +96,12 @@
 }
 
 // resolved is the list with the servers' starts on the planner's clock.
-func (p *Planner) resolved(l dw.ServerList) dw.ServerList {
+func (p *Planner) resolved(l dw.ServerList, whole bool) dw.ServerList {
 	read := time.Now()
 	now, wall := p.Instant(read), dw.Instant(read.UnixNano())
+	if whole {
+		defer func() { p.starts.seen = now }()
+	}
 	l.Servers = slices.Clone(l.Servers)
 	for i := range l.Servers {
 		e := &l.Servers[i]
--- a/internal/core/starttimes.go
+++ b/internal/core/starttimes.go
@@ -17,7 +17,12 @@
 //
 // A time is turned once, when it is first told: a step does not move servers that are known. What stays wrong, by the step, is
 // a start before a step forward that is first told after it, of a server that was not known.
-type startTimes map[dw.ServerID]startTime
+type startTimes struct {
+	servers map[dw.ServerID]startTime
+	seen    dw.Instant // when all of them were last told
+}
+
+func newStartTimes() startTimes { return startTimes{servers: map[dw.ServerID]startTime{}} }
 
 // startTime is one server's.
 type startTime struct {
@@ -28,11 +33,12 @@
 
 // resolve gives the instant of a start that was told; 0 is long ago. now and wall are the same moment, by the planner's clock
 // and by the wall clock.
-func (s startTimes) resolve(id dw.ServerID, told, now, wall dw.Instant) dw.Instant {
-	before, known := s[id]
+func (s *startTimes) resolve(id dw.ServerID, told, now, wall dw.Instant) dw.Instant {
+	before, known := s.servers[id]
+	before.seen = max(before.seen, s.seen)
 	if known && before.told == told {
 		before.seen = now
-		s[id] = before
+		s.servers[id] = before
 		return before.at
 	}
 	at := told
@@ -43,13 +49,13 @@
 		}
 		at = max(at, 1)
 	}
-	s[id] = startTime{told: told, at: at, seen: now}
+	s.servers[id] = startTime{told: told, at: at, seen: now}
 	return at
 }
 
 // keep forgets the servers that are not listed.
-func (s startTimes) keep(listed map[dw.ServerID]dw.ServerEntry) {
-	maps.DeleteFunc(s, func(id dw.ServerID, _ startTime) bool {
+func (s *startTimes) keep(listed map[dw.ServerID]dw.ServerEntry) {
+	maps.DeleteFunc(s.servers, func(id dw.ServerID, _ startTime) bool {
 		_, in := listed[id]
 		return !in
 	})
--- a/internal/core/starttimes_test.go
+++ b/internal/core/starttimes_test.go
@@ -16,7 +16,7 @@
 
 // While the wall clock is not stepped, starts are what discovery tells, to the nanosecond: other processes go by the same.
 func TestStartsAsTold(t *testing.T) {
-	s := startTimes{}
+	s := newStartTimes()
 	for _, told := range []dw.Instant{0, begun - hour, begun - 1, begun + 5*second, begun + 11*second} {
 		for _, ahead := range []dw.Instant{0, 1, -1, second, -second} {
 			now := begun + 10*second
@@ -32,7 +32,7 @@
 	for name, step := range map[string]dw.Instant{"forward an hour": hour, "back an hour": -hour, "forward 5 s": 5 * second,
 		"back 5 s": -5 * second} {
 		t.Run(name, func(t *testing.T) {
-			s := startTimes{}
+			s := newStartTimes()
 			now := begun + 100*second
 			wall := now + step
 			s.resolve(1, begun+90*second, now, now) // known before the step, still cold
@@ -68,7 +68,7 @@
 	rng := rand.New(rand.NewPCG(seed, 38))
 	upTo := func(d dw.Instant) dw.Instant { return dw.Instant(rng.Int64N(int64(d))) }
 	for world := range worlds {
-		s, now, ahead := startTimes{}, begun, dw.Instant(0)
+		s, now, ahead := newStartTimes(), begun, dw.Instant(0)
 		started, told := [servers]dw.Instant{}, [servers]dw.Instant{}
 		for id := range servers {
 			told[id] = begun - hour
@@ -97,12 +97,12 @@
 
 // Servers that are not listed any more are forgotten.
 func TestStartsAreForgotten(t *testing.T) {
-	s := startTimes{}
+	s := newStartTimes()
 	for id := range dw.ServerID(10) {
 		s.resolve(id, begun, begun, begun)
 	}
 	s.keep(map[dw.ServerID]dw.ServerEntry{3: {ID: 3}})
-	if _, in := s[3]; len(s) != 1 || !in {
+	if _, in := s.servers[3]; len(s.servers) != 1 || !in {
 		t.Errorf("%v is left", s)
 	}
 }
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 
 	dw "dewhitch"
 	"dewhitch/internal/ledger"
@@ -19,7 +20,10 @@
 }
 
 // Ticket names a req that was taken in.
-type Ticket struct{ id dw.RequestID }
+type Ticket struct {
+	id   dw.RequestID // the planner's own; empty: it has not come to the req yet
+	left atomic.Bool  // the client has gone
+}
 
 type takeIn struct {
 	req    *Req
@@ -29,17 +33,18 @@
 type clientGone struct{ ticket *Ticket }
 
 func (takeIn) queue() Queue     { return QueueArrival }
-func (clientGone) queue() Queue { return QueueArrival }
+func (clientGone) queue() Queue { return QueueOutcome }
 
 // Take hands a req over: from now on it gets one final answer, unless Leave is called first. The ticket is
-// for Leave alone.
+// for Leave alone. With ErrBusy nothing was handed over: the req is to be refused.
 func (p *Planner) Take(r *Req) (*Ticket, error) {
 	t := &Ticket{}
-	return t, p.post(takeIn{r, t})
+	return t, p.postWithin(takeIn{r, t}, arrivalPatience)
 }
 
 // Leave tells that the client has gone; no answer is owed any more.
 func (p *Planner) Leave(t *Ticket) {
+	t.left.Store(true)
 	_ = p.post(clientGone{t}) // a planner that has stopped owes nothing
 }
 
@@ -48,6 +53,11 @@
 	t := &taken{id: m.ticket.id, req: m.req, most: int(p.most.Load())}
 	p.books.Post(ledger.Posting{Event: ledger.PlanTaken, Key: m.req.Row, Ref: m.req.Ref,
 		Units: ledger.MicroUnits(m.req.Units)})
+	if m.ticket.left.Load() { // while this waited; what says so may have come before
+		p.books.Post(ledger.Posting{Event: ledger.PlanGone, Key: m.req.Row, Ref: m.req.Ref})
+		p.monitor.Answered(ledger.PlanGone)
+		return
+	}
 	// Danger: a client may send the id of a req that another's is open under. A backend would be sent two of one id,
 	// and could not tell that it is no copy; nor does the customer's quota pay for it.
 	if name := m.req.Message.Name; m.req.Kind == Book {
--- a/internal/discovery/monitor.go
+++ b/internal/discovery/monitor.go
@@ -45,6 +45,8 @@
 		return "older"
 	case errors.Is(err, errTooLong):
 		return "too_long"
+	case errors.Is(err, errTooSlow):
+		return "too_slow"
 	case errors.Is(err, errEnded), errors.Is(err, errCut), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return "ended"
 	case errors.Is(err, http1.ErrProtocol):
@@ -54,27 +56,3 @@
 	}
 	return "unreadable"
 }
-
-// arrivals notes when the first byte of a message was read.
-type arrivals struct {
-	io.Reader
-	first time.Time // zero: none since it was last taken
-}
-
-// Read implements io.Reader.
-func (a *arrivals) Read(b []byte) (int, error) {
-	n, err := a.Reader.Read(b)
-	if n > 0 && a.first.IsZero() {
-		a.first = time.Now()
-	}
-	return n, err
-}
-
-// take gives the time of the first byte since the last call, or now.
-func (a *arrivals) take() time.Time {
-	at := a.first
-	if a.first = (time.Time{}); at.IsZero() {
-		return time.Now()
-	}
-	return at
-}
--- a/internal/discovery/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -125,7 +126,8 @@
 	return b
 }
 
-// follow has the client run until all of these were told: of which revision, and in which state the server is.
+// follow has the client run until all of these were told: of which revision, and in which state the server is by then; in
+// parentheses if nothing was said of it, as nothing changes.
 func (b *bed) follow(t *testing.T, want ...string) {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
@@ -138,14 +140,19 @@
 		}
 	}()
 	var got []string
+	state := "none"
 	for len(got) < len(want) {
 		select {
 		case l := <-b.told:
-			s := "none"
-			if len(l.List.Servers) > 0 {
-				s = map[dw.ServerState]string{dw.Ready: "up", dw.Draining: "draining", dw.Gone: "removed"}[l.List.Servers[0].State]
+			if l.List.Kind != dw.ListDelta {
+				state = "none"
 			}
-			got = append(got, fmt.Sprintf("%d %s", l.List.Version, s))
+			if len(l.List.Servers) == 0 {
+				got = append(got, fmt.Sprintf("%d (%s)", l.List.Version, state))
+				continue
+			}
+			state = map[dw.ServerState]string{dw.Ready: "up", dw.Draining: "draining", dw.Gone: "removed"}[l.List.Servers[0].State]
+			got = append(got, fmt.Sprintf("%d %s", l.List.Version, state))
 		case <-time.After(patience):
 			t.Fatalf("told %q, and no more came; want %q", got, want)
 		}
@@ -171,23 +178,23 @@
 		"silent after empty lines":      {[]answer{first, watch(silent, "\n", "\n", "\n"), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"silent within a message":       {[]answer{first, watch(silent, cut), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"says nothing to the question":  {[]answer{first, silent, last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
-		"ends":                          {[]answer{first, watch(ends, message(42, false, "up")+"\n"), last}, []string{"41 up", "42 up", "43 draining"}, []string{all, since(41), since(42)}},
-		"closed between two messages":   {[]answer{first, watch(closes, message(42, false, "up")+"\n"), last}, []string{"41 up", "42 up", "43 draining"}, []string{all, since(41), since(42)}},
+		"ends":                          {[]answer{first, watch(ends, message(42, false, "up")+"\n"), last}, []string{"41 up", "42 (up)", "43 draining"}, []string{all, since(41), since(42)}},
+		"closed between two messages":   {[]answer{first, watch(closes, message(42, false, "up")+"\n"), last}, []string{"41 up", "42 (up)", "43 draining"}, []string{all, since(41), since(42)}},
 		"reset before a message":        {[]answer{first, watch(resets, "\n"), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"closed within a message":       {[]answer{first, watch(closes, cut), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"ended within a message":        {[]answer{first, watch(ends, cut), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"of no length, closed in it":    {[]answer{first, endless(cut, closes), last}, []string{"41 up", "43 draining"}, []string{all, since(41), since(41)}},
 		"a whole list of no length":     {[]answer{endless(message(41, true, "up"), closes), last}, []string{"41 up", "43 draining"}, []string{all, since(41)}},
 		"such a list, closed in it":     {[]answer{endless(message(41, true, "up")[:60], closes), first, last}, []string{"41 up", "43 draining"}, []string{all, all, since(41)}},
-		"indented":                      {[]answer{whole(indented(41, "up")), watch(silent, indented(42, "up")+"\n\n", indented(43, "draining")+"\n")}, []string{"41 up", "42 up", "43 draining"}, []string{all, since(41)}},
+		"indented":                      {[]answer{whole(indented(41, "up")), watch(silent, indented(42, "up")+"\n\n", indented(43, "draining")+"\n")}, []string{"41 up", "42 (up)", "43 draining"}, []string{all, since(41)}},
 		"indented, in pieces":           {[]answer{first, watch(silent, indented(42, "draining")[:30], indented(42, "draining")[30:])}, []string{"41 up", "42 draining"}, []string{all, since(41)}},
 		"turned away":                   {[]answer{status(503), first, status(503), last}, []string{"41 up", "43 draining"}, []string{all, all, since(41), since(41)}},
-		"a list of none":                {[]answer{whole(`{"revision":41,"complete":true,"members":[]}`), last}, []string{"41 none", "43 draining"}, []string{all, since(41)}},
+		"a list of none":                {[]answer{whole(`{"revision":41,"complete":true,"members":[]}`), last}, []string{"41 (none)", "43 draining"}, []string{all, since(41)}},
 		"what can't be read":            {[]answer{first, watch(silent, "nonsense\n"), whole(message(42, true, "draining"))}, []string{"41 up", "42 draining"}, []string{all, since(41), all}},
 		"a message with a fault":        {[]answer{first, watch(silent, message(42, false, "gone?")+"\n"), whole(message(42, true, "draining"))}, []string{"41 up", "42 draining"}, []string{all, since(41), all}},
-		"an older change":               {[]answer{first, watch(silent, message(40, false, "up")+"\n"), whole(message(42, true, "draining"))}, []string{"41 up", "41 none", "42 draining"}, []string{all, since(41), all}},
+		"an older change":               {[]answer{first, watch(silent, message(40, false, "up")+"\n"), whole(message(42, true, "draining"))}, []string{"41 up", "41 (up)", "42 draining"}, []string{all, since(41), all}},
 		"an older change that forbids":  {[]answer{first, watch(silent, message(40, false, "draining")+"\n"), whole(message(42, true, "up"))}, []string{"41 up", "41 draining", "42 up"}, []string{all, since(41), all}},
-		"all of an older list, drained": {[]answer{whole(message(41, true, "draining")), watch(silent, "nonsense\n"), whole(message(40, true, "up")), whole(message(42, true, "up"))}, []string{"41 draining", "41 none", "42 up"}, []string{all, since(41), all, all}},
+		"all of an older list, drained": {[]answer{whole(message(41, true, "draining")), watch(silent, "nonsense\n"), whole(message(40, true, "up")), whole(message(42, true, "up"))}, []string{"41 draining", "41 (draining)", "42 up"}, []string{all, since(41), all, all}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -223,7 +230,7 @@
 		at = at.Add(700 * time.Millisecond)
 		return at
 	}
-	b.follow(t, "41 draining", "41 none", "41 none", "7 up", "8 draining")
+	b.follow(t, "41 draining", "41 (draining)", "41 (draining)", "7 up", "8 draining")
 }
 
 // One discovery service for all gateways has a line, and serves those too who have left it: also a gateway that holds no list yet
@@ -262,20 +269,21 @@
 	f.Add([]byte(message(1, false, "up")+"\n\n"+indented(2, "up")), 3)
 	f.Add([]byte(`{"a":"}\"{"}`+"x\n{}"), 1)
 	f.Fuzz(func(t *testing.T, text []byte, step int) {
-		split := func(r *bufio.Scanner) (out []string) {
-			r.Buffer(nil, messageSize)
-			r.Split(splitMessage)
-			for r.Scan() {
-				if len(r.Bytes()) > 0 {
-					out = append(out, r.Text())
+		split := func(r io.Reader) (out []string, end error) {
+			for m := (&messageReader{r: r}); ; {
+				text, err := m.next()
+				if err != nil {
+					return out, err
+				}
+				if len(text) > 0 {
+					out = append(out, string(text))
 				}
 			}
-			return out
 		}
-		a := split(bufio.NewScanner(bytes.NewReader(text)))
-		b := split(bufio.NewScanner(&steps{text, 1 + max(0, step)%16}))
-		if !slices.Equal(a, b) {
-			t.Errorf("%q read whole gives %q, in steps %q", text, a, b)
+		a, errA := split(bytes.NewReader(text))
+		b, errB := split(&steps{text, 1 + max(0, step)%16})
+		if !slices.Equal(a, b) || errA == nil || errB == nil {
+			t.Errorf("%q read whole gives %q and %v, in steps %q and %v", text, a, errA, b, errB)
 		}
 	})
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -151,7 +152,11 @@
 		return
 	}
 	ticket, err := c.Planner.Take(r)
-	if err != nil {
+	if errors.Is(err, core.ErrBusy) { // nobody has heard of it
+		kept = true
+		r.Answer(core.Answer{Verdict: core.Refused, RetryAfter: c.busyAdvice()})
+		return
+	} else if err != nil {
 		kept = true
 		r.Answer(core.Answer{Verdict: core.Failed})
 		return
@@ -162,6 +167,13 @@
 	})
 }
 
+// busyAdvice is when a client that was refused because the gateway is busy should come again: scattered, so that not all of
+// them come at once.
+func (c *Commands) busyAdvice() time.Duration {
+	most := time.Duration(c.Settings.MaxRetryAfter)
+	return most/2 + rand.N(most/2+1)
+}
+
 var verdicts = [...]ops.Verdict{core.Served: ops.Success, core.Refused: ops.Overload, core.Failed: ops.Error}
 
 // count has a req counted as open, and gives back what counts its end, once: answered, or left by its client, which
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -15,6 +15,7 @@
 	MaxLine    = 4 << 10
 	MaxHeaders = 64
 	MaxBody    = 1 << 20
+	maxLength  = 1 << 30 // of a body that is announced; readers have bounds of their own
 )
 
 // ErrProtocol is what every breach of the protocol wraps.
@@ -92,7 +93,7 @@
 			return a, breach("header without a colon")
 		}
 		if value = bytes.TrimSpace(value); bytes.EqualFold(name, []byte("Content-Length")) {
-			if a.Length, err = strconv.Atoi(string(value)); err != nil || a.Length < 0 || a.Length > MaxBody {
+			if a.Length, err = strconv.Atoi(string(value)); err != nil || a.Length < 0 || a.Length > maxLength {
 				return a, breach("bad Content-Length")
 			}
 		} else if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
@@ -125,12 +126,19 @@
 }
 
 // ReadBody reads a whole body, MaxBody bytes at most.
-func ReadBody(r *bufio.Reader, a Answer) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(Body(r, a), MaxBody+1))
-	if err == nil && len(b) > MaxBody {
+func ReadBody(r *bufio.Reader, a Answer) ([]byte, error) { return ReadBodyUpTo(r, a, MaxBody) }
+
+// ReadBodyUpTo reads a whole body of most bytes at most.
+func ReadBodyUpTo(r *bufio.Reader, a Answer, most int) ([]byte, error) {
+	if !a.Chunked && a.Length > most {
+		return nil, breach("body too long")
+	}
+	text := bytes.NewBuffer(make([]byte, 0, min(MaxBody, max(0, a.Length))+bytes.MinRead))
+	_, err := text.ReadFrom(io.LimitReader(Body(r, a), int64(most)+1))
+	if err == nil && text.Len() > most {
 		err = breach("body too long")
 	}
-	return b, err
+	return text.Bytes(), err
 }
 
 type exactly struct {
