End by a plan: every answer given and every connection closed before the earliest SIGKILL

Cause: at SIGTERM nothing bounded what had been taken but its own client's time. A connection that waits for a server that hangs is open until that answer; what its client writes meanwhile, more than 0.7 s after SIGTERM, is lost when SIGKILL comes at the longest deadline (3 s at most) plus 0.7 s. And reading went on until 0.72 s after SIGTERM with whole deadlines, which left 0 to 20 ms.

Change: internal/shutdown plans the end from the signal and the longest deadline in force: connections and requests for 0.5 s, all answers 0.5 s before the earliest SIGKILL, all connections closed 0.2 s before it. The module answers what is open then as rule 2 allows (event Ending); the forwarder ends its links, which fails what planners have not answered. Connections that are held on are counted and named in the log.

Not taken: filling unanswered slots in the front (the books would not add up); closing connections that are owed an answer.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -17,8 +19,8 @@
 	"dewhitch/internal/front/sessions"
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/ledger/statement"
-	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
+	"dewhitch/internal/shutdown"
 	"dewhitch/internal/telemetry"
 )
 
@@ -86,7 +88,13 @@
 	})
 	group.Go(func() error {
 		defer stopTaking()
-		linger(work, signals(), &ops.State{}, log)
+		await(work, signals(), log, func(signalled time.Time) shutdown.Plan {
+			// What its planners' classes allow is not known here, and the longest that counts is no promise to clients.
+			plan := shutdown.New(signalled, math.MaxInt64)
+			server.CloseBy(plan.CloseBy)
+			planners.End(plan.AnswerBy)
+			return plan
+		})
 		return nil
 	})
 	hangUp := make(chan os.Signal, 1) // operators send it to all; unhandled, it would end the program
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,17 +29,17 @@
 	"dewhitch/internal/ops"
 	"dewhitch/internal/registry"
 	"dewhitch/internal/retune"
+	"dewhitch/internal/shutdown"
 	"dewhitch/internal/telemetry"
 )
 
 const (
-	spare       = 24                     // descriptors for the log, the poller, listeners and what is being closed
-	fetchShare  = 0.4                    // of the other descriptors; client sessions have the rest
-	keepPart    = 6                      // of the descriptors: clients hold a third at most, and half of that may be idle
-	listWait    = time.Second            // at the start, for discovery's first list
-	lateAnswers = 3                      // time-outs of the counter that an answer is waited for: a late total is as true as any
-	planWait    = 10 * time.Second       // at the start, for the fleet's plan
-	serveOn     = 600 * time.Millisecond // after SIGTERM, new sessions go on coming for a while
+	spare       = 24               // descriptors for the log, the poller, listeners and what is being closed
+	fetchShare  = 0.4              // of the other descriptors; client sessions have the rest
+	keepPart    = 6                // of the descriptors: clients hold a third at most, and half of that may be idle
+	listWait    = time.Second      // at the start, for discovery's first list
+	lateAnswers = 3                // time-outs of the counter that an answer is waited for: a late total is as true as any
+	planWait    = 10 * time.Second // at the start, for the fleet's plan
 )
 
 // gateway is a running gateway. Its parts stand together by concern, each opened by a function of its own in the order of
@@ -80,6 +81,7 @@
 	// Fronts.
 	commands *platform.Commands
 	servers  []*front.Server
+	longest  atomic.Int64  // deadline of a class, by the settings in force, in ns
 	ready    chan struct{} // closed once the gateway serves
 
 	// What lasts beyond the process.
@@ -181,6 +183,7 @@
 		g.servers = append(g.servers, second)
 	}
 	g.operated.drains(g.servers)
+	g.longest.Store(int64(g.n.Longest()))
 	return nil
 }
 
@@ -245,7 +248,7 @@
 	})
 	group.Go(func() error {
 		defer stopTaking()
-		linger(work, term, g.state, g.log)
+		await(work, term, g.log, g.end)
 		return nil
 	})
 	g.log.Info("serving", zap.String("name", g.n.Name), zap.String("listen", g.n.Listen), zap.Int("fetches", g.fetches),
@@ -341,6 +344,7 @@
 func (g *gateway) retune(m *config.Node) {
 	t := g.commands.Retune(m.Words.Classes, m.Settings.Classes)
 	g.figures.Classes(t.Names())
+	g.longest.Store(int64(m.Longest()))
 	g.planner.Attempts(m.Settings.MaxAttempts)
 	g.log.Info("retuned", zap.Any("classes", t), zap.Int("attempts", m.Settings.MaxAttempts))
 }
@@ -389,17 +393,32 @@
 	return group.Wait()
 }
 
-// linger waits for a signal, and then for as long as new sessions may still come.
-func linger(ctx context.Context, term <-chan os.Signal, state *ops.State, log *zap.Logger) {
+// await waits for a signal, has end plan the process's end, and waits for as long as connections are still taken.
+func await(ctx context.Context, term <-chan os.Signal, log *zap.Logger, end func(signalled time.Time) shutdown.Plan) {
 	select {
 	case <-ctx.Done():
 		return
 	case s := <-term:
-		state.End()
-		log.Info("ending", zap.Stringer("signal", s))
+		signalled := time.Now()
+		plan := end(signalled)
+		log.Info("ending", zap.Stringer("signal", s), zap.Duration("takes_for", plan.AcceptUntil.Sub(signalled)),
+			zap.Duration("answers_within", plan.AnswerBy.Sub(signalled)), zap.Duration("closes_within", plan.CloseBy.Sub(signalled)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(plan.AcceptUntil)):
+		}
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(serveOn):
+}
+
+// end begins the end of the gateway, which got its signal then.
+func (g *gateway) end(signalled time.Time) shutdown.Plan {
+	plan := shutdown.New(signalled, time.Duration(g.longest.Load()))
+	g.state.End()
+	for _, s := range g.servers {
+		s.CloseBy(plan.CloseBy)
+	}
+	if err := g.planner.End(plan.AnswerBy); err != nil {
+		g.log.Warn("requests are answered by their own deadlines alone", zap.Error(err))
 	}
+	return plan
 }
--- a/counting.go
+++ b/counting.go
@@ -9,6 +9,7 @@
 
 // query has a query, or a give-back, wait for a call that pushes what came before: without one it is a guess.
 func (g *Gateway) query(e Arrival) {
+	e.Remaining = g.untilEnd(e.Remaining)
 	known := e.Plan >= 0 && e.Plan < len(g.set.Plans) && g.set.Plans[e.Plan].Rate > 0
 	if !g.set.Counter || !known || e.Remaining <= 0 {
 		g.acts = append(g.acts, Fail{Request: e.ID, Why: WhyUnread})
--- /dev/null
+++ b/ending_test.go
@@ -0,0 +1,56 @@
+package dewhitch_test
+
+import (
+	"testing"
+
+	dw "dewhitch"
+)
+
+// A gateway that ends answers each request by its time, in the way that rule 2 allows: one whose attempt may run yet and must
+// not run twice has failed, any other may come again.
+func TestEndingAnswersAll(t *testing.T) {
+	const safe, unsafe = 0, 1
+	b := newBed(t, settings(), dw.ServerEntry{ID: 1, Rating: 1})
+	b.answer = func(dw.Count) *dw.Counted { return nil }
+	by := b.now + dw.Instant(300*ms)
+	arrive := func(id dw.RequestID, class int) {
+		b.do(dw.Arrival{ID: id, Class: class, Customer: dw.CustomerID(b.now), Remaining: 10 * sec, Units: 1, Spread: 1, First: 0})
+	}
+	arrive("safe, before", safe)
+	arrive("unsafe, before", unsafe)
+	b.do(dw.LimitQuery{ID: "query, before", Customer: 7, Remaining: 10 * sec, Spread: 1})
+	b.do(dw.Ending{By: by})
+	b.pass(100 * ms)
+	arrive("safe, after", safe)
+	b.do(dw.LimitQuery{ID: "query, after", Customer: 8, Remaining: 10 * sec, Spread: 1})
+	if len(b.sent) != 3 {
+		t.Fatalf("%d attempts", len(b.sent))
+	}
+	if left := b.sent[2].Timeout; left > dw.Span(by-b.now) {
+		t.Errorf("an attempt may take %v, and the gateway has %v", left, dw.Span(by-b.now))
+	}
+	b.pass(198 * ms)
+	if n := len(b.over); n > 2 { // queries are answered a little before
+		t.Errorf("%d were answered too soon", n)
+	}
+	b.pass(2 * ms)
+	for id, refused := range map[dw.RequestID]bool{"safe, before": true, "unsafe, before": false, "query, before": false,
+		"safe, after": true, "query, after": false} {
+		switch b.over[id].(type) {
+		case dw.Refuse:
+			if !refused {
+				t.Errorf("%s was refused, and may have run", id)
+			}
+		case dw.Fail:
+			if refused {
+				t.Errorf("%s was failed, and may come again", id)
+			}
+		default:
+			t.Errorf("%s has no answer", id)
+		}
+	}
+	arrive("too late", safe)
+	if _, refused := b.over["too late"].(dw.Refuse); !refused {
+		t.Error("what comes after the end is not refused")
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -82,6 +82,7 @@
 	sizes, sized              []float64       // by class: its latency against the mean of all; samples of it
 	worth                     float64         // mean points of what arrives, for its work
 	minAim                    Span
+	endBy                     Instant // every request is answered by then; 0: this gateway does not end
 }
 
 // New makes a gateway that knows nothing yet.
@@ -137,6 +138,8 @@
 		if r := g.requests[e.Request]; r != nil {
 			g.finish(r, nil)
 		}
+	case Ending:
+		g.end(e.By)
 	case TimerFired:
 		if f := g.timers[e.ID]; f != nil {
 			delete(g.timers, e.ID)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,6 +34,42 @@
 // Planners are the planners that are registered, by gateway number.
 type Planners struct {
 	now atomic.Pointer[map[int]string]
+
+	mu    sync.Mutex
+	links map[*link]struct{} // that are open, of all sessions
+	ended bool               // nothing is waited for any more
+}
+
+// End has every command answered by a time: what planners have not answered then is failed, as it may have been applied.
+func (p *Planners) End(by time.Time) {
+	time.AfterFunc(time.Until(by), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.ended = true
+		for l := range p.links {
+			l.conn.Close() // its reader answers what is left
+		}
+	})
+}
+
+// hold keeps a link until it is lost; false: nothing is waited for any more.
+func (p *Planners) hold(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return false
+	}
+	if p.links == nil {
+		p.links = map[*link]struct{}{}
+	}
+	p.links[l] = struct{}{}
+	return true
+}
+
+func (p *Planners) release(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
 }
 
 // Set replaces them.
@@ -139,8 +175,15 @@
 				continue
 			}
 			l = &link{conn: conn, log: c.log, addr: addr, books: c.books}
+			if !c.planners.hold(l) {
+				conn.Close()
+				break
+			}
 			c.links[addr] = l
-			go l.read()
+			go func() {
+				l.read()
+				c.planners.release(l)
+			}()
 		}
 		if l.send(b, o, time.Until(came.Add(r.Wait+grace))) {
 			return
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -71,6 +71,13 @@
 	return true
 }
 
+// closeBy bounds the time at which a connection that is owed nothing is closed.
+func (l *lifecycle) closeBy(at time.Time) {
+	if l.goneBy.IsZero() || at.Before(l.goneBy) {
+		l.goneBy = at
+	}
+}
+
 // stop lets a connection read until a time and no longer, as the gateway ends. It reports whether the state changed.
 func (l *lifecycle) stop(until time.Time) bool {
 	switch l.state {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,6 +27,7 @@
 	sessions map[*session]struct{}
 	all      sync.WaitGroup
 	drained  *drainTimes   // nil: the gateway is not drained
+	closeBy  time.Time     // of all sessions, as the gateway ends; zero: not set
 	changed  chan struct{} // closed at the next change of drained; nil: nobody waits for one
 }
 
@@ -75,6 +76,9 @@
 	f.Listener.Close()
 	f.mu.Lock()
 	for s := range f.sessions {
+		if !f.closeBy.IsZero() {
+			s.closeBy(f.closeBy)
+		}
 		s.stop()
 	}
 	f.mu.Unlock()
@@ -85,6 +89,17 @@
 	return broken
 }
 
+// CloseBy has every session that is owed nothing closed by a time, once the context of Serve has ended, and those that are not
+// reported. It may be called at any time.
+func (f *Server) CloseBy(at time.Time) {
+	f.mu.Lock()
+	f.closeBy = at
+	f.mu.Unlock()
+	time.AfterFunc(time.Until(at), func() {
+		f.reportOverdue("the gateway's end", func(*session) bool { return true })
+	})
+}
+
 // awaitOpen waits until sessions may be taken in: the gateway is ready, ends, or is drained, as a drained gateway may not keep
 // connections waiting.
 func (f *Server) awaitOpen(ctx context.Context) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// closeBy has the session closed by a time, if it is owed nothing then.
+func (s *session) closeBy(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.life.closeBy(at)
+}
+
 // draining tells the reader that the session drains, wherever it waits; the lock is held.
 func (s *session) draining() {
 	close(s.drained)
--- a/request.go
+++ b/request.go
@@ -29,6 +29,7 @@
 
 // arrive decides on a new request, or on units to take alone: served from here on, or refused at once.
 func (g *Gateway) arrive(e Arrival, take bool) {
+	e.Remaining = g.untilEnd(e.Remaining)
 	known := e.Class >= 0 && e.Class < len(g.set.Classes) && e.Plan >= 0 && e.Plan < len(g.set.Plans)
 	if !known || e.Remaining <= 0 {
 		g.acts = append(g.acts, Refuse{Request: e.ID, Why: WhyUnusable})
