--- a/gateway.go
+++ b/gateway.go
@@ -3,6 +3,7 @@
 // The module: tuned values and clockwork; it decides in request.go, quota.go, counting.go and servers.go.
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -53,6 +54,7 @@
 	parallel      = 2.0    // attempts that a server is taken to run side by side
 	crossZone     = 0.1    // what a server of another zone must be better by
 	maxEjected    = 0.5    // of the ready servers, or of attempts; if more are bad, all are pressed
+	mostSwept     = 256    // servers that one sweep looks at
 )
 
 // Gateway is one instance of the module.
@@ -61,7 +63,13 @@
 	rng                       *rand.Rand
 	now                       Instant
 	acts                      []Action
-	servers                   []*server // in order of rank
+	servers                   []*server        // in order of rank
+	ready                     []*server        // of them, those that may be sent to
+	fed                       int              // of those, how many the fleet feeds
+	suspects                  map[*server]bool // that something may speak against
+	outs                      []int            // by class, as out counted them
+	outAt                     []Instant        // and when
+	swept                     int              // the next server to be swept
 	byID                      map[ServerID]*server
 	requests                  map[RequestID]*request
 	customers                 map[CustomerID]*customer
@@ -92,7 +100,8 @@
 	}
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, customers: map[CustomerID]*customer{}, timers: map[TimerID]func(){},
-		names: map[string]*customer{}, cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
+		names: map[string]*customer{}, suspects: map[*server]bool{}, outs: make([]int, len(s.Classes)),
+		outAt: make([]Instant, len(s.Classes)), cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
 		worth: max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
 		g.sizes, g.sized = append(g.sizes, 1), append(g.sized, sizeGuess)
@@ -181,8 +190,16 @@
 	} else {
 		part /= max(1, recoverGaps*g.gap()/seconds(recoverSpan))
 	}
-	for _, s := range g.servers {
-		if s.out == 0 {
+	// Of many servers some are looked at in turn, each for all of the sweeps since its last.
+	n := min(len(g.servers), mostSwept)
+	if sweeps := (len(g.servers) + mostSwept - 1) / mostSwept; sweeps > 1 {
+		part = 1 - math.Pow(1-min(1, part), float64(sweeps))
+	}
+	for range n {
+		if g.swept++; g.swept >= len(g.servers) {
+			g.swept = 0
+		}
+		if s := g.servers[g.swept]; s.out == 0 {
 			s.latency += (g.latency + seen*seen*(g.idle-g.latency) - s.latency) * part
 		}
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -58,15 +59,16 @@
 	pools   map[core.Backend]*pool
 	open    int
 	fetches map[key]*fetch
+	idle    *list.List // of *conn, over all pools, the longest idle first
 }
 
 // pool has the connections to one backend. It guards against a mix-up: an address may come back under a new id, and
 // what was learnt of, or is connected to, the backend that has gone is not for the new one.
 type pool struct {
 	core.Backend
-	idle []*conn // the last used at the end
-	out  int     // fetches that have not ended
-	gone bool    // nothing is kept for another fetch
+	idle []*conn             // the last used at the end
+	out  map[*fetch]struct{} // fetches that have not ended
+	gone bool                // nothing is kept for another fetch
 }
 
 type key struct {
@@ -79,7 +81,8 @@
 	net.Conn
 	pool  *pool
 	r     *resp.Reader
-	since time.Time // idle since
+	since time.Time     // idle since
+	place *list.Element // among all that are idle
 	raw   syscall.RawConn
 }
 
@@ -110,7 +113,7 @@
 
 // New makes empty pools.
 func New(n Names, l Limits, b Books) *Pools {
-	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{},
+	return &Pools{names: n, limits: l, books: b, pools: map[core.Backend]*pool{}, fetches: map[key]*fetch{}, idle: list.New(),
 		now: time.Now, dial: func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
 			return (&net.Dialer{Timeout: l.Connect, Deadline: by, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 		}}
@@ -123,11 +126,11 @@
 	p.mu.Lock()
 	p.fetches[k] = x
 	if x.pool = p.pools[f.Backend]; x.pool == nil {
-		x.pool = &pool{Backend: f.Backend}
+		x.pool = &pool{Backend: f.Backend, out: map[*fetch]struct{}{}}
 		p.pools[f.Backend] = x.pool
 	}
 	x.pool.gone = false // it is on the list, or nothing would be sent
-	x.pool.out++
+	x.pool.out[x] = struct{}{}
 	p.mu.Unlock()
 	x.entry = ledger.Posting{Event: ledger.FetchBegan, Key: f.Source.Row, Ref: f.Source.Ref}
 	p.books.Post(x.entry)
@@ -137,7 +140,7 @@
 		cancel()
 		p.mu.Lock()
 		delete(p.fetches, k)
-		x.pool.out--
+		delete(x.pool.out, x)
 		p.tidy(x.pool)
 		p.mu.Unlock()
 		done(end)
@@ -160,7 +163,7 @@
 
 // tidy forgets a pool that nothing needs; the lock is held.
 func (p *Pools) tidy(l *pool) {
-	if l.out == 0 && len(l.idle) == 0 && p.pools[l.Backend] == l {
+	if len(l.out) == 0 && len(l.idle) == 0 && p.pools[l.Backend] == l {
 		delete(p.pools, l.Backend)
 	}
 }
@@ -184,14 +187,8 @@
 func (p *Pools) sweep(then time.Time) {
 	var old []*conn
 	p.mu.Lock()
-	for _, l := range p.pools {
-		n := 0
-		for n < len(l.idle) && l.idle[n].since.Before(then) {
-			n++
-		}
-		old = append(old, l.idle[:n]...)
-		l.idle = slices.Delete(l.idle, 0, n)
-		p.tidy(l)
+	for e := p.idle.Front(); e != nil && e.Value.(*conn).since.Before(then); e = p.idle.Front() {
+		old = append(old, p.unrest(e.Value.(*conn)))
 	}
 	p.mu.Unlock()
 	for _, c := range old {
@@ -254,11 +251,12 @@
 }
 
 func (p *Pools) withdraw(b core.Backend) {
-	if p.pools[b] == nil {
+	l := p.pools[b]
+	if l == nil {
 		return
 	}
-	for _, f := range p.fetches {
-		if f.Backend == b && f.state == waiting {
+	for f := range l.out {
+		if f.state == waiting {
 			f.end()
 		}
 	}
@@ -270,7 +268,10 @@
 	var idle []*conn
 	p.withdraw(b)
 	if l := p.pools[b]; l != nil {
-		idle, l.idle, l.gone = l.idle, nil, true
+		l.gone = true
+		for len(l.idle) > 0 {
+			idle = append(idle, p.unrest(l.idle[0]))
+		}
 		p.tidy(l)
 	}
 	p.mu.Unlock()
@@ -469,7 +470,7 @@
 	for {
 		now := p.now()
 		p.mu.Lock()
-		c := l.rested(now)
+		c := p.rested(l, now)
 		if c == nil {
 			break
 		}
@@ -506,29 +507,32 @@
 	return c, nil
 }
 
-// rested takes the last used connection that has rested out of the pool; the lock is held.
-func (l *pool) rested(now time.Time) *conn {
-	for i, c := range slices.Backward(l.idle) {
+// rested takes the last used connection of a pool that has rested; the lock is held.
+func (p *Pools) rested(l *pool, now time.Time) *conn {
+	for _, c := range slices.Backward(l.idle) {
 		if now.Sub(c.since) >= rest {
-			l.idle = slices.Delete(l.idle, i, i+1)
-			return c
+			return p.unrest(c)
 		}
 	}
 	return nil
 }
 
+// unrest takes an idle connection out of its pool; the lock is held.
+func (p *Pools) unrest(c *conn) *conn {
+	l := c.pool
+	at := slices.Index(l.idle, c)
+	l.idle = slices.Delete(l.idle, at, at+1)
+	p.idle.Remove(c.place)
+	p.tidy(l)
+	return c
+}
+
 // oldest takes the connection that has been idle longest out of its pool; the lock is held.
-func (p *Pools) oldest() (old *conn) {
-	for _, l := range p.pools {
-		if len(l.idle) > 0 && (old == nil || l.idle[0].since.Before(old.since)) {
-			old = l.idle[0]
-		}
+func (p *Pools) oldest() *conn {
+	if e := p.idle.Front(); e != nil {
+		return p.unrest(e.Value.(*conn))
 	}
-	if old != nil {
-		old.pool.idle = slices.Delete(old.pool.idle, 0, 1)
-		p.tidy(old.pool)
-	}
-	return old
+	return nil
 }
 
 // put gives a connection back to its pool, if that still has a backend.
@@ -539,6 +543,7 @@
 	kept := !c.pool.gone
 	if kept {
 		c.pool.idle = append(c.pool.idle, c)
+		c.place = p.idle.PushBack(c)
 	}
 	p.mu.Unlock()
 	if !kept {
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -56,7 +56,7 @@
 
 func (e exclusion) handle(p *Planner) {
 	switch {
-	case !e.known && !p.known[e.id]:
+	case !e.known && !p.known[e.id] && !p.isListed(e.id):
 		e.done <- ErrUnknownServer
 		return
 	case p.excluded[e.id] == e.out:
@@ -77,11 +77,17 @@
 	}
 }
 
+// isListed tells whether a server is listed now: of very many that ever were, not all are remembered.
+func (p *Planner) isListed(id dw.ServerID) bool {
+	_, listed := p.listed[id]
+	return listed
+}
+
 // overlay is an entry as the module is told it, which is kept: an excluded server drains, with its own start time, so that
 // its cold return is judged by the module's rules once it is put back.
 func (p *Planner) overlay(e dw.ServerEntry) dw.ServerEntry {
 	e = p.overlaid(e)
-	p.told[e.ID] = e
+	p.told.set(e)
 	if b, known := p.route(e.ID); known && e.State != dw.Ready {
 		// Danger: what waits for a connection would be written whenever that comes up, long after the server may be sent
 		// anything new.
@@ -118,11 +124,31 @@
 	}
 	now := p.Instant(time.Now())
 	p.counts = now + dw.Instant(countEvery)
-	disabled := p.gate.Avoided(now)
-	for _, e := range p.listed {
-		if p.told[e.ID].State != dw.Ready {
-			disabled++
-		}
+	p.figures.Targets(len(p.listed), p.gate.Avoided(now)+p.told.disabled)
+}
+
+// toldEntries are the listed servers as the module was told of them.
+type toldEntries struct {
+	entries  map[dw.ServerID]dw.ServerEntry
+	disabled int // of them, those that get nothing new
+}
+
+func (t *toldEntries) set(e dw.ServerEntry) {
+	t.drop(e.ID)
+	t.entries[e.ID] = e
+	if e.State != dw.Ready {
+		t.disabled++
+	}
+}
+
+func (t *toldEntries) drop(id dw.ServerID) {
+	if old, told := t.entries[id]; told && old.State != dw.Ready {
+		t.disabled--
 	}
-	p.figures.Targets(len(p.listed), disabled)
+	delete(t.entries, id)
+}
+
+func (t *toldEntries) clear() {
+	clear(t.entries)
+	t.disabled = 0
 }
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -67,9 +67,9 @@
 	counts     dw.Instant // when the figures are told next
 	figures    Figures
 	excludedTo func([]dw.ServerID)
-	watcher    Watcher                        // nil: nobody asks
-	fleet      Fleet                          // as told last
-	told       map[dw.ServerID]dw.ServerEntry // of the listed, as the module was told
+	watcher    Watcher     // nil: nobody asks
+	fleet      Fleet       // as told last
+	told       toldEntries // of the listed, as the module was told
 	fewWarm    bool
 	coldSpan   dw.Span
 	starts     startTimes
@@ -91,7 +91,7 @@
 	return &Planner{Clock: c, gate: g, backends: b, counter: n, books: k, monitor: noMonitor{}, log: log,
 		inbox: newInbox(), reqs: map[dw.RequestID]*taken{}, open: map[string]bool{}, routes: map[dw.ServerID]Backend{},
 		listed: map[dw.ServerID]dw.ServerEntry{}, known: map[dw.ServerID]bool{},
-		excluded: map[dw.ServerID]bool{}, told: map[dw.ServerID]dw.ServerEntry{}, coldSpan: s.ColdSpan, starts: newStartTimes()}, nil
+		excluded: map[dw.ServerID]bool{}, told: toldEntries{entries: map[dw.ServerID]dw.ServerEntry{}}, coldSpan: s.ColdSpan, starts: newStartTimes()}, nil
 }
 
 // Attempts bounds the fetches of reqs taken from now on, below what the module's settings allow.
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -62,14 +62,14 @@
 	l = p.resolved(l, whole)
 	if l.Kind != dw.ListDelta {
 		clear(p.listed)
-		clear(p.told)
+		p.told.clear()
 	}
 	p.version = l.Version
 	told := dw.ServerList{Kind: l.Kind, Version: l.Version, Servers: make([]dw.ServerEntry, len(l.Servers))}
 	for _, e := range l.Servers {
 		if e.State == dw.Gone {
 			delete(p.listed, e.ID)
-			delete(p.told, e.ID)
+			p.told.drop(e.ID)
 			delete(p.starts.servers, e.ID)
 		} else {
 			p.listed[e.ID] = e
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -47,7 +47,7 @@
 	told := dw.ServerList{Kind: dw.ListDelta, Version: p.version}
 	p.fewWarm = p.cold()
 	for _, e := range p.listed {
-		if now := p.overlaid(e); now != p.told[e.ID] {
+		if now := p.overlaid(e); now != p.told.entries[e.ID] {
 			told.Servers = append(told.Servers, p.overlay(e))
 		}
 	}
--- a/servers.go
+++ b/servers.go
@@ -1,12 +1,9 @@
 package dewhitch
 
-// The servers: the list, what speaks for and against each, and which one a request goes to.
+// The servers: what speaks for and against each.
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"slices"
 )
 
 type server struct {
@@ -46,40 +43,6 @@
 
 func (g *Gateway) sendRate() float64 { g.leak(); return g.sent / seconds(sendSpan) } // own, attempts a second
 
-// list follows the server list. Rule 3: what drains or is gone gets nothing new from this moment on.
-func (g *Gateway) list(e ServerList) {
-	if e.Kind == ListFailed {
-		if g.set.ListOnRequest {
-			g.after(second, func() { g.acts = append(g.acts, Subscribe{}) })
-		}
-		return
-	}
-	if e.Kind != ListDelta {
-		for _, s := range g.servers {
-			s.State = Gone
-		}
-	}
-	for _, entry := range e.Servers {
-		s := g.byID[entry.ID]
-		if s == nil {
-			s = &server{ServerEntry: ServerEntry{Since: -1}, rank: entry.ID.rank(g.set.Self)}
-			g.byID[entry.ID] = s
-			i, _ := slices.BinarySearchFunc(g.servers, s.rank, func(s *server, r uint64) int {
-				return cmp.Compare(s.rank, r)
-			})
-			g.servers = slices.Insert(g.servers, i, s)
-		}
-		if entry.Since != s.Since { // it has started anew
-			s.latency, s.verdicts = g.latency, make([]verdict, len(g.set.Classes))
-			s.budget = bucket{level: g.rng.Float64(), at: g.now}
-		}
-		s.ServerEntry = entry
-	}
-	gone := func(s *server) bool { return s.State == Gone && s.out == 0 } // and owes nothing
-	maps.DeleteFunc(g.byID, func(_ ServerID, s *server) bool { return gone(s) })
-	g.servers = slices.DeleteFunc(g.servers, gone)
-}
-
 // judge learns from an outcome.
 func (g *Gateway) judge(r *request, a *attempt, e Ended) {
 	s := a.server
@@ -138,6 +101,7 @@
 	}
 	if !a.failed {
 		a.failed = true
+		g.suspects[a.server] = true
 		g.cut[a.server.Zone] += (1 - g.cut[a.server.Zone]) * latencyWeight
 		span := max(seconds(recoverSpan), failures*g.gap()) * math.Pow(2, float64(v.failed))
 		if v.failed++; v.failed == 1 {
@@ -181,60 +145,3 @@
 
 // blind is how little this gateway sees of a server: near 1 if it seldom sends there, 0 if all the time.
 func (g *Gateway) blind() float64 { return 1 / (1 + math.Pow(seconds(recoverSpan)/g.gap(), 2)) }
-
-// pick chooses the server that should finish r first and tells how long that takes: over limit if it must be.
-func (g *Gateway) pick(r *request, limit float64) (*server, float64) {
-	ready, out := 0, 0
-	for _, s := range g.servers {
-		if s.State == Ready {
-			ready++
-			if g.isOut(s, r) {
-				out++
-			}
-		}
-	}
-	trust := float64(out) <= maxEjected*float64(ready)
-	// Danger: of many gateways, each sees a server too seldom to know how crowded it is, and all would rush to
-	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, by the square
-	// of speed (the least of exponential draws); with much traffic of its own it takes the best. A server too
-	// slow for limit, on which the lot may fall, says nothing against the others: they come first.
-	blind := g.blind()
-	var best *server
-	least, soonest := math.Inf(1), 0.0
-	most := g.aperture()
-	for _, s := range g.servers {
-		if most <= 0 && s.Feed == 0 || s.State != Ready || trust && g.isOut(s, r) || !g.mayTry(r, s) ||
-			s.Look == LookSpare && r.class.Effect == Unsafe {
-			continue
-		}
-		// Rule 4; budgets start at a random level, so that gateways do not come in step. Fed by what was sent
-		// alone, cold servers get the less the more is refused for want of them, and stay so.
-		if g.warmth(s) < 1 {
-			fed := coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(ready, g.aperture()))
-			// What all gateways together have settled goes before this one's guess.
-			if s.budget.fill(g.now, cmp.Or(s.Feed, g.warmth(s)*fed), 1); s.budget.level < 1 {
-				continue
-			}
-		}
-		if most--; s.Look != NoLook { // by as few as its budget allows
-			return s, 0
-		}
-		// Danger: the estimate of a server that is seen seldom is of an older load, and among many there is always
-		// one that looks idle. The less is seen of it, the more the latency of all speaks against it.
-		expect := g.expect(s)
-		cost := expect * math.Pow(expect*g.warmth(s)*g.rng.ExpFloat64(), blind)
-		expect = (expect + blind*max(0, g.latency-expect)) * g.sizes[r.kind]
-		if n := len(r.attempts); n > 0 && r.attempts[n-1].server == s {
-			cost += seconds(r.class.Aim)
-		}
-		// Danger: a cut-off zone, found out server by server, one loss each
-		if cost /= 1 - g.cut[s.Zone]; s.Zone != g.set.Zone {
-			cost *= 1 + crossZone
-		}
-		late, was := expect > limit, soonest > limit
-		if best == nil || late == was && cost < least || was && !late {
-			best, least, soonest = s, cost, expect
-		}
-	}
-	return best, soonest
-}
--- a/state.go
+++ b/state.go
@@ -134,6 +134,9 @@
 		v.budget = bucket{level: min(1, e.Fed), at: max(e.FedAt, s.At)}
 		for k, d := range e.Verdicts[:min(len(e.Verdicts), len(v.verdicts))] {
 			v.verdicts[k] = verdict{answered: d.Answered, failed: d.Failed, at: d.At, ejected: d.Ejected}
+			if d.Failed > 0 {
+				g.suspects[v] = true
+			}
 		}
 	}
 	for i := range s.Customers {
@@ -164,12 +167,11 @@
 // Avoided counts the ready servers that this gateway sends nothing new for what speaks against them; as with pick, none
 // where that would be more than the module leaves out.
 func (g *Gateway) Avoided(now Instant) int {
-	ready, out := 0, 0
-	for _, s := range g.servers {
+	out := 0
+	for s := range g.suspects { // in any order
 		if s.State != Ready {
 			continue
 		}
-		ready++
 		for _, v := range s.verdicts {
 			if v.failed > 0 && now < v.ejected && s.answered <= v.at {
 				out++
@@ -177,7 +179,7 @@
 			}
 		}
 	}
-	if float64(out) > maxEjected*float64(ready) {
+	if float64(out) > maxEjected*float64(len(g.ready)) {
 		return 0
 	}
 	return out
