--- a/cmd/dewhitch/drain_fleet_test.go
+++ b/cmd/dewhitch/drain_fleet_test.go
@@ -42,17 +42,20 @@
 // request is one that a client has written whole.
 type request struct {
 	id    string
+	sent  time.Time
 	until time.Time // when its client's time is up, and that of all before it, behind which its answer waits
 }
 
 // gatewayRecord is a gateway of the test, with every connection that was made to it.
 type gatewayRecord struct {
-	world  *world
-	number int
-	mu     sync.Mutex
-	conns  []*connection
-	called time.Time // of the drain; zero: none
-	faults []string
+	world   *world
+	number  int
+	longest time.Duration // that a client waits
+	mu      sync.Mutex
+	conns   []*connection
+	called  time.Time     // of the drain, or of SIGTERM; zero: none
+	newFor  time.Duration // from then on, in which the front still sends new connections
+	faults  []string
 }
 
 // drainTest is one run.
@@ -74,7 +77,7 @@
 func (g *gatewayRecord) accepts() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.called.IsZero() || time.Since(g.called) < newFor
+	return g.called.IsZero() || time.Since(g.called) < g.newFor
 }
 
 // connect opens a connection; nil: the front sends none.
@@ -96,7 +99,7 @@
 // send writes a request.
 func (c *connection) send(g *gatewayRecord, rng *rand.Rand) error {
 	id := fmt.Sprintf("r%016x", rng.Uint64())
-	wait := shortestWait + time.Duration(rng.Int64N(int64(longestWait-shortestWait)))
+	wait := shortestWait + time.Duration(rng.Int64N(int64(g.longest-shortestWait)))
 	words := fmt.Sprintf("SVC.QUERY %016x %s c=lookup,t=wide,d=%d,units=1,spread=1,first=%d", rng.Uint64N(1<<32), id,
 		wait.Milliseconds(), g.number)
 	c.mu.Lock()
@@ -104,7 +107,7 @@
 	if at := now.Add(wait); at.After(c.until) {
 		c.until = at
 	}
-	c.waiting, c.last = append(c.waiting, request{id, c.until}), now
+	c.waiting, c.last = append(c.waiting, request{id, now, c.until}), now
 	c.mu.Unlock()
 	_, err := c.Write(encode(words))
 	return err
@@ -277,12 +280,18 @@
 	}
 }
 
-// lost tells of requests that a server has had and whose connection was ended without their answer.
-func (d *drainTest) lost() {
+// sent are the requests that have come to a server.
+func (d *drainTest) sent() map[string]bool {
 	sent := map[string]bool{}
 	for _, c := range d.backends.Seen() {
 		sent[c.ID] = true
 	}
+	return sent
+}
+
+// lost tells of requests that a server has had and whose connection was ended without their answer.
+func (d *drainTest) lost() {
+	sent := d.sent()
 	for _, g := range d.gateways {
 		g.mu.Lock()
 		conns := g.conns
@@ -369,7 +378,7 @@
 		}
 		w.discovery.Set(standin.Members(members...))
 		w.start("serve")
-		d.gateways = append(d.gateways, &gatewayRecord{world: w, number: i})
+		d.gateways = append(d.gateways, &gatewayRecord{world: w, number: i, longest: longestWait, newFor: newFor})
 	}
 	for i, g := range d.gateways {
 		for k, does := range []behaviour{steady, steady, steady, steady, steady, steady, pipelining, silent, resting, trickling,
