--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -195,7 +195,8 @@
 			lost++
 		}
 	}
-	g.fault("a connection was open at SIGKILL, %v after SIGTERM, with %d requests unanswered, %d of them lost", s.longest+killMargin,
+	g.fault("a connection was open at SIGKILL, %v after SIGTERM, with %d requests unanswered, %d of them lost",
+		min(s.longest, longestCounted)+killMargin,
 		len(c.waiting), lost)
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,6 +26,7 @@
 	backoffFrom = 100 * time.Millisecond
 	backoffTo   = 500 * time.Millisecond // news must not wait: drains count as told, heard or not
 	askEvery    = 50 * time.Millisecond  // for each gateway: discovery that all ask bears so much at a start
+	mostScatter = 4 * time.Second        // of the first questions, however many gateways there are
 	messageTime = 10 * time.Second       // from a message's first byte to its last: a long list may come slowly
 )
 
@@ -68,7 +69,8 @@
 // discovery that says it is busy is left alone for the longer the more gateways there are. It has a line: whoever leaves
 // that early, with a list or without, is never served.
 func (d *Client) Shared(have bool, revision int64, gateways int) {
-	span := time.Duration(gateways) * askEvery
+	// A change counts as told 6 s after discovery had it, however many ask: the question may not come later than that.
+	span := min(time.Duration(gateways)*askEvery, mostScatter)
 	d.have, d.revision, d.patience = have, revision, lineTime
 	d.scatter = time.Duration(d.again.Rand.Int64N(int64(span)))
 	d.again.BusyFirst, d.again.Busy = span/2, max(backoffTo, 2*span)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -74,3 +75,18 @@
 		l.Close()
 	}
 }
+
+// However many gateways share a discovery, each asks, and asks again, before what it misses counts as told.
+func TestScatterIsBounded(t *testing.T) {
+	const countsAsTold = 6 * time.Second
+	for _, gateways := range []int{1, 3, 80, 900} {
+		for seed := range uint64(50) {
+			d := New("127.0.0.1:1", NewDecoder(Names{}), nil, seed, zap.NewNop())
+			d.Shared(true, 41, gateways)
+			if d.scatter > countsAsTold-answerTime || d.again.BusyFirst > countsAsTold-answerTime {
+				t.Fatalf("seed %d, %d gateways: the first question after %v, the next %v after a refusal", seed, gateways, d.scatter,
+					d.again.BusyFirst)
+			}
+		}
+	}
+}
--- a/internal/discovery/split.go
+++ b/internal/discovery/split.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxMessage bounds one message, or one list: 16 times what the largest fleet of 3,200 servers takes, indented.
-	maxMessage = 16 << 20
+	// maxMessage bounds one message, or one list: eight times what the largest fleet of 3,200 servers takes, indented.
+	maxMessage = 8 << 20
 	// firstBuffer is the size of the buffer that messages are read into; it grows as they need.
 	firstBuffer = 16 << 10
 	// keptBuffer is the most of it that is kept between two messages.
--- a/internal/fleet/agent/tally.go
+++ b/internal/fleet/agent/tally.go
@@ -55,7 +55,7 @@
 }
 
 const (
-	mostKept  = 1024 // servers: new ones come under new ids all day
+	mostKept  = fleet.MostSeen // servers
 	mostOpen  = 1 << 16
 	leastMark = 120 * time.Millisecond // before a fetch is late, at least
 	markTimes = 2.5                    // what fetches usually take
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -92,8 +92,9 @@
 	asked   uint64
 }
 
-// mostSeen bounds the servers that are kept of one member.
-const mostSeen = 512
+// MostSeen bounds the servers that are kept of one member: more than the largest fleet has. New ones come under new ids all
+// day, and then those that are still there are met anew.
+const MostSeen = 4096
 
 // take gives what is new in a report against those before, and keeps it.
 func (s *seen) take(r *Report) (delta Report, err error) {
@@ -121,8 +122,11 @@
 		v.Count = d
 		delta.Servers[id] = v
 	}
-	if s.zones == nil || len(s.servers) > mostSeen {
-		s.zones, s.servers = map[string]Count{}, map[uint32]Server{}
+	if s.zones == nil {
+		s.zones = map[string]Count{}
+	}
+	if s.servers == nil || len(s.servers) > MostSeen {
+		s.servers = map[uint32]Server{} // Danger: the zones' counts go on, and would be taken for new ones
 	}
 	s.asked = r.Asked
 	for zone, c := range r.Zones {
--- a/state.go
+++ b/state.go
@@ -66,7 +66,7 @@
 		s.Cut = append(s.Cut, g.cut[zone])
 	}
 	for _, v := range g.servers {
-		if v.State == Gone {
+		if v.State == Gone || !g.knows(v) {
 			continue
 		}
 		e := LearntServer{ServerEntry: v.ServerEntry, Latency: v.latency, Measured: v.measured, Answered: v.answered,
@@ -97,6 +97,11 @@
 	}
 }
 
+// knows tells whether this gateway has learnt anything of a server: of very many it uses few.
+func (g *Gateway) knows(s *server) bool {
+	return s.measured > 0 || s.out > 0 || !s.clear() || g.warmth(s) < 1
+}
+
 // Import takes over what another process of this gateway had learnt, before the first event, and tells how many servers
 // and customers it took; 0 and 0 if s is too old. The values must be numbers, and of this gateway's settings.
 func (g *Gateway) Import(now Instant, s *Learnt) (servers, customers int) {
