--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -122,11 +122,8 @@
 		v.Count = d
 		delta.Servers[id] = v
 	}
-	if s.zones == nil {
-		s.zones = map[string]Count{}
-	}
-	if s.servers == nil || len(s.servers) > MostSeen {
-		s.servers = map[uint32]Server{} // Danger: the zones' counts go on, and would be taken for new ones
+	if s.zones == nil || len(s.servers) > MostSeen {
+		s.zones, s.servers = map[string]Count{}, map[uint32]Server{}
 	}
 	s.asked = r.Asked
 	for zone, c := range r.Zones {
