Reproduce the held connection of a drained gateway: one owed an answer, written on

TestDrainEndsUnderAClientThatWritesBehindAHangingServer fails by it each time, and is listed. The soak also gives some gateways two fifths of a core by signals, and drains for the whole term.

--- a/cmd/dewhitch/drain_test.go
+++ b/cmd/dewhitch/drain_test.go
@@ -377,3 +377,33 @@
 		}
 	}
 }
+
+// A request that was taken before the drain waits for a server that hangs, for longer than the term. Its client goes on writing on
+// the connection: at the end of the term that may not be open with a request of the last 2 s, read or not. One whose client
+// writes nothing more keeps its connection until it is answered.
+func TestDrainEndsUnderAClientThatWritesBehindAHangingServer(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	p := w.start("serve")
+	writes, waits := w.dial(), w.dial()
+	writes.Write(patientQuery("q1"))
+	w.hangingServer()
+	waits.Write(patientQuery("q2"))
+	server := w.hangingServer()
+	called := evacuate(t, w)
+	waitUntil(called.Add(recentRequest + 500*time.Millisecond))
+	writes.Write(patientQuery("q3"))
+	writes.SetReadDeadline(called.Add(drainTerm))
+	answers, err := io.ReadAll(writes.r)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the connection is still held %v after the call, with a request of 1.5 s before\n%s", drainTerm, p.log())
+	}
+	if got := string(answers); strings.Count(got, "\r\n") != 1 || got[0] != '-' {
+		t.Errorf("%q came, and %v", got, err)
+	}
+	waitUntil(called.Add(drainTerm + 500*time.Millisecond))
+	server.serve("two")
+	if err := expect(waits.r, []byte("$3\r\ntwo\r\n")); err != nil {
+		t.Errorf("the request whose client waits: %v", err)
+	}
+}
--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -42,6 +42,7 @@
 	rng     *rand.Rand // of the schedule
 	servers int
 	crowd   bool
+	slow    bool          // the gateways have a part of a core
 	longest time.Duration // deadline
 	whole   bool          // changes are told by the whole list
 
@@ -55,7 +56,7 @@
 	if seed%4 >= 2 {
 		s.servers = mostServers
 	}
-	s.whole = s.rng.IntN(2) == 0
+	s.whole, s.slow = s.rng.IntN(2) == 0, s.rng.IntN(3) == 0
 	s.longest = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}[s.rng.IntN(4)]
 	backends, err := standin.NewBackends(soakNodes, true, hangingSome(seed))
 	s.drainTest = &drainTest{t: t, backends: kept(t, backends, err), over: make(chan struct{})}
@@ -63,7 +64,8 @@
 }
 
 func (s *soakRun) String() string {
-	return fmt.Sprintf("seed %d: %d servers, crowd %v, longest deadline %v, told by whole lists %v", s.seed, s.servers, s.crowd, s.longest, s.whole)
+	return fmt.Sprintf("seed %d: %d servers, crowd %v, longest deadline %v, told by whole lists %v, a part of a core %v", s.seed, s.servers,
+		s.crowd, s.longest, s.whole, s.slow)
 }
 
 // members is the list; the servers of the nodes that drain are in that phase.
@@ -82,7 +84,39 @@
 }
 
 // start starts a gateway, or one that replaces it.
-func (s *soakRun) start(g *gatewayRecord) *process { return g.world.start("serve") }
+func (s *soakRun) start(g *gatewayRecord) *process {
+	p := g.world.start("serve")
+	if s.slow {
+		s.clients.Go(func() { s.throttle(p) })
+	}
+	return p
+}
+
+// The slices in which a process that has a part of a core runs, and does not.
+const (
+	runSlice  = 8 * time.Millisecond
+	stopSlice = 12 * time.Millisecond
+)
+
+// throttle has a process run for a part of the time, until it ends or the run is over.
+func (s *soakRun) throttle(p *process) {
+	for {
+		for _, step := range []struct {
+			signal syscall.Signal
+			length time.Duration
+		}{{syscall.SIGSTOP, stopSlice}, {syscall.SIGCONT, runSlice}} {
+			if p.cmd.Process.Signal(step.signal) != nil {
+				return
+			}
+			time.Sleep(step.length)
+		}
+		select {
+		case <-s.over:
+			return
+		default:
+		}
+	}
+}
 
 func (s *soakRun) newGateway(number int) *gatewayRecord {
 	w := newWorld(s.t)
@@ -125,6 +159,9 @@
 // kill at its earliest; a new process goes on.
 func (s *soakRun) signals(g *gatewayRecord, p *process, begin time.Time, rng *rand.Rand) {
 	send := func(what syscall.Signal) { p.cmd.Process.Signal(what) }
+	if rng.IntN(3) == 0 {
+		s.drainWhole(g)
+	}
 	for range 2 + rng.IntN(4) {
 		time.Sleep(time.Duration(rng.Int64N(int64(soakTime / 8))))
 		switch rng.IntN(3) {
@@ -149,6 +186,16 @@
 	s.clientsOf(g, 1)
 }
 
+// drainWhole drains a gateway for the whole of the operators' term, judges what it holds then, and takes it back.
+func (s *soakRun) drainWhole(g *gatewayRecord) {
+	s.drain(g, time.Now().Add(drainTerm/20))
+	adminCall(s.t, g.world.admin, "activate")
+	g.mu.Lock()
+	g.called = time.Time{}
+	g.mu.Unlock()
+	s.clientsOf(g, 2)
+}
+
 // end sends SIGTERM, with a standstill or a drain beside it, and SIGKILL as early as the platform may; what is open then
 // is judged.
 func (s *soakRun) end(g *gatewayRecord, p *process, rng *rand.Rand) {
