Answer early on a drained connection whose client has written on

Cause of the held connection: a drained gateway answered each request that it had taken by the request's own deadline, and kept its connection until then, whatever its client wrote on it meanwhile. Change: from 3 s after the call on, a connection that ends and on which more has come, unread, has its requests answered at once, as rule 2 allows (event Hurry), every 50 ms until it is closed; one whose client waits in silence keeps its time. Left: a client that writes for the first time in the last 50 to 100 ms of the term.

--- a/api.go
+++ b/api.go
@@ -343,6 +343,8 @@
 	}
 	// ClientGone tells that a client has left; no answer is owed.
 	ClientGone struct{ Request RequestID }
+	// Hurry tells that a request must have its answer now, however long its client would wait.
+	Hurry struct{ Request RequestID }
 	// Ending tells that this gateway ends: every request must have its answer by then, however long its client would wait.
 	Ending struct{ By Instant }
 	// TimerFired returns a timer.
@@ -374,6 +376,7 @@
 func (Started) event()    {}
 func (Ended) event()      {}
 func (ClientGone) event() {}
+func (Hurry) event()      {}
 func (Ending) event()     {}
 func (TimerFired) event() {}
 func (Probed) event()     {}
--- a/cmd/dewhitch/drain_fleet_test.go
+++ b/cmd/dewhitch/drain_fleet_test.go
@@ -56,6 +56,17 @@
 	called  time.Time     // of the drain, or of SIGTERM; zero: none
 	newFor  time.Duration // from then on, in which the front still sends new connections
 	faults  []string
+	over    bool // no client connects any more
+}
+
+// leave ends all of its clients' connections, for good.
+func (g *gatewayRecord) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.over = true
+	for _, c := range g.conns {
+		c.leave()
+	}
 }
 
 // drainTest is one run.
@@ -92,6 +103,10 @@
 	c := &connection{Conn: conn}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.over {
+		conn.Close()
+		return nil
+	}
 	g.conns = append(g.conns, c)
 	return c
 }
@@ -332,11 +347,7 @@
 			d.lost()
 			close(d.over)
 			for _, g := range d.gateways {
-				g.mu.Lock()
-				for _, c := range g.conns {
-					c.leave()
-				}
-				g.mu.Unlock()
+				g.leave()
 			}
 			d.clients.Wait()
 			for _, g := range d.gateways {
--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -348,11 +348,7 @@
 	s.judgeDrains()
 	close(s.over)
 	for _, g := range s.gateways {
-		g.mu.Lock()
-		for _, c := range g.conns {
-			c.leave()
-		}
-		g.mu.Unlock()
+		g.leave()
 	}
 	s.clients.Wait()
 }
--- a/ending.go
+++ b/ending.go
@@ -1,6 +1,6 @@
 package dewhitch
 
-// The end of a gateway: every request has its answer by a set time, however long its client would wait.
+// Answers before their time: the gateway ends, or a client's connection must.
 
 import (
 	"maps"
@@ -24,12 +24,17 @@
 // answerAll ends the requests that are still open, in the kindest way that rule 2 allows.
 func (g *Gateway) answerAll() {
 	for _, id := range slices.Sorted(maps.Keys(g.requests)) {
-		switch r := g.requests[id]; {
-		case r == nil || r.done:
-		case r.class == nil: // a query, or a give-back
-			g.finish(r, Fail{Request: r.id, Why: WhyUnread})
-		default:
-			g.giveUp(r)
-		}
+		g.answerNow(id)
+	}
+}
+
+// answerNow ends a request, if it is still open.
+func (g *Gateway) answerNow(id RequestID) {
+	switch r := g.requests[id]; {
+	case r == nil || r.done:
+	case r.class == nil: // a query, or a give-back
+		g.finish(r, Fail{Request: r.id, Why: WhyUnread})
+	default:
+		g.giveUp(r)
 	}
 }
--- a/gateway.go
+++ b/gateway.go
@@ -147,6 +147,8 @@
 		if r := g.requests[e.Request]; r != nil {
 			g.finish(r, nil)
 		}
+	case Hurry:
+		g.answerNow(e.Request)
 	case Ending:
 		g.end(e.By)
 	case TimerFired:
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -6,6 +6,23 @@
 	dw "dewhitch"
 )
 
+// hurry tells that a req must have its answer now.
+type hurry struct{ ticket *Ticket }
+
+func (hurry) queue() Queue { return QueueOutcome }
+
+// Hurry has a req answered now, in the best way that is still allowed: its client's connection must end.
+func (p *Planner) Hurry(t *Ticket) {
+	t.hurried.Store(true)
+	_ = p.post(hurry{t}) // a planner that has stopped owes nothing
+}
+
+func (m hurry) handle(p *Planner) {
+	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
+		p.tell(dw.Hurry{Request: t.id})
+	}
+}
+
 // ending tells that the process ends.
 type ending struct {
 	by   time.Time
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -23,6 +23,8 @@
 type Ticket struct {
 	id   dw.RequestID // the planner's own; empty: it has not come to the req yet
 	left atomic.Bool  // the client has gone
+	// hurried says that the req must be answered at once.
+	hurried atomic.Bool
 }
 
 type takeIn struct {
@@ -58,6 +60,12 @@
 		p.monitor.Answered(ledger.PlanGone)
 		return
 	}
+	if m.ticket.hurried.Load() { // while this waited: nothing has been done for it
+		p.books.Post(ledger.Posting{Event: ledger.PlanRefusedGaveUp, Key: m.req.Row, Ref: m.req.Ref})
+		p.monitor.Answered(ledger.PlanRefusedGaveUp)
+		m.req.Answer(Answer{Verdict: Refused})
+		return
+	}
 	// Danger: a client may send the id of a req that another's is open under. A backend would be sent two of one id,
 	// and could not tell that it is no copy; nor does the customer's quota pay for it.
 	if name := m.req.Message.Name; m.req.Kind == Book {
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -124,3 +126,43 @@
 		})
 	}
 }
+
+// hurryDrained has the sessions of a drain on which more has come answer what they owe now, again and again until the drain ends
+// or its last session does. Danger: a request that waits for a server that hangs would keep its connection open past the
+// drain's term, with what its client has written since.
+func (f *Server) hurryDrained(d *drainTimes) {
+	var held []*session
+	f.mu.Lock()
+	if f.drained == d {
+		held = slices.Collect(maps.Keys(f.sessions))
+	}
+	f.mu.Unlock()
+	for _, s := range held {
+		s.hurryIfWritten()
+	}
+	if len(held) > 0 {
+		time.AfterFunc(hurryInterval, func() { f.hurryDrained(d) })
+	}
+}
+
+// hurryIfWritten has a session answer now, if it ends and its client has written more than it will read.
+func (s *session) hurryIfWritten() {
+	s.mu.Lock()
+	ends := s.life.state != stateOpen && len(s.slots) > 0
+	s.mu.Unlock()
+	if !ends || !unread(s.conn) {
+		return
+	}
+	var now []func()
+	s.mu.Lock()
+	for _, o := range s.slots {
+		if o.hurry != nil {
+			now = append(now, o.hurry)
+			o.hurry = nil
+		}
+	}
+	s.mu.Unlock()
+	for _, f := range now {
+		f()
+	}
+}
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -7,6 +7,24 @@
 	"golang.org/x/sys/unix"
 )
 
+// unread tells whether something has come on a connection that is not read yet. False where the system does not tell.
+func unread(c net.Conn) (more bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		more = err == nil && n > 0
+	})
+	return more
+}
+
 // hungUp tells whether the far side of a connection has closed it or its sending, though what came before is not read yet.
 // False where the system does not tell.
 func hungUp(c net.Conn) (gone bool) {
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -18,6 +18,11 @@
 	goneTime = drainTerm - stallMargin - 100*time.Millisecond
 	// firstTime is how long a connection that came during the drain has for its first command.
 	firstTime = 200 * time.Millisecond
+	// hurryTime is when a connection on which more has come, unread, is no longer kept for what it is owed: it may not be open
+	// at the end of the term. Until then its answer may come by itself.
+	hurryTime = drainTerm - time.Second
+	// hurryInterval is between two looks for such connections.
+	hurryInterval = 50 * time.Millisecond
 )
 
 // How long input is discarded after the sending side was shut, and the least of that close before goneTime.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -165,6 +165,7 @@
 		ended(core.Failed, false)
 		c.Planner.Leave(ticket)
 	})
+	s.OnHurry(func() { c.Planner.Hurry(ticket) })
 }
 
 // busyAdvice is when a client that was refused because the gateway is busy should come again: scattered, so that not all of
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -195,6 +195,7 @@
 		d.takeUntil = now
 	}
 	f.drained = &d
+	time.AfterFunc(hurryTime, func() { f.hurryDrained(&d) })
 	time.AfterFunc(drainTerm, func() { f.checkDrained(&d) })
 	for s := range f.sessions {
 		s.drain(d)
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -15,6 +15,7 @@
 	filled  bool
 	large   int64  // bytes of the command that Bounds.large holds a place for
 	gone    func() // called if the client leaves before the slot is filled
+	hurry   func() // called if the slot must be filled now; nil: nobody can
 	settled func(Fate)
 	refuse  bool
 }
@@ -71,6 +72,13 @@
 	}
 }
 
+// OnHurry sets what is to happen if the answer is wanted now, whatever it is, as the connection must end.
+func (o *Slot) OnHurry(f func()) {
+	o.session.mu.Lock()
+	defer o.session.mu.Unlock()
+	o.hurry = f
+}
+
 // OnSettled has f told, once, what becomes of the answer. It must be set before the slot can be filled; f may not block.
 func (o *Slot) OnSettled(f func(Fate)) {
 	o.session.mu.Lock()
@@ -95,7 +103,7 @@
 	if o.filled {
 		return
 	}
-	o.answer, o.value, o.filled, o.gone = answer, v, true, nil
+	o.answer, o.value, o.filled, o.gone, o.hurry = answer, v, true, nil, nil
 	s.bounds.large.Release(o.large)
 	if s.life.state == stateClosed {
 		return
