--- a/cmd/dewhitch/limits_test.go
+++ b/cmd/dewhitch/limits_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -280,3 +282,32 @@
 		t.Error("nothing was served")
 	}
 }
+
+// A forwarder ends while a planner owes it an answer that takes longer than it is given: the command has failed, as it may have
+// been applied, and the connection ends before the earliest SIGKILL.
+func TestForwarderEndsBeforeTheEarliestKill(t *testing.T) {
+	t.Parallel()
+	z := newZookeeper(t)
+	planner := newWorld(t)
+	planner.registry = z.Addr()
+	planner.start("serve")
+	front := *planner
+	front.listen = standin.OwnAddr()
+	f := front.start("forward")
+	if !eventually(func() bool { return strings.Contains(f.log(), `"0":"127.`) }) {
+		t.Fatal("the forwarder does not know the planner\n", f.log())
+	}
+	c := front.dial()
+	c.Write(patientQuery("q1"))
+	planner.hangingServer()
+	signalled := time.Now()
+	f.cmd.Process.Signal(syscall.SIGTERM)
+	c.SetReadDeadline(signalled.Add(earliestKill))
+	answers, err := io.ReadAll(c.r)
+	if err != nil || !strings.HasPrefix(string(answers), "-ERR the planner was lost") {
+		t.Errorf("%q came, and %v\n%s", answers, err, f.log())
+	}
+	if err := f.wait(); err != nil {
+		t.Error(err)
+	}
+}
