--- a/gateway.go
+++ b/gateway.go
@@ -101,7 +101,8 @@
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, customers: map[CustomerID]*customer{}, timers: map[TimerID]func(){},
 		names: map[string]*customer{}, suspects: map[*server]bool{}, outs: make([]int, len(s.Classes)),
-		outAt: make([]Instant, len(s.Classes)), cut: map[int]float64{}, minAim: s.Classes[0].Aim, budget: retryBurst,
+		outAt: make([]Instant, len(s.Classes)), cut: map[int]float64{}, minAim: s.Classes[0].Aim,
+		budget: retryBurst,
 		worth: max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
 		g.sizes, g.sized = append(g.sizes, 1), append(g.sized, sizeGuess)
--- a/membership.go
+++ b/membership.go
@@ -37,12 +37,15 @@
 		s.ServerEntry = entry
 	}
 	if len(g.servers) > known {
-		slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.rank, b.rank) })
+		slices.SortFunc(g.servers, func(a, b *server) int {
+			return cmp.Compare(a.rank, b.rank)
+		})
 	}
 	g.index()
 }
 
-// index forgets the servers that are gone and owe nothing, and finds those that may be sent to, in order of rank.
+// index forgets the servers that are gone and owe nothing, and finds those that may be sent to, in order of
+// rank.
 func (g *Gateway) index() {
 	gone := func(s *server) bool { return s.State == Gone && s.out == 0 }
 	if slices.ContainsFunc(g.servers, gone) {
--- a/selection.go
+++ b/selection.go
@@ -1,7 +1,7 @@
 package dewhitch
 
-// Which server a request goes to. What a decision costs does not grow with the servers that are listed: of many that this
-// gateway uses, so many are looked at.
+// Which server a request goes to. What a decision costs does not grow with the servers that are listed: of
+// many that this gateway uses, so many are looked at.
 
 import (
 	"cmp"
@@ -45,7 +45,8 @@
 	// those that looked best last. The less a gateway sees of a server, the more it draws by lot, by the square
 	// of speed (the least of exponential draws); with much traffic of its own it takes the best. A server too
 	// slow for limit, on which the lot may fall, says nothing against the others: they come first.
-	c := &selection{g: g, r: r, limit: limit, blind: g.blind(), trust: float64(g.out(r)) <= maxEjected*float64(len(g.ready)),
+	c := &selection{g: g, r: r, limit: limit, blind: g.blind(),
+		trust: float64(g.out(r)) <= maxEjected*float64(len(g.ready)),
 		feed: coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(len(g.ready), aperture)),
 		room: min(aperture, mostCompared)}
 	within, start := len(g.ready), 0
@@ -65,7 +66,8 @@
 // visit compares a server, if r may go there.
 func (c *selection) visit(s *server) {
 	g, r := c.g, c.r
-	if c.room <= 0 && s.Feed == 0 || c.trust && g.isOut(s, r) || !g.mayTry(r, s) || s.Look == LookSpare && r.class.Effect == Unsafe {
+	if c.room <= 0 && s.Feed == 0 || c.trust && g.isOut(s, r) || !g.mayTry(r, s) ||
+		s.Look == LookSpare && r.class.Effect == Unsafe {
 		return
 	}
 	warmth := g.warmth(s)
@@ -110,9 +112,11 @@
 	}
 }
 
-// out counts the ready servers that evidence speaks against, for r. Of very many, as counted of late for its class.
+// out counts the ready servers that evidence speaks against, for r. Of very many, as counted of late for its
+// class.
 func (g *Gateway) out(r *request) int {
-	if len(g.suspects) > mostSuspects && g.outAt[r.kind] != 0 && g.now-g.outAt[r.kind] < Instant(g.sweepEvery()) {
+	recent := g.outAt[r.kind] != 0 && g.now-g.outAt[r.kind] < Instant(g.sweepEvery())
+	if len(g.suspects) > mostSuspects && recent {
 		return g.outs[r.kind]
 	}
 	n := 0
