--- a/gateway.go
+++ b/gateway.go
@@ -103,7 +103,7 @@
 		names: map[string]*customer{}, suspects: map[*server]bool{}, outs: make([]int, len(s.Classes)),
 		outAt: make([]Instant, len(s.Classes)), cut: map[int]float64{}, minAim: s.Classes[0].Aim,
 		budget: retryBurst,
-		worth: max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
+		worth:  max(s.Classes[0].Points, minPoints), calls: pace.New(seconds(s.CounterTimeout), s.Instances)}
 	for _, c := range s.Classes {
 		g.sizes, g.sized = append(g.sizes, 1), append(g.sized, sizeGuess)
 		g.minAim = min(g.minAim, c.Aim)
--- a/selection.go
+++ b/selection.go
@@ -47,8 +47,8 @@
 	// slow for limit, on which the lot may fall, says nothing against the others: they come first.
 	c := &selection{g: g, r: r, limit: limit, blind: g.blind(),
 		trust: float64(g.out(r)) <= maxEjected*float64(len(g.ready)),
-		feed: coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(len(g.ready), aperture)),
-		room: min(aperture, mostCompared)}
+		feed:  coldUse * (g.sendRate() + g.wanted/seconds(sendSpan)) / float64(min(len(g.ready), aperture)),
+		room:  min(aperture, mostCompared)}
 	within, start := len(g.ready), 0
 	if aperture > mostCompared {
 		within = min(aperture, len(g.ready))
