--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -101,6 +101,9 @@
 
 // readList reads all of the list.
 func (d *Client) readList(c *connection, r *bufio.Reader, addr string) error {
+	silence := c.silence
+	c.silence = d.patience // an answer to a question is not as quiet as a watch may be
+	defer func() { c.silence = silence }()
 	c.begin()
 	head, err := d.ask(c, r, addr, path)
 	if err != nil {
