--- a/gateway_test.go
+++ b/gateway_test.go
@@ -87,19 +87,24 @@
 	}
 }
 
+// fire tells of the timers that are due.
+func (b *bed) fire() {
+	due := b.timers
+	b.timers = nil
+	for _, t := range due {
+		if t.At <= b.now {
+			b.do(dw.TimerFired{ID: t.ID})
+		} else {
+			b.timers = append(b.timers, t)
+		}
+	}
+}
+
 // pass lets time go by, with timers and counter answers coming when they are due.
 func (b *bed) pass(d dw.Span) {
 	for end := b.now + dw.Instant(d); b.now < end; {
 		b.now += dw.Instant(ms)
-		due := b.timers
-		b.timers = nil
-		for _, t := range due {
-			if t.At <= b.now {
-				b.do(dw.TimerFired{ID: t.ID})
-			} else {
-				b.timers = append(b.timers, t)
-			}
-		}
+		b.fire()
 		replys := b.replys
 		b.replys = nil
 		for _, r := range replys {
--- a/scale_test.go
+++ b/scale_test.go
@@ -44,15 +44,7 @@
 func (f *fleetGateway) serve(requests int) {
 	for range requests {
 		f.now += dw.Instant(f.gap)
-		due := f.timers
-		f.timers = nil
-		for _, t := range due {
-			if t.At <= f.now {
-				f.do(dw.TimerFired{ID: t.ID})
-			} else {
-				f.timers = append(f.timers, t)
-			}
-		}
+		f.fire()
 		f.asked++
 		f.sent = f.sent[:0]
 		f.do(dw.Arrival{ID: dw.RequestID(fmt.Sprint(f.asked)), Customer: 1, Remaining: 100 * ms, Units: 1, Spread: 1})
