--- a/cmd/dewhitch/fleet_test.go
+++ b/cmd/dewhitch/fleet_test.go
@@ -141,21 +141,37 @@
 		}
 		// The operators' listener has the metrics of every gateway, and of a fleet what there is one of.
 		for path, want := range map[string]bool{"/metrics": true, "/fleet": fleet, "/ledger": false} {
-			answer, err := http.Get("http://" + show + path)
-			if err != nil {
-				t.Fatalf("a fleet %v: the operators' listener: %v", fleet, err)
+			status, text := page(t, show, path)
+			if (status == http.StatusOK) != want {
+				t.Errorf("a fleet %v: %s: status %d", fleet, path, status)
 			}
-			text, _ := io.ReadAll(answer.Body)
-			answer.Body.Close()
-			if (answer.StatusCode == http.StatusOK) != want {
-				t.Errorf("a fleet %v: %s: %s", fleet, path, answer.Status)
-			}
-			if path == "/metrics" && (strings.Contains(string(text), "dewhitch_fleet_") != fleet ||
-				!strings.Contains(string(text), `dewhitch_list_version{stage="applied"} 1`)) {
+			if path == "/metrics" && strings.Contains(text, "dewhitch_fleet_") != fleet {
 				t.Errorf("a fleet %v: metrics: %s", fleet, text)
 			}
 		}
+		// It listens before it has read the list.
+		if !eventually(func() bool {
+			_, text := page(t, show, "/metrics")
+			return strings.Contains(text, `dewhitch_list_version{stage="applied"} 1`)
+		}) {
+			t.Errorf("a fleet %v: the list that is in force does not show", fleet)
+		}
+	}
+}
+
+// page reads a page of an operators' listener.
+func page(t *testing.T, show, path string) (status int, text string) {
+	t.Helper()
+	answer, err := http.Get("http://" + show + path)
+	if err != nil {
+		t.Fatalf("the operators' listener: %v", err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return answer.StatusCode, string(body)
 }
 
 // Where the operators' file names no address, as on the platform, nothing listens but the clients' address.
