--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// finish has the session end, for a reason, as soon as all that it has taken is answered. Only the reader calls it, and takes nothing after.
+// finish has the session end, for a reason, as soon as all that it has taken is answered. Only the reader calls it, and takes
+// nothing after.
 func (s *session) finish(r CloseReason) {
 	s.mu.Lock()
 	s.because(r)
--- a/internal/ledger/desk/planted_test.go
+++ b/internal/ledger/desk/planted_test.go
@@ -175,6 +175,8 @@
 func TestHonest(t *testing.T) {
 	g := start(t, desk.Options{Audit: 5 * time.Millisecond}, nil)
 	g.work(t, 8)
+	// The front books what became of an answer once that is written, which its client may see first.
+	g.eventually(t, "the last answers", func(r desk.Report) bool { return r.Open == 0 })
 	g.desk.Audit(true)
 	if a := g.alarms(); len(a) > 0 {
 		t.Fatalf("%v", a[0].ContextMap())
