Reproduce a repeat that is open past the servers' window: two failing tests

A keyed request is repeated within the window in which servers drop repeats, but the repeat has the request's own deadline, which may be later.

--- /dev/null
+++ b/cmd/dewhitch/repeat_window_test.go
@@ -0,0 +1,51 @@
+package main_test
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// repeatWindow is how long the servers of TestRepeatEndsWithItsWindow drop a repeat; shorter than the request's deadline, as
+// some customers have it.
+const repeatWindow = time.Second
+
+// The slack of the rules on sockets, and how long a gateway may be held up between reading its clock and writing.
+const (
+	ruleSlack  = 50 * time.Millisecond
+	clockStall = 150 * time.Millisecond
+)
+
+// A server breaks the connection under a booking, which may have run. The gateway repeats it at another, which is stuck and
+// never answers. Servers forget the first one's key after a second: a repeat that is still open then is run a second time when
+// the server comes to itself.
+func TestRepeatEndsWithItsWindow(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.override = append(w.override, `{"settings":{"RequestClasses":[{"Name":"order","Aim":4000000000,"Deadline":4000000000,
+		"DedupWindow":1000000000,"Effect":"keyed","Group":"all","Points":5}]}}`)
+	w.discovery.Set(w.members("s-00000001=up s-00000002=up s-00000003=up"))
+	p := w.start("serve")
+	c := w.dial()
+	c.Write(encode("SVC.SUBMIT 00000000b4d65521 q1 c=order,t=wide,d=4000,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=0 BODY"))
+	first := w.hangingServer()
+	began := time.Now()
+	first.Conn.(*net.TCPConn).SetLinger(0)
+	first.Close()
+
+	repeat := w.hangingServer()
+	repeat.SetReadDeadline(began.Add(repeatWindow + ruleSlack + clockStall))
+	if _, err := repeat.r.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the repeat is open %v after the first attempt, and servers forget that after %v\n%s", time.Since(began),
+			repeatWindow, p.log())
+	}
+	c.SetReadDeadline(began.Add(4 * time.Second))
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || !strings.HasPrefix(answer, "-") {
+		t.Errorf("the client was answered %q, %v", answer, err)
+	}
+}
--- /dev/null
+++ b/repeat_window_test.go
@@ -0,0 +1,66 @@
+package dewhitch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	dw "dewhitch"
+)
+
+// A keyed request whose first attempt may have run is repeated within the window in which servers drop repeats. The repeat
+// begins in time, but is left open until the request's own deadline, which is later: whatever holds it up on its way may let it
+// run after the servers have forgotten the first one.
+//
+// The schedules are random. An attempt that is out must not outlast the window of any other that may have run, whether it is
+// the repeat or the one that was repeated.
+func TestNoAttemptOutlastsTheWindowOfAnother(t *testing.T) {
+	const window = 150 * ms
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := settings()
+			s.Zones, s.Instances, s.MaxUnits, s.MaxAttempts = 2, 1, 4, 4
+			s.ParallelTries, s.MayCancel = seed%2 == 0, seed%3 > 0
+			s.Classes = []dw.Class{{Aim: 200 * ms, Deadline: 800 * ms, Points: 5, Effect: dw.Keyed, DedupWindow: window}}
+			s.Plans = []dw.Plan{{Rate: 1000, Burst: 1000, Price: 1}}
+			w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 3)), set: s, now: 1e9, count: map[string]float64{},
+				store: map[dw.CustomerID]*store{}}
+			for c := range dw.CustomerID(6) {
+				w.store[c] = &store{}
+			}
+			w.gates = []*gate{{}}
+			w.start(w.gates[0])
+			repeats := 0
+			for range 20_000 {
+				w.step()
+				repeats += w.outlasting(window)
+			}
+			if repeats == 0 {
+				t.Error("no attempt was out after another that may have run")
+			}
+		})
+	}
+}
+
+// outlasting fails the test if an attempt is out beyond the window of another of its request, and counts those that are out
+// within one.
+func (w *world) outlasting(window dw.Span) (within int) {
+	for _, g := range w.gates {
+		for id, r := range g.reqs {
+			for i, open := range r.attempts {
+				for j, other := range r.attempts {
+					if i == j || open.ended || !other.mayHaveRun() {
+						continue
+					}
+					within++
+					// A timer or a time-out is told with the round after it.
+					if age := dw.Span(w.now - other.at); age > window+2*w.set.Tick {
+						w.t.Fatalf("attempt %d of %s is out %d ms after attempt %d began, and servers forget that after %d ms",
+							i, id, age/ms, j, window/ms)
+					}
+				}
+			}
+		}
+	}
+	return within
+}
