End a keyed request's repeat with the window in which servers drop it

Callers saw: a booking could run twice.

Cause: the window bounded when a repeat begins; its time-out was the request's deadline. The twin: a first attempt that is out while a hedged one may have run.

Why the mend holds: each attempt that may be a repeat has the window's end as its own time-out, in the backend's context; those that are out when another is sent are withdrawn at the end of that one's window; where nothing may be withdrawn, none is sent beside one that would outlast it.

Ruled out: a begin past the window (the rule of rules_test.go holds as before).

--- a/cmd/dewhitch/repeat_window_test.go
+++ b/cmd/dewhitch/repeat_window_test.go
@@ -20,9 +20,12 @@
 	clockStall = 150 * time.Millisecond
 )
 
-// A server breaks the connection under a booking, which may have run. The gateway repeats it at another, which is stuck and
-// never answers. Servers forget the first one's key after a second: a repeat that is still open then is run a second time when
-// the server comes to itself.
+// What happens: a server breaks the connection under a booking, which may have run; the gateway repeats it at another, which is
+// stuck and never answers. Servers forget the first one's key after a second, so a repeat that is still open then runs a second
+// time once that server comes to itself. Why: nothing ended a repeat with the window. What showed it: the second server saw its
+// connection close 2.0 s after the first attempt, in ten runs of ten, at half of the aim, which has nothing to do with the
+// window. In the drill of TestLeavers, seed 7, the same let a key come again after 3.13 s where servers forget after 3 s, as a way
+// that had been cut was healed. Mended in repeat_window.go.
 func TestRepeatEndsWithItsWindow(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t)
--- a/repeat_window_test.go
+++ b/repeat_window_test.go
@@ -8,12 +8,14 @@
 	dw "dewhitch"
 )
 
-// A keyed request whose first attempt may have run is repeated within the window in which servers drop repeats. The repeat
-// begins in time, but is left open until the request's own deadline, which is later: whatever holds it up on its way may let it
-// run after the servers have forgotten the first one.
+// What happens: a keyed request whose first attempt may have run is repeated within the window in which servers drop repeats,
+// and the repeat stays open past it. Why: the window bounded when a repeat began, and nothing ended one but the request's own
+// deadline, which may be later. What showed it: on every one of these 12 random schedules an attempt was out beyond the window of
+// another ("attempt 1 of r189 is out 153 ms after attempt 0 began, and servers forget that after 150 ms"), among them first
+// attempts that a hedged one had overtaken. Mended in repeat_window.go.
 //
-// The schedules are random. An attempt that is out must not outlast the window of any other that may have run, whether it is
-// the repeat or the one that was repeated.
+// An attempt that is out must not outlast the window of any other that may have run, whether it is the repeat or the one that was
+// repeated.
 func TestNoAttemptOutlastsTheWindowOfAnother(t *testing.T) {
 	const window = 150 * ms
 	for seed := range uint64(12) {
--- a/request.go
+++ b/request.go
@@ -131,6 +131,11 @@
 	if n := len(r.attempts) + 1; g.now+half < r.aim {
 		g.at(g.now+half, func() { g.hedge(r, n) })
 	}
+	until := r.due
+	if end, repeats := r.windowEnd(); repeats {
+		until = min(until, end)
+		g.endOthers(r)
+	}
 	if s.out == 0 {
 		s.waiting = g.now
 	}
@@ -142,12 +147,9 @@
 	if g.warmth(s) < 1 {
 		s.budget.level--
 	}
-	by, left := r.due, Span(r.due-g.now)
-	if a := r.live(); a != nil && again[r.class.Effect].inGroup { // its group may forget meanwhile
-		by = min(by, a.at+Instant(r.class.DedupWindow))
-	}
+	left := Span(until - g.now)
 	r.attempts = append(r.attempts, attempt{server: s, at: g.now, beside: s.out - 1})
-	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: left, Within: Span(by - g.now)})
+	g.acts = append(g.acts, Send{Request: r.id, Server: s.ID, Timeout: left, Within: left})
 }
 
 // Rule 2 in one table: by outcome, whether an attempt may have run; by effect, what may follow if one may.
@@ -181,7 +183,7 @@
 		return true
 	}
 	rule := again[r.class.Effect]
-	known := r.class.Group.same(s.ServerEntry, a.server.ServerEntry) && g.now-a.at < Instant(r.class.DedupWindow)
+	known := r.class.Group.same(s.ServerEntry, a.server.ServerEntry) && g.now-a.at < Instant(r.class.DedupWindow) && g.canEndOthers(r)
 	return rule.send && (known || !rule.inGroup)
 }
 
@@ -213,7 +215,11 @@
 
 // retry sends r once more if the budget of further attempts, the rules and the aim allow it.
 func (g *Gateway) retry(r *request) bool {
-	left := seconds(r.aim - g.now)
+	by := r.aim
+	if end, repeats := r.windowEnd(); repeats {
+		by = min(by, end)
+	}
+	left := seconds(by - g.now)
 	s, expect := g.pick(r, left)
 	if g.budget < 1 || s == nil || expect > left {
 		return false
