--- /dev/null
+++ b/internal/forward/giveup_test.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewhitch/internal/front"
+	"dewhitch/internal/ledger/desk"
+	"dewhitch/internal/standin"
+)
+
+const patience = 20 * time.Second
+
+// forwarder runs one before a planner that is stuck, and gives back a session of a client.
+func forwarder(t *testing.T) (*Planners, net.Conn, *standin.Stuck) {
+	t.Helper()
+	planner, err := standin.NewStuck()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(planner.Close)
+	planners := &Planners{}
+	planners.Set(map[int]string{0: planner.Addr()})
+	l, err := net.Listen("tcp", standin.OwnAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &front.Server{Listener: l, Log: zap.NewNop(), Bounds: front.NewBounds(64 << 20), Sessions: 1,
+		Open: func() front.Commands { return New(planners, 1, desk.Nobody{}, zap.NewNop()) }}
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		server.Serve(ctx)
+	}()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		client.Close()
+		stop()
+		<-over
+	})
+	return planners, client, planner
+}
+
+// waiting counts the commands that were written whole and are not answered.
+func (p *Planners) waiting() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.mu.Lock()
+		n += len(l.slots)
+		l.mu.Unlock()
+	}
+	return n
+}
+
+// A planner is stuck, and a command that was written to it whole is given up. When it reads on it must not find the whole
+// command, as it would take it for a new one, with all of its time before it.
+func TestGivenUpCommandIsNotDelivered(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline string
+		giveUp   func(*Planners, net.Conn)
+	}{
+		"the client has gone": {"60000", func(_ *Planners, client net.Conn) { client.Close() }},
+		"its time is up":      {"300", func(*Planners, net.Conn) {}},
+		"the forwarder's end": {"60000", func(p *Planners, _ net.Conn) { p.End(time.Now()) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			planners, client, planner := forwarder(t)
+			body := strings.Repeat("x", 32<<10)
+			client.Write(standin.AppendCommand(nil, "SVC.SUBMIT", "00000000b4d65521", "n",
+				"c=order,t=wide,d="+c.deadline+",units=1,spread=1,first=0", body))
+			conn := <-planner.Conns
+			defer conn.Close()
+			for end := time.Now().Add(patience); planners.waiting() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the command is not written")
+				}
+			}
+			c.giveUp(planners, client)
+			for end := time.Now().Add(patience); planners.waiting() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the command is not given up")
+				}
+			}
+			conn.SetReadDeadline(time.Now().Add(patience))
+			got, err := io.ReadAll(conn)
+			if bytes.HasSuffix(got, []byte("x\r\n")) {
+				t.Errorf("the planner was sent all %d bytes of a command that was given up before, and then %v", len(got), err)
+			}
+		})
+	}
+}
