Reset a forwarder's link to a planner when it is given up, and discard what is unsent

Callers saw: a command that a forwarder had answered as failed, or whose client had gone, was run by a planner that came to itself later, with all of its deadline before it, as a planner counts from when it reads.

Cause: the link was closed in order, and the kernel goes on sending what was written before.

Why the mend holds: links are set to be reset from their start, so that every close, that of a dying forwarder too, discards what was not delivered. A planner reads a reset as it reads an end: its client has gone.

Measured: TestGivenUpCommandIsNotDelivered (internal/forward) red in all three cases before, 20 of 20 after; the forwarder's process tests pass. Ruled out: the forwarder's own deadline is not at fault; it gave the command up in time and answered its client.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -169,7 +169,7 @@
 	for _, addr := range c.planners.Of(customer, r.Spread, r.First, c.gateways) {
 		l := c.links[addr]
 		if l == nil || l.lost.Load() {
-			conn, err := net.DialTimeout("tcp", addr, dialTime)
+			conn, err := dialPlanner(addr)
 			if err != nil {
 				c.log.Warn("a planner can't be reached", zap.String("planner", addr), zap.Error(err))
 				continue
@@ -192,6 +192,21 @@
 	o.answer(ledger.PlanFailedGaveUp, resp.AppendFailure(nil, "ERR no planner of this customer's set can be reached"))
 }
 
+// dialPlanner connects to a planner. A close of the connection, or the end of this process, discards what the kernel has not
+// delivered yet, and resets it. Otherwise a planner that is stuck, or behind a partition, would find a command after it was given
+// up, and take it for a new one with all of its time before it.
+func dialPlanner(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialTime)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // order is a command that was taken: it owes its slot one answer, and the books one end.
 type order struct {
 	slot  *front.Slot
--- a/internal/forward/giveup_test.go
+++ b/internal/forward/giveup_test.go
@@ -64,8 +64,10 @@
 	return n
 }
 
-// A planner is stuck, and a command that was written to it whole is given up. When it reads on it must not find the whole
-// command, as it would take it for a new one, with all of its time before it.
+// What happens: a command that was written whole to a planner is given up, as its client has gone, its time is up, or the forwarder
+// ends; the planner reads on later, finds the whole command, and takes it for a new one with all of its time before it. Why: the
+// link was closed in order, and a kernel goes on sending what was written before that. What showed it: the planner was sent all
+// 32,883 bytes after the end, in each of the three cases, 2 runs of 2. Mended in dialPlanner.
 func TestGivenUpCommandIsNotDelivered(t *testing.T) {
 	for name, c := range map[string]struct {
 		deadline string
