--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -148,6 +148,11 @@
 }
 
 // Nor may one that was in the listener's queue when the way fell silent, and was given up there.
+//
+// What happened: under the race detector, beside six busy processes, "it arrived: hello" in 14 runs of 20. Why: the relay knew of its
+// sender's end by having read it. What showed it, in five of five runs that fell: "READ 6, silent: true", so the line was read while
+// the way was silent, and held; then "READ 0, silent: false", up to 4 ms after the heal, so the end was read only when the line had
+// gone on. Mended in conn.survives, which asks the kernel whether the sender has ended, for whatever may have met an outage.
 func TestQueuedDoesNotArrive(t *testing.T) {
 	got := make(chan string, 100)
 	n, l := before(t, func(c net.Conn) {
@@ -186,6 +191,42 @@
 	}
 }
 
+// An outage that was over before something was sent says nothing against it: it arrives, whoever has left since, as what is on a
+// slow wire does.
+func TestLeftBehindASlowWayArrives(t *testing.T) {
+	got := make(chan string, 2)
+	n, l := before(t, func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			got <- line
+		}
+	})
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintln(c, "before")
+	if line := <-got; line != "before\n" {
+		t.Fatalf("%q came", line)
+	}
+	n.Set("a", "b", func(s *State) { s.Silent = true })
+	n.Heal()
+	n.Set("a", "b", func(s *State) { s.Delay = 100 * time.Millisecond })
+	fmt.Fprintln(c, "after")
+	c.Close()
+	select {
+	case line := <-got:
+		if line != "after\n" {
+			t.Errorf("%q came", line)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("what was sent after an outage does not arrive")
+	}
+}
+
 // Left has to be known for a connection whose gateway gave up, while the server still holds its end.
 func TestLeft(t *testing.T) {
 	seen := make(chan string, 1)
--- a/internal/standin/link/way.go
+++ b/internal/standin/link/way.go
@@ -27,6 +27,7 @@
 	rng      *rand.Rand
 	links    []*Link
 	bytes    int64
+	outages  int // times that it fell silent
 }
 
 // Net is all ways and links of a drill.
@@ -62,6 +63,10 @@
 		w.mu.Unlock()
 		return
 	}
+	if w.state.Silent && !before.Silent {
+		w.outages++
+	}
+	healed := before.Silent && !w.state.Silent
 	refused := w.state.Refused && !before.Refused
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -72,6 +77,9 @@
 		if refused {
 			l.Reset()
 		}
+		if healed {
+			l.healed()
+		}
 	}
 }
 
@@ -124,6 +132,23 @@
 	return w.state, w.changed
 }
 
+// outagesOver counts the times that it fell silent and carries again.
+func (w *Way) outagesOver() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state.Silent {
+		return w.outages - 1
+	}
+	return w.outages
+}
+
+// outagesBegun counts the times that it fell silent.
+func (w *Way) outagesBegun() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outages
+}
+
 // due is when a chunk that came now may go on, as the state stands.
 func (w *Way) due(size int) time.Time {
 	w.mu.Lock()
