Trace a client's leaving and an attempt's beginning, and judge 0.1 s between them

TestLeavers judges when a command comes to a server, behind a wire of 300 ms and up to 100 ms of jitter; the operators' term is 0.1 s from the close to the start of an attempt. Neither the log nor the drill could tell the gateway's queue from the wire.

Drills with leavers have it on, and a breach of rule left tells these lines. The relay tells when a command's first byte left the gateway, and the rule holds that to 0.1 s for every attempt, first or further (Left.Begun). The old check stands beside it, unchanged.

TestPlantedLateBegin plants both sides of the bound.

--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -121,6 +121,7 @@
 	g.pools = backend.New(backend.Names{Plans: n.Words.Plans}, backend.Limits{Conns: g.fetches, Idle: n.Words.ConnIdle,
 		Connect: connect}, books)
 	g.pools.Dispatched = g.figures.Dispatched
+	g.pools.Log = g.log
 	g.count = counter.New(n.Counter, lateAnswers*time.Duration(n.Settings.CounterTimeout), connect, books, g.log)
 	if g.planner, err = core.NewPlanner(n.Settings, n.Seed, core.NewClock(), g.pools, g.count, books, g.log); err != nil {
 		return err
--- a/cmd/dewhitch/main.go
+++ b/cmd/dewhitch/main.go
@@ -20,6 +20,8 @@
 
 	Operations string `default:"deploy/operations.toml" help:"The operators' file (${default})."`
 
+	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"The least level that is logged: ${enum} (${default}). debug tells of each request that its client leaves, and of each attempt that begins."`
+
 	Fleet string `help:"The fleet file; none: this process is in no fleet."`
 
 	Serve    serveCmd    `cmd:"" help:"Serve as one gateway."`
@@ -74,7 +76,15 @@
 // logger writes to standard error, one line a record.
 func logger() (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
+	level, err := zap.ParseAtomicLevel(cli.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	c.Level = level
 	c.Sampling = &zap.SamplingConfig{Initial: 20, Thereafter: 200}
+	if level.Level() == zap.DebugLevel { // a trace is of use only whole
+		c.Sampling = nil
+	}
 	c.DisableStacktrace = true
 	return c.Build()
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	dw "dewhitch"
 	"dewhitch/internal/core"
 	"dewhitch/internal/ledger"
@@ -49,6 +51,8 @@
 
 	// Dispatched is told the class of each fetch whose command was written whole, if set before the first fetch.
 	Dispatched func(class string)
+	// Log is told, at debug level, of each attempt that begins, if set before the first fetch; nil: nothing is logged.
+	Log *zap.Logger
 	// Allowed tells whether new work may go to a backend now, if set before the first fetch; nil: to each.
 	Allowed func(core.Backend) bool
 
@@ -240,9 +244,20 @@
 		return errForbidden
 	}
 	f.state = begun
+	p.logBegun(f)
 	return nil
 }
 
+// logBegun logs the moment before the first byte of a command is written.
+func (p *Pools) logBegun(f *fetch) {
+	if p.Log == nil {
+		return
+	}
+	if e := p.Log.Check(zap.DebugLevel, "an attempt begins"); e != nil {
+		e.Write(zap.String("request", f.Source.Message.Name), zap.Int("attempt", f.Attempt), zap.String("address", f.Backend.Addr))
+	}
+}
+
 // Withdraw implements core.Backends.
 func (p *Pools) Withdraw(b core.Backend) {
 	p.mu.Lock()
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"sync/atomic"
 
+	"go.uber.org/zap"
+
 	dw "dewhitch"
 	"dewhitch/internal/ledger"
 )
@@ -25,6 +27,7 @@
 	left atomic.Bool  // the client has gone
 	// hurried says that the req must be answered at once.
 	hurried atomic.Bool
+	name    string // of the request, in its client's words
 }
 
 type takeIn struct {
@@ -40,13 +43,16 @@
 // Take hands a req over: from now on it gets one final answer, unless Leave is called first. The ticket is
 // for Leave alone. With ErrBusy nothing was handed over: the req is to be refused.
 func (p *Planner) Take(r *Req) (*Ticket, error) {
-	t := &Ticket{}
+	t := &Ticket{name: r.Message.Name}
 	return t, p.postWithin(takeIn{r, t}, arrivalPatience)
 }
 
 // Leave tells that the client has gone; no answer is owed any more.
 func (p *Planner) Leave(t *Ticket) {
 	t.left.Store(true)
+	if e := p.log.Check(zap.DebugLevel, "a client has left"); e != nil {
+		e.Write(zap.String("request", t.name))
+	}
 	_ = p.post(clientGone{t}) // a planner that has stopped owes nothing
 }
 
@@ -92,6 +98,9 @@
 
 func (m clientGone) handle(p *Planner) {
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
+		if e := p.log.Check(zap.DebugLevel, "a request is withdrawn, as its client has left"); e != nil {
+			e.Write(zap.String("request", m.ticket.name), zap.Int("attempts", t.attempts), zap.Int("out", t.out))
+		}
 		p.settle(t)
 		t.post(p, ledger.PlanGone)
 		p.monitor.Answered(ledger.PlanGone)
--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -23,7 +23,8 @@
 	ruleEnded   = "ended"   // a process ended that nobody ended
 	slack       = 50 * time.Millisecond
 	ceilingLate = 150 * time.Millisecond // the ceiling's rate gives as much more
-	leftLate    = 300 * time.Millisecond // after its client has gone, nothing that waited is sent on
+	leftLate    = 300 * time.Millisecond // after its client has gone, nothing that waited comes to a server
+	beganLate   = 100 * time.Millisecond // after its client has gone, no attempt begins: the operators' term
 )
 
 // class of reqs, with what a rule needs of it.
@@ -35,6 +36,7 @@
 // arrival is one command at a server, as its book has it.
 type arrival struct {
 	at, ended time.Time // ended by an answer; zero: not yet
+	sent      time.Time // when its first byte left the gateway; zero: not known
 	far       string    // the connection, by the address that the server sees
 	link      interface{ Left(far string) time.Time }
 	gateway   string
@@ -61,6 +63,7 @@
 // breach is one rule broken once.
 type breach struct {
 	rule, text string
+	id         string // of the request; empty: it is about none
 	at         time.Time
 }
 
@@ -71,6 +74,7 @@
 	reqs     map[string]*history
 	keys     map[string]*arrival  // the first that may have run under a key
 	gone     map[string]time.Time // reqs that waited for their first fetch when their clients left
+	departed map[string]time.Time // reqs whose clients left, whatever was out for them
 	left     Left
 	drains   map[string]time.Time
 	free     map[string]time.Time // machines that somebody works on, since they were told that they may
@@ -101,13 +105,14 @@
 	Waiting int `json:"waiting"`
 	Sent    int `json:"sent_on"`
 	Late    int `json:"sent_on_late"` // 0.3 s after, and more
+	Begun   int `json:"begun_late"`   // attempts, further ones too, whose first byte left the gateway over 0.1 s after
 }
 
 const mostBreaches = 50
 
 func newJudge(classes []class, plans []standin.Plan) *judge {
 	j := &judge{classes: map[string]class{}, reqs: map[string]*history{}, keys: map[string]*arrival{},
-		gone: map[string]time.Time{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
+		gone: map[string]time.Time{}, departed: map[string]time.Time{}, drains: map[string]time.Time{}, free: map[string]time.Time{},
 		ceilings: map[string]*bucket{}, plans: map[string]standin.Plan{}, counts: map[string]int{},
 		sends: map[string][]time.Time{}, by: map[[2]string][]time.Time{}}
 	for _, c := range classes {
@@ -129,16 +134,19 @@
 	if h := j.reqs[id]; h != nil {
 		var b strings.Builder
 		for _, a := range h.arrivals {
-			fmt.Fprintf(&b, "\n    %s %s -> %s", a.at.Format("15:04:05.000"), a.gateway, a.server)
+			fmt.Fprintf(&b, "\n    %s %s -> %s, written at %s", clock(a.at), a.gateway, a.server, clock(a.sent))
 			if l := a.left(); !l.IsZero() {
 				fmt.Fprintf(&b, ", over after %v", l.Sub(a.at).Round(time.Millisecond))
 			}
 		}
 		text += "; " + id + ", " + h.class + b.String()
 	}
-	j.breaches = append(j.breaches, breach{rule, text, now})
+	j.breaches = append(j.breaches, breach{rule, text, id, now})
 }
 
+// clock is a time of day, to the millisecond.
+func clock(at time.Time) string { return at.Format("15:04:05.000") }
+
 // Fault books a breach that somebody else found.
 func (j *judge) Fault(now time.Time, rule, format string, a ...any) {
 	j.mu.Lock()
@@ -159,10 +167,14 @@
 			j.left.Sent++
 			if late := a.at.Sub(at); late > leftLate+slack {
 				j.left.Late++
-				j.fault(a.at, ruleLeft, c.ID, "sent on %v after its client had left", late)
+				j.fault(a.at, ruleLeft, c.ID, "sent on %v after its client had left, at %s", late, clock(at))
 			}
 		}
 	}
+	if at, gone := j.departed[c.ID]; gone && a.sent.Sub(at) > beganLate+slack {
+		j.left.Begun++
+		j.fault(a.at, ruleLeft, c.ID, "its first byte left the gateway %v after its client had left, at %s", a.sent.Sub(at), clock(at))
+	}
 	j.sends[a.server] = append(j.sends[a.server], a.at)
 	way := [2]string{a.gateway, a.server}
 	j.by[way] = append(j.by[way], a.at)
@@ -194,6 +206,7 @@
 func (j *judge) leaves(id string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.departed[id] = at
 	if j.reqs[id] == nil {
 		j.gone[id] = at
 		j.left.Waiting++
--- a/internal/drill/rules_test.go
+++ b/internal/drill/rules_test.go
@@ -101,6 +101,39 @@
 	}
 }
 
+// An attempt, a first or a further one, whose first byte leaves the gateway over 0.1 s after its client left is found, however long
+// the wire takes.
+func TestPlantedLateBegin(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		left, sent, came int  // ms
+		earlier          bool // an attempt had come before the client left
+		late             int
+	}{
+		{"written before", 100, 90, 300, false, 0},
+		{"written before, after another", 100, 90, 490, true, 0},
+		{"written within the term", 100, 240, 300, false, 0},
+		{"written too late", 100, 260, 300, false, 1},
+		{"a further one written too late", 100, 260, 300, true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := newJudge(classesOf("mixed"), nil)
+			arrive := func(sent, came int) {
+				j.arrived(&standin.Command{ID: "r", Class: "space-query"},
+					&arrival{at: at(came), sent: at(sent), ended: at(came), link: leaves{}})
+			}
+			if c.earlier {
+				arrive(10, 20)
+			}
+			j.leaves("r", at(c.left))
+			arrive(c.sent, c.came)
+			if counts, _ := j.broken(); counts[ruleLeft] != c.late || j.leavers().Begun != c.late {
+				t.Errorf("found %+v, %v", j.leavers(), counts)
+			}
+		})
+	}
+}
+
 func TestPlantedCeiling(t *testing.T) {
 	play := func(every time.Duration) int {
 		j := newJudge(nil, []standin.Plan{{Name: "fleet", CapRate: 10, HardBurst: 5, Tolerance: 1}})
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -243,7 +243,7 @@
 		}
 	}
 	for _, b := range breaches {
-		r.Breaches = append(r.Breaches, fmt.Sprintf("%s at %.1f s: %s", b.rule, b.at.Sub(w.began).Seconds(), b.text))
+		r.Breaches = append(r.Breaches, fmt.Sprintf("%s at %.1f s: %s", b.rule, b.at.Sub(w.began).Seconds(), b.text)+w.traces.of(b.id))
 	}
 	r.ZoneSends, r.ServerSends = w.judge.sentBySecond(w.began, len(r.Seconds))
 	w.troubles(r)
--- /dev/null
+++ b/internal/drill/trace.go
@@ -0,0 +1,47 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// traces keeps what gateways log of single requests, at their debug level, so that a breach can be told from its report alone.
+type traces struct {
+	mu    sync.Mutex
+	lines map[string][]string // by the request's id
+}
+
+// add takes a line of a gateway's log.
+func (t *traces) add(gateway, line string) {
+	if !strings.Contains(line, `"request":`) {
+		return
+	}
+	var v struct {
+		Msg, Request, Address string
+		TS                    float64
+	}
+	if json.Unmarshal([]byte(line), &v) != nil || v.Request == "" {
+		return
+	}
+	at := clock(time.Unix(0, int64(v.TS*1e9)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lines == nil {
+		t.lines = map[string][]string{}
+	}
+	t.lines[v.Request] = append(t.lines[v.Request], strings.TrimSpace(fmt.Sprintf("%s %s: %s %s", at, gateway, v.Msg, v.Address)))
+}
+
+// of gives what was logged of a request, each line indented; empty: nothing.
+func (t *traces) of(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var b strings.Builder
+	for _, line := range t.lines[id] {
+		b.WriteString("\n    " + line)
+	}
+	return b.String()
+}
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -84,6 +84,7 @@
 	byName   map[string]*gateway
 	judge    *judge
 	fleet    *fleetLog
+	traces   traces
 	load     *load
 	plans    []standin.Plan
 	classes  []class
@@ -189,9 +190,12 @@
 // equip makes a gateway's links and files.
 func (w *world) equip(g *gateway) error {
 	g.Name, g.Dir, g.Listen, g.Path = g.name, filepath.Join(w.Dir, g.name), standin.OwnAddr(), w.Program
-	g.Args = []string{"--limits", g.File("limits.toml"), "--operations", g.File("operations.toml"), "serve"}
+	g.Args = []string{"--log-level", w.logLevel(), "--limits", g.File("limits.toml"), "--operations", g.File("operations.toml"), "serve"}
 	g.Env = []string{"TMPDIR=" + g.Dir}
-	g.Line = func(line string) { w.fleet.line(g, line) }
+	g.Line = func(line string) {
+		w.fleet.line(g, line)
+		w.traces.add(g.name, line)
+	}
 	for _, s := range w.servers {
 		l, err := w.net.Open(g.name, s.name, standin.OwnAddr(), w.farm.Nodes[s.at].Addr(), false)
 		if err != nil {
@@ -242,6 +246,14 @@
 	return g.Write(files)
 }
 
+// logLevel is that of the gateways' logs: what becomes of a request whose client leaves is traced.
+func (w *world) logLevel() string {
+	if w.Leave > 0 {
+		return "debug"
+	}
+	return "info"
+}
+
 // members is the list of servers with the doors that a gateway has to them.
 func (w *world) members(g *gateway) string {
 	var list []string
@@ -272,7 +284,7 @@
 	a := &arrival{at: c.At, far: c.Far, link: nowhere{}, server: s.name, ran: c.Did != standin.Busy, key: c.Key}
 	for _, g := range w.gateways {
 		if l := g.servers[s.at]; l.Has(c.Far) {
-			a.gateway, a.link = g.name, l
+			a.gateway, a.link, a.sent = g.name, l, l.Sent(c.Far)
 			break
 		}
 	}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -35,6 +35,7 @@
 // conn is one connection through a link.
 type conn struct {
 	near, far  *side
+	commands   commandTimes
 	nearClosed atomic.Int64 // when the side that opened it ended its sending or the connection, Unix ns; 0: it has not
 	ended      chan struct{}
 	once       sync.Once
@@ -84,6 +85,18 @@
 	return time.Time{}
 }
 
+// Sent tells when the first byte of the command at hand came from the side that opened a connection, before this relay delayed it;
+// the connection is named by the address that the far side sees. Zero: none came, or the connection is not known.
+func (l *Link) Sent(far string) time.Time {
+	l.mu.Lock()
+	c := l.byFar[far]
+	l.mu.Unlock()
+	if c == nil {
+		return time.Time{}
+	}
+	return c.commands.latest()
+}
+
 // Has tells whether a connection, by the address that the far side sees, goes through this link.
 func (l *Link) Has(far string) bool {
 	l.mu.Lock()
@@ -284,6 +297,9 @@
 	for {
 		b := make([]byte, chunk)
 		n, since, err := from.receive(b)
+		if n > 0 {
+			c.commands.bytes(from == c.near, time.Now())
+		}
 		if err != nil && closed != nil {
 			closed.CompareAndSwap(0, time.Now().UnixNano())
 		}
