Judge arrivals after a client's leaving only where the gateway wrote them after it

Seen: TestLeavers fell now and then, a booking at a server 0.35 s and more after its client had left.

Cause: the check judged when the command came, behind the drill's own wire of 0.3 to 0.4 s.

The test and its scenario are unchanged; TestPlantedLateBegin has both sides, and its slow wire was red before.

--- a/internal/drill/rules.go
+++ b/internal/drill/rules.go
@@ -45,6 +45,10 @@
 	key       string
 }
 
+// sentBy tells that its first byte had left the gateway by then, so that the wire alone was what it waited for. Traces of six drills
+// show such: begun 4 to 38 ms before the client left, and delayed by the drill's wire for 0.4 s.
+func (a *arrival) sentBy(at time.Time) bool { return !a.sent.IsZero() && !a.sent.After(at) }
+
 // left is when the fetch was over for its gateway; zero: it still is out.
 func (a *arrival) left() time.Time {
 	gone := a.link.Left(a.far)
@@ -165,7 +169,7 @@
 		j.ceiling(c, a.at)
 		if at, gone := j.gone[c.ID]; gone {
 			j.left.Sent++
-			if late := a.at.Sub(at); late > leftLate+slack {
+			if late := a.at.Sub(at); late > leftLate+slack && !a.sentBy(at) {
 				j.left.Late++
 				j.fault(a.at, ruleLeft, c.ID, "sent on %v after its client had left, at %s", late, clock(at))
 			}
--- a/internal/drill/rules_test.go
+++ b/internal/drill/rules_test.go
@@ -112,6 +112,7 @@
 	}{
 		{"written before", 100, 90, 300, false, 0},
 		{"written before, after another", 100, 90, 490, true, 0},
+		{"written before, on a slow wire", 100, 96, 490, false, 0},
 		{"written within the term", 100, 240, 300, false, 0},
 		{"written too late", 100, 260, 300, false, 1},
 		{"a further one written too late", 100, 260, 300, true, 1},
--- a/internal/drill/run_test.go
+++ b/internal/drill/run_test.go
@@ -66,6 +66,13 @@
 
 // Clients leave while their reqs wait for connections that come up late or never, and for a counter that is away: what
 // waited is not sent on once they are gone.
+//
+// What happened: now and then a booking came to a server 0.35 s and more after its client had left (0.37 s on seed 7; six of 49 seeds
+// beside five busy processes). Why: the rule judged when it came, and this drill's own wire takes 0.3 to 0.4 s; it had been written
+// before. What showed it, for each of the six, as on seed 138: "06:11:42.717 gateway-b1: an attempt begins", "06:11:42.722 a client has
+// left", "06:11:42.722 a request is withdrawn", and the command at the server at 06:11:43.094. The rule has since held the moment in
+// which bytes leave the gateway to the operators' 0.1 s, for every attempt; what was written before its client left is not the
+// gateway's to take back, and is passed over by the check of arrivals alone (arrival.sentBy).
 func TestLeavers(t *testing.T) {
 	t.Parallel()
 	slot(t)
