Reproduce an attempt that begins while the news of its client's leaving waits: a failing test

The planner stands still, a client leaves, its request's connection comes up: the command is written, for nobody.

--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -93,3 +93,28 @@
 		}
 	}
 }
+
+// A client leaves, and the planner stands still, as it would on a loaded machine: what waits for its connection is not written, though
+// nobody has withdrawn it.
+func TestLeavingIsInForceBeforeThePlannerHearsIt(t *testing.T) {
+	b := newBed(t, standin.Always(standin.Step{}))
+	p, err := core.NewPlanner(settings(true, dw.Safe), 1, core.NewClock(), b.Pools, noCounter{}, noRefs{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := b.req(func(core.Answer) {})
+	ticket, err := p.Take(r) // the planner itself never runs
+	if err != nil {
+		t.Fatal(err)
+	}
+	end := make(chan core.FetchEnd, 1)
+	b.Start(core.Fetch{Req: "a", Backend: b.to, Until: time.Now().Add(patience), Source: r}, nil, func(e core.FetchEnd) { end <- e })
+	<-b.dialled
+	p.Leave(ticket)
+	b.up <- struct{}{}
+	b.ended(end, dw.OutcomeNotSent)
+	if n := len(b.node.Seen()); n != 0 {
+		t.Errorf("%d commands were sent for a client that had gone", n)
+	}
+	b.given()
+}
