Begin no attempt for a client that is seen to have gone, whatever waits for the planner

Callers saw nothing; servers could be sent a request whose client had gone, for as long as the news of the close waited for the planner.

Cause: an attempt was withdrawn by the planner alone. With a planner that stands still the command was written after the close.

Why the mend holds: the request knows of the close from the moment in which the session sees it, and Pools.begin, the one place where a command starts to be written, asks it under the pools' lock, as it asks the newest list.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -231,14 +231,17 @@
 }
 
 // begin tells whether a fetch may be written, from now on. Danger: a connection may come up long after the fetch was
-// asked for: when its client has left, when its backend drains, or when a repeat is one no longer. And the news that a backend
-// drains may still be on its way to who asked for the fetch.
+// asked for: when its client has left, when its backend drains, or when a repeat is one no longer. And the news of the first two
+// may still wait for who asked for the fetch.
 func (p *Pools) begin(f *fetch) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case f.state != waiting || f.ctx.Err() != nil, !f.Begin.IsZero() && !p.now().Before(f.Begin):
 		return errLate
+	case f.Source.Left():
+		f.state = withdrawn
+		return errLeft
 	case p.Allowed != nil && !p.Allowed(f.Backend):
 		f.state = withdrawn
 		return errForbidden
@@ -305,7 +308,7 @@
 	}
 	if err != nil {
 		// No fault of the backend's; blamed, every backend would be avoided for what this machine lacks.
-		ours := errors.Is(err, errFull) || errors.Is(err, errForbidden) || sockets.DialClass(err) == sockets.Shortage
+		ours := errors.Is(err, errFull) || errors.Is(err, errLeft) || errors.Is(err, errForbidden) || sockets.DialClass(err) == sockets.Shortage
 		if ours || errors.Is(f.ctx.Err(), context.Canceled) {
 			return core.FetchEnd{Outcome: dw.OutcomeNotSent}
 		}
@@ -475,6 +478,7 @@
 var (
 	errFull = errors.New("backend: no descriptor is free")
 	errLate = errors.New("backend: the connection came up too late")
+	errLeft = errors.New("backend: the client has gone")
 	// errForbidden says that a backend drains or has gone by news that whoever asked for the fetch had not heard.
 	errForbidden = errors.New("backend: nothing new may go there")
 )
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -94,8 +94,10 @@
 	}
 }
 
-// A client leaves, and the planner stands still, as it would on a loaded machine: what waits for its connection is not written, though
-// nobody has withdrawn it.
+// What happens: a client leaves while its request waits for a connection, and the connection comes up before the planner has heard of
+// it; the command is written for nobody. Why: only the planner withdrew an attempt, and news of the close waits for it like any other.
+// What showed it: with a planner that stands still "1 commands were sent for a client that had gone". Mended in Pools.begin, which
+// asks the request itself.
 func TestLeavingIsInForceBeforeThePlannerHearsIt(t *testing.T) {
 	b := newBed(t, standin.Always(standin.Step{}))
 	p, err := core.NewPlanner(settings(true, dw.Safe), 1, core.NewClock(), b.Pools, noCounter{}, noRefs{}, zap.NewNop())
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 
 	dw "dewhitch"
@@ -41,8 +42,13 @@
 	Ref      uint64       // under which the books have it, as they have
 	Row      ledger.Key   // its row
 	Answer   func(Answer) // called once, on the planner; it may not block
+	left     atomic.Bool  // the client has gone
 }
 
+// Left reports whether the client has gone, from the moment in which that is seen on: whoever begins an attempt asks it last, as
+// the news still has to wait for the planner. It is safe for any goroutine.
+func (r *Req) Left() bool { return r.left.Load() }
+
 // Message is what a backend is sent, unchanged by any gateway.
 type Message struct {
 	Name string // of the req, in the client's words
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -46,7 +46,7 @@
 	f.Backend = backend
 	// Past the attempts that settings read anew allow, a fetch is not sent, as one whose time is up.
 	spent := t.most > 0 && t.attempts > t.most
-	if t.answered || !known || !now.Before(f.Until) || spent { // it never left; told later, as any end is
+	if t.answered || t.req.Left() || !known || !now.Before(f.Until) || spent { // it never left; told later, as any end is
 		f.Backend.ID = a.Server
 		end := fetchEnded{f, now, FetchEnd{Outcome: dw.OutcomeNotSent}, true}
 		go func() { _ = p.post(end) }()
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -23,11 +23,10 @@
 
 // Ticket names a req that was taken in.
 type Ticket struct {
-	id   dw.RequestID // the planner's own; empty: it has not come to the req yet
-	left atomic.Bool  // the client has gone
+	id  dw.RequestID // the planner's own; empty: it has not come to the req yet
+	req *Req
 	// hurried says that the req must be answered at once.
 	hurried atomic.Bool
-	name    string // of the request, in its client's words
 }
 
 type takeIn struct {
@@ -43,15 +42,15 @@
 // Take hands a req over: from now on it gets one final answer, unless Leave is called first. The ticket is
 // for Leave alone. With ErrBusy nothing was handed over: the req is to be refused.
 func (p *Planner) Take(r *Req) (*Ticket, error) {
-	t := &Ticket{name: r.Message.Name}
+	t := &Ticket{req: r}
 	return t, p.postWithin(takeIn{r, t}, arrivalPatience)
 }
 
-// Leave tells that the client has gone; no answer is owed any more.
+// Leave tells that the client has gone; no answer is owed any more, and no attempt begins from now on.
 func (p *Planner) Leave(t *Ticket) {
-	t.left.Store(true)
+	t.req.left.Store(true)
 	if e := p.log.Check(zap.DebugLevel, "a client has left"); e != nil {
-		e.Write(zap.String("request", t.name))
+		e.Write(zap.String("request", t.req.Message.Name))
 	}
 	_ = p.post(clientGone{t}) // a planner that has stopped owes nothing
 }
@@ -61,7 +60,7 @@
 	t := &taken{id: m.ticket.id, req: m.req, most: int(p.most.Load())}
 	p.books.Post(ledger.Posting{Event: ledger.PlanTaken, Key: m.req.Row, Ref: m.req.Ref,
 		Units: ledger.MicroUnits(m.req.Units)})
-	if m.ticket.left.Load() { // while this waited; what says so may have come before
+	if m.req.Left() { // while this waited; what says so may have come before
 		p.books.Post(ledger.Posting{Event: ledger.PlanGone, Key: m.req.Row, Ref: m.req.Ref})
 		p.monitor.Answered(ledger.PlanGone)
 		return
@@ -99,7 +98,7 @@
 func (m clientGone) handle(p *Planner) {
 	if t := p.reqs[m.ticket.id]; t != nil && !t.answered {
 		if e := p.log.Check(zap.DebugLevel, "a request is withdrawn, as its client has left"); e != nil {
-			e.Write(zap.String("request", m.ticket.name), zap.Int("attempts", t.attempts), zap.Int("out", t.out))
+			e.Write(zap.String("request", t.req.Message.Name), zap.Int("attempts", t.attempts), zap.Int("out", t.out))
 		}
 		p.settle(t)
 		t.post(p, ledger.PlanGone)
