--- a/request.go
+++ b/request.go
@@ -183,7 +183,8 @@
 		return true
 	}
 	rule := again[r.class.Effect]
-	known := r.class.Group.same(s.ServerEntry, a.server.ServerEntry) && g.now-a.at < Instant(r.class.DedupWindow) && g.canEndOthers(r)
+	known := r.class.Group.same(s.ServerEntry, a.server.ServerEntry) &&
+		g.now-a.at < Instant(r.class.DedupWindow) && g.canEndOthers(r)
 	return rule.send && (known || !rule.inGroup)
 }
 
