Tell which gateway acted on a plan last, and what that is counted from

Where a drill expects plans to be acted on in time, its report had the worst time alone. It now names the gateway, the plan, when that was settled, and the trouble's end from which the wait is counted.

--- a/internal/drill/fleetlog.go
+++ b/internal/drill/fleetlog.go
@@ -63,6 +63,7 @@
 	Leaves     int      `json:"leaves"`        // of zones, or of ways between two, by the fleet itself
 	SeenMedian float64  `json:"seen_median_s"` // until a gateway acted on a plan, since that was settled or the last trouble ended
 	SeenWorst  float64  `json:"seen_worst_s"`
+	Slowest    Sighting `json:"slowest"`
 	Leaders    []Moment `json:"leaders"` // by what a majority of the gateways say
 }
 
@@ -131,6 +132,25 @@
 	}
 }
 
+// Sighting is when one gateway first acted on one plan. Times are in seconds since the load began.
+type Sighting struct {
+	Gateway string  `json:"gateway"`
+	Plan    string  `json:"plan"`
+	Settled float64 `json:"settled"` // when the first gateway acted on it
+	Counted float64 `json:"counted"` // from then on, or since the last trouble that ended meanwhile
+	Took    float64 `json:"took"`    // s, from Counted
+}
+
+// String tells it in one line.
+func (s Sighting) String() string {
+	return fmt.Sprintf("%s, plan %s settled at %.3f s, counted from %.3f s", s.Gateway, s.Plan, s.Settled, s.Counted)
+}
+
+func (f *fleetLog) sighting(gateway string, e epoch, settled, counted time.Time, took float64) Sighting {
+	return Sighting{Gateway: gateway, Plan: fmt.Sprintf("%d.%d", e.founding, e.number), Settled: settled.Sub(f.w.began).Seconds(),
+		Counted: counted.Sub(f.w.began).Seconds(), Took: took}
+}
+
 // led is whom most gateways take for the leader; empty: nobody.
 func (f *fleetLog) led() string {
 	f.mu.Lock()
@@ -164,15 +184,19 @@
 		}
 	}
 	var all []float64
-	for _, p := range f.plans {
-		for _, at := range p.seen {
+	for e, p := range f.plans {
+		for name, at := range p.seen {
 			since := p.first
 			for _, e := range ends {
 				if e.After(since) && e.Before(at) {
 					since = e
 				}
 			}
-			all = append(all, max(0, at.Sub(since).Seconds()))
+			took := max(0, at.Sub(since).Seconds())
+			all = append(all, took)
+			if took > r.Slowest.Took {
+				r.Slowest = f.sighting(name, e, p.first, since, took)
+			}
 		}
 	}
 	if len(all) == 0 {
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -331,7 +331,7 @@
 				fell(e, "%d plans, expected %d", f.Plans, e.Plans)
 			}
 			if e.Seen > 0 && f.SeenWorst > e.Seen {
-				fell(e, "a plan was acted on by all after %.2f s, expected %v", f.SeenWorst, e.Seen)
+				fell(e, "a plan was acted on by all after %.2f s, expected %v: last by %v", f.SeenWorst, e.Seen, f.Slowest)
 			}
 		}
 		if e.Sent >= 0 && len(e.Targets) > 0 {
