--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -56,6 +56,7 @@
 
 	roundEvery = 200 * time.Millisecond
 	sayAgain   = 10 * time.Second // about a folder that can't be written to
+	slowSave   = 100 * time.Millisecond
 )
 
 // Agent is a running member.
@@ -63,7 +64,7 @@
 	o           Options
 	node        *fleet.Node
 	gossip      *gossip.Gossip
-	vault       *vault.Vault // nil: nothing is kept
+	vault       store // nil: nothing is kept
 	began       time.Time
 	inbox       chan []byte
 	members     chan change
@@ -87,6 +88,12 @@
 	said        time.Time
 }
 
+// store keeps what a voter may not forget.
+type store interface {
+	Save(fleet.Persist) error
+	Close() error
+}
+
 type change struct {
 	name  string
 	alive bool
@@ -115,10 +122,11 @@
 	}
 	var saved *fleet.Saved
 	if o.Dir != "" && slices.Contains(o.Voters, g.Name) {
-		var err error
-		if a.vault, saved, err = vault.Open(o.Dir); err != nil {
+		kept, found, err := vault.Open(o.Dir)
+		if err != nil {
 			return nil, err
 		}
+		a.vault, saved = kept, found
 	}
 	var err error
 	if a.node, err = fleet.New(c, saved); err != nil {
@@ -478,7 +486,11 @@
 	if !a.ailing.IsZero() && now.Sub(a.ailing) < tick {
 		return false
 	}
-	if err := a.vault.Save(p); err != nil {
+	err := a.vault.Save(p)
+	if took := time.Since(now); took >= slowSave {
+		a.o.Log.Info("fleet: the folder is slow", zap.Duration("took", took))
+	}
+	if err != nil {
 		a.ailing = now
 		if now.Sub(a.said) > sayAgain {
 			a.said = now
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -33,6 +33,12 @@
 
 // startBy has them find one another in a registry, if one is given, and tells them nothing else.
 func startBy(t *testing.T, n int, dirs bool, reg *zookeeper.Server) (all []*Agent, stop func()) {
+	t.Helper()
+	return startWith(t, n, dirs, reg, func(*Agent) {})
+}
+
+// startWith calls f with each of them before it runs.
+func startWith(t *testing.T, n int, dirs bool, reg *zookeeper.Server, f func(*Agent)) (all []*Agent, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -66,6 +72,7 @@
 					Address: o.Gossip.Listen, Log: zap.NewNop()}, a.Found)
 			})
 		}
+		f(a)
 		all = append(all, a)
 		running.Go(func() { _ = a.Run(ctx) })
 	}
