--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -18,7 +18,7 @@
 
 // More seeds, by hand: go test ./cmd/dewhitch -run TestSoak -soak.seeds 60 -soak.from 1000 -timeout 40m
 var (
-	soakSeeds = flag.Int("soak.seeds", 4, "runs of TestSoak")
+	soakSeeds = flag.Int("soak.seeds", 9, "runs of TestSoak")
 	soakFrom  = flag.Uint64("soak.from", 42, "the first seed")
 )
 
