--- a/cmd/dewhitch/exclusions.go
+++ b/cmd/dewhitch/exclusions.go
@@ -74,6 +74,7 @@
 func (h *exclusionHandover) restore() error {
 	state, err := handover.Load(h.path)
 	if errors.Is(err, handover.ErrNone) {
+		h.log.Info("no exclusions of a previous process were found", zap.String("file", h.path))
 		return nil
 	}
 	if err != nil {
@@ -119,6 +120,7 @@
 	if failedBefore {
 		h.log.Info("exclusions are written again")
 	}
+	h.log.Info("exclusions written", zap.Strings("servers", h.unsaved.Excluded))
 	h.retryTimer = nil
 	h.unsaved = nil
 }
