Share the exclusions among a gateway's processes while one replaces another

Cause: the file of exclusions was read once, at the new process's start, and each process wrote its own view of it.

Now the file is a record that all processes share: a call is answered YES once the record has it, changed under a lock from what is there, and each process follows it every 50 ms to its end (docs/design/two-processes.md). A file of an older build, which lacks the revision, is taken as that process's own calls. A process alone still says YES before the write.

TestRecordBesideOlderBuilds plays 200 seeded orders of calls at two new processes and an older one.

go test of cmd/dewhitch failed once of two runs, 'the program does not listen'; it is being traced, and the harness now prints the goroutines.

--- a/cmd/dewhitch/admin_calls.go
+++ b/cmd/dewhitch/admin_calls.go
@@ -3,20 +3,18 @@
 import (
 	"go.uber.org/zap"
 
-	"dewhitch/internal/core"
-	"dewhitch/internal/discovery"
+	"dewhitch/internal/exclusions"
 	"dewhitch/internal/ops"
 	"dewhitch/internal/telemetry"
 )
 
 // adminCalls implements admin.Gateway: it carries out the operators' calls on a running gateway. It is safe for concurrent use.
 type adminCalls struct {
-	state   *ops.State
-	figures *ops.Figures
-	metrics *telemetry.Metrics
-	planner *core.Planner
-	decoder *discovery.Decoder
-	log     *zap.Logger
+	state      *ops.State
+	figures    *ops.Figures
+	metrics    *telemetry.Metrics
+	exclusions *exclusions.Keeper
+	log        *zap.Logger
 }
 
 // Ready reports whether the gateway is ready for clients: it has started, and is neither drained nor ending.
@@ -35,25 +33,24 @@
 	c.state.Drain(drained)
 }
 
-// Exclude stops new attempts to the server with this id, which is in discovery's form. It fails with core.ErrUnknownServer if the
-// server was never listed, and with core.ErrStopped if the planner has stopped.
-func (c *adminCalls) Exclude(id string) error { return c.setExclusion(id, true) }
+// Exclude stops new attempts to the server with this id, which is in discovery's form. It returns the errors of Keeper.Exclude.
+func (c *adminCalls) Exclude(id string) error {
+	err := c.exclusions.Exclude(id)
+	c.logExclusion(id, true, err)
+	return err
+}
 
-// Include ends the exclusion of a server. It returns the same errors as Exclude.
-func (c *adminCalls) Include(id string) error { return c.setExclusion(id, false) }
+// Include ends the exclusion of a server. It returns the errors of Keeper.Include.
+func (c *adminCalls) Include(id string) error {
+	err := c.exclusions.Include(id)
+	c.logExclusion(id, false, err)
+	return err
+}
 
-func (c *adminCalls) setExclusion(id string, excluded bool) error {
-	server, known := c.decoder.Lookup(id)
-	if !known {
-		return core.ErrUnknownServer
-	}
-	change := c.planner.Include
-	if excluded {
-		change = c.planner.Exclude
-	}
-	if err := change(server); err != nil {
-		return err
+func (c *adminCalls) logExclusion(id string, excluded bool, err error) {
+	if err != nil {
+		c.log.Warn("operators' call failed", zap.String("server", id), zap.Bool("excluded", excluded), zap.Error(err))
+		return
 	}
 	c.log.Info("operators' call", zap.String("server", id), zap.Bool("excluded", excluded))
-	return nil
 }
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -15,11 +15,13 @@
 	"dewhitch/internal/core"
 	"dewhitch/internal/counter"
 	"dewhitch/internal/discovery"
+	"dewhitch/internal/exclusions"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
 	"dewhitch/internal/front/platform"
 	"dewhitch/internal/front/sessions"
+	"dewhitch/internal/handover"
 	"dewhitch/internal/ledger"
 	"dewhitch/internal/ledger/statement"
 	"dewhitch/internal/ops"
@@ -69,6 +71,7 @@
 	firstPlanApplied chan struct{}        // closed once a plan is applied; nil if the gateway is in no fleet
 
 	// The operators' calls and listeners.
+	exclusions       *exclusions.Keeper
 	adminCalls       *adminCalls
 	adminServer      *admin.Server // answers operators' calls, or nil if no address is configured for them
 	operatorListener service       // serves operators over HTTP, or nil if it is not configured
@@ -80,8 +83,7 @@
 	ready           chan struct{} // closed once the gateway serves
 
 	// The state that is kept for the next process.
-	exclusions *exclusionHandover
-	snapshots  *snapshotKeeper // nil if no snapshots are kept
+	snapshots *snapshotKeeper // nil if no snapshots are kept
 }
 
 // openGateway opens all parts of a gateway, each after the parts that it needs. The ledger runs when it returns, and must then be
@@ -165,7 +167,8 @@
 	return nil
 }
 
-// openOperators opens the address for operators' calls and the operators' HTTP listener, if they are configured.
+// openOperators opens the address for operators' calls and the operators' HTTP listener, if they are configured, and the record of
+// exclusions that these calls change.
 func (g *gateway) openOperators() (err error) {
 	parts := append(g.ledger.operatorParts(), g.metrics)
 	if g.fleetAgent != nil {
@@ -174,8 +177,8 @@
 	if g.operatorListener, err = openOperatorListener(g.operations, parts, g.log); err != nil {
 		return err
 	}
-	g.adminCalls = &adminCalls{state: g.state, figures: g.figures, metrics: g.metrics, planner: g.planner,
-		decoder: g.decoder, log: g.log}
+	g.exclusions = exclusions.New(handover.Path(g.node.TempDir, g.node.Name), g.planner, g.decoder.Lookup, g.log)
+	g.adminCalls = &adminCalls{state: g.state, figures: g.figures, metrics: g.metrics, exclusions: g.exclusions, log: g.log}
 	g.adminServer, err = openAdmin(g.node, g.adminCalls)
 	return err
 }
@@ -214,7 +217,6 @@
 // openHandover imports the state of the previous process, and opens the files in which this process keeps its state for the next
 // one. It applies the configured endpoint list last, so that the list overrides the imported state.
 func (g *gateway) openHandover() error {
-	g.exclusions = newExclusionHandover(g.node, g.planner, g.decoder, g.log)
 	g.snapshots = openSnapshots(g.node, g.operations.Warm, g.classes, g.planner, g.figures, g.log)
 	return g.planner.UpdateEndpoints(g.configuredList)
 }
--- a/cmd/dewhitch/golden_test.go
+++ b/cmd/dewhitch/golden_test.go
@@ -16,7 +16,9 @@
 	dw "dewhitch"
 	"dewhitch/internal/admin"
 	"dewhitch/internal/discovery"
+	"dewhitch/internal/exclusions"
 	"dewhitch/internal/golden"
+	"dewhitch/internal/handover"
 	"dewhitch/internal/ops"
 	"dewhitch/internal/snapshot"
 	"dewhitch/internal/telemetry"
@@ -111,7 +113,9 @@
 // figures of a gateway that has just started, and the answer for a server that was never listed.
 func TestGoldenCalls(t *testing.T) {
 	calls := &adminCalls{state: &ops.State{}, figures: &ops.Figures{}, metrics: telemetry.New(),
-		decoder: discovery.NewDecoder(discovery.Names{}), log: zap.NewNop()}
+		log: zap.NewNop()}
+	decoder := discovery.NewDecoder(discovery.Names{})
+	calls.exclusions = exclusions.New(handover.Path(t.TempDir(), "n0"), nil, decoder.Lookup, calls.log)
 	calls.figures.AddClasses([]string{"lookup"})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -175,7 +176,8 @@
 		}
 		return err == nil || len(p.exited) > 0
 	}) || len(p.exited) > 0 {
-		env.t.Fatalf("the program does not listen\n%s", p.log())
+		p.cmd.Process.Signal(syscall.SIGQUIT) // the runtime then prints where every goroutine is
+		env.t.Fatalf("the program does not listen; its end: %v\n%s", p.wait(), p.log())
 	}
 	return p
 }
--- a/cmd/dewhitch/run.go
+++ b/cmd/dewhitch/run.go
@@ -55,9 +55,8 @@
 // services returns the parts that sessions need, and which therefore run until the last session has ended.
 func (g *gateway) services(reload <-chan os.Signal) []service {
 	services := []service{
-		g.planner.Run, g.pools.Run, g.counter.Run, g.discovery.Run,
+		g.planner.Run, g.pools.Run, g.counter.Run, g.discovery.Run, g.exclusions.Run,
 		infallible(g.snapshots.run),
-		infallible(g.exclusions.run),
 		infallible(func(ctx context.Context) { g.reloadOnSignal(ctx, reload) }),
 	}
 	if g.adminServer != nil {
--- a/internal/core/exclusions.go
+++ b/internal/core/exclusions.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"slices"
 
 	dw "dewhitch"
@@ -16,14 +15,21 @@
 type exclusionMessage struct {
 	id       dw.ServerID
 	excluded bool
-	restored bool // true if the previous process excluded the server, which may not be listed yet
 	done     chan error
 }
 
 func (exclusionMessage) queue() Queue { return QueueControl }
 
-// Exclude stops new work to a server until Include is called; a repeated call changes nothing. It fails with
-// ErrUnknownServer or ErrStopped, and is safe for concurrent use.
+// replaceExclusionsMessage replaces the set of excluded servers. The goroutine that posts it waits on done.
+type replaceExclusionsMessage struct {
+	ids  []dw.ServerID
+	done chan error
+}
+
+func (replaceExclusionsMessage) queue() Queue { return QueueControl }
+
+// Exclude stops new work to a server until it is included; a repeated call changes nothing. It fails with ErrUnknownServer or
+// ErrStopped, and is safe for concurrent use.
 func (p *Planner) Exclude(id dw.ServerID) error {
 	return p.setExclusion(exclusionMessage{id: id, excluded: true})
 }
@@ -33,21 +39,13 @@
 	return p.setExclusion(exclusionMessage{id: id})
 }
 
-// RestoreExclusions takes over the exclusions of the previous process, whether or not the servers are listed yet. It fails
-// only with ErrStopped, and is safe for concurrent use.
-func (p *Planner) RestoreExclusions(ids []dw.ServerID) error {
-	for _, id := range ids {
-		if err := p.setExclusion(exclusionMessage{id: id, excluded: true, restored: true}); err != nil {
-			return err
-		}
-	}
-	return nil
+// ReplaceExclusions excludes these servers, whether or not they are listed, and includes all others. It fails only with
+// ErrStopped, and is safe for concurrent use.
+func (p *Planner) ReplaceExclusions(ids []dw.ServerID) error {
+	m := replaceExclusionsMessage{ids, make(chan error, 1)}
+	return p.postAndWait(m, m.done)
 }
 
-// OnExcluded sets a function that is called with all excluded ids, sorted, after each change. It is called on the planner's
-// goroutine and must not block. OnExcluded must be called before Run.
-func (p *Planner) OnExcluded(f func([]dw.ServerID)) { p.onExcluded = f }
-
 func (p *Planner) setExclusion(m exclusionMessage) error {
 	m.done = make(chan error, 1)
 	return p.postAndWait(m, m.done)
@@ -56,25 +54,65 @@
 // handle answers the operator's call once the exclusion is recorded, before it notifies the module.
 func (m exclusionMessage) handle(p *Planner) {
 	switch {
-	case !m.restored && !p.wasListed(m.id):
+	case !p.wasListed(m.id):
 		m.done <- ErrUnknownServer
 		return
 	case p.excluded[m.id] == m.excluded:
 		m.done <- nil
 		return
-	case m.excluded:
-		p.excluded[m.id] = true
-	default:
-		delete(p.excluded, m.id)
 	}
+	p.recordExclusion(m.id, m.excluded)
 	m.done <- nil
-	if e, listed := p.listed[m.id]; listed {
-		p.step(dw.EndpointList{Kind: dw.ListDelta, Version: p.listVersion, Servers: []dw.Endpoint{p.applyOverlay(e)}})
+	p.notifyChangedExclusions([]dw.ServerID{m.id})
+}
+
+// handle replaces the set before it notifies the module.
+func (m replaceExclusionsMessage) handle(p *Planner) {
+	want := make(map[dw.ServerID]bool, len(m.ids))
+	for _, id := range m.ids {
+		want[id] = true
 	}
-	p.reportTargets()
-	if p.onExcluded != nil {
-		p.onExcluded(slices.Sorted(maps.Keys(p.excluded)))
+	var changed []dw.ServerID
+	for id := range want {
+		if !p.excluded[id] {
+			changed = append(changed, id)
+		}
+	}
+	for id := range p.excluded {
+		if !want[id] {
+			changed = append(changed, id)
+		}
 	}
+	slices.Sort(changed) // the module must not depend on the order of a map
+	for _, id := range changed {
+		p.recordExclusion(id, want[id])
+	}
+	m.done <- nil
+	if len(changed) > 0 {
+		p.notifyChangedExclusions(changed)
+	}
+}
+
+func (p *Planner) recordExclusion(id dw.ServerID, excluded bool) {
+	if excluded {
+		p.excluded[id] = true
+	} else {
+		delete(p.excluded, id)
+	}
+}
+
+// notifyChangedExclusions notifies the module of those servers, whose exclusions have changed, that are listed.
+func (p *Planner) notifyChangedExclusions(ids []dw.ServerID) {
+	delta := dw.EndpointList{Kind: dw.ListDelta, Version: p.listVersion}
+	for _, id := range ids {
+		if e, listed := p.listed[id]; listed {
+			delta.Servers = append(delta.Servers, p.applyOverlay(e))
+		}
+	}
+	if len(delta.Servers) > 0 {
+		p.step(delta)
+	}
+	p.reportTargets()
 }
 
 // wasListed reports whether a server is or was listed. Once maxRememberedServers ids are kept, it returns true for a server
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -21,7 +21,7 @@
 
 // Planner owns one Gateway of the decision module, its timers and its clock. All of its state belongs to the goroutine of
 // Run, except the atomic fields and readySet, which has a lock of its own; other goroutines send messages through the inbox.
-// The setters (SetTargetsReporter, SetMonitor, SetWatcher, OnExcluded) and ImportState must be called before Run.
+// The setters (SetTargetsReporter, SetMonitor, SetWatcher) and ImportState must be called before Run.
 type Planner struct {
 	Clock
 	inbox
@@ -58,8 +58,7 @@
 	// Exclusions by operators.
 	everListed        map[dw.ServerID]bool // servers that were ever listed, up to maxRememberedServers
 	excluded          map[dw.ServerID]bool
-	onExcluded        func([]dw.ServerID) // called after each change of excluded; nil if not set
-	nextTargetsReport dw.Instant          // time of the next periodic report to targetsReporter
+	nextTargetsReport dw.Instant // time of the next periodic report to targetsReporter
 }
 
 // NewPlanner returns a planner with an empty endpoint list. The seed initializes the module's random numbers. NewPlanner fails
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -53,12 +53,25 @@
 // it, and syncs the folder. Two writers must not use the same temporary file concurrently. It returns the error of the file
 // system. If syncing the folder fails, the file has the new text, but a loss of power may bring back the old one.
 func Replace(s System, temporary, file string, text []byte) error {
-	err := write(s, temporary, text)
-	if err == nil {
-		err = s.Rename(temporary, file)
+	if err := Prepare(s, temporary, text); err != nil {
+		return err
 	}
+	return Commit(s, temporary, file)
+}
+
+// Prepare writes and syncs the temporary file of a replacement, which Commit completes. After an error there is no temporary file.
+func Prepare(s System, temporary string, text []byte) error {
+	err := write(s, temporary, text)
 	if err != nil {
 		_ = s.Remove(temporary) // the earlier error is returned
+	}
+	return err
+}
+
+// Commit renames a prepared temporary file to the file, and syncs the folder. Its errors are as for Replace.
+func Commit(s System, temporary, file string) error {
+	if err := s.Rename(temporary, file); err != nil {
+		_ = s.Remove(temporary) // the earlier error is returned
 		return err
 	}
 	return s.SyncDir(filepath.Dir(file))
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,6 @@
-// Package handover stores the state that a gateway's process passes to the process that replaces it: the servers that operators
-// have excluded. The state is one file, which is replaced atomically, in a folder that both processes share.
+// Package handover stores the state that the processes of a gateway share while one replaces another: the servers that operators
+// have excluded. The state is one file, which is replaced atomically, in a folder that all of them share. A Record follows and
+// changes the file, and Locks tells the processes of each other.
 package handover
 
 import (
@@ -16,6 +17,11 @@
 // State is the content of the handover file.
 type State struct {
 	Excluded []string `json:"excluded"` // ids of the excluded servers, in discovery's format
+	// Revision is the number of the write, greater than that of the state that its writer had read. It is 0 if a process of an
+	// older build wrote the file.
+	Revision uint64 `json:"revision,omitempty"`
+	// OlderView holds the exclusions that a process of an older build wrote last. Such a process knows no others.
+	OlderView []string `json:"older_view,omitempty"`
 }
 
 // Bounds of the file, which another process wrote and which may be corrupt.
@@ -41,36 +47,59 @@
 	if err != nil {
 		return err
 	}
-	return durable.Replace(durable.Disk, fmt.Sprintf("%s.%d.part", path, os.Getpid()), path, text)
+	return durable.Replace(durable.Disk, temporaryPath(path), path, text)
 }
 
+// temporaryPath returns the path of the temporary file by which this process replaces the file.
+func temporaryPath(path string) string { return fmt.Sprintf("%s.%d.part", path, os.Getpid()) }
+
 // Load reads the state. It returns ErrNone if there is no file, and another error with an empty state if the file can't be read
 // or is corrupt.
 func Load(path string) (State, error) {
-	var s State
+	content, err := readContent(path)
+	if err != nil {
+		return State{}, err
+	}
+	s, err := decode(content)
+	if err != nil {
+		return State{}, fmt.Errorf("handover: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// readContent reads the file, of at most maxSize bytes. It returns ErrNone if there is no file.
+func readContent(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return s, ErrNone
+		return nil, ErrNone
 	} else if err != nil {
-		return s, err
+		return nil, err
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxSize+1))
+	content, err := io.ReadAll(io.LimitReader(f, maxSize+1))
 	if err != nil {
-		return s, err
+		return nil, err
 	}
-	if len(text) > maxSize {
-		return s, fmt.Errorf("handover: %s is over %d bytes", path, maxSize)
-	}
-	if err := json.Unmarshal(text, &s); err != nil {
-		return State{}, fmt.Errorf("handover: %s: %w", path, err)
+	if len(content) > maxSize {
+		return nil, fmt.Errorf("handover: %s is over %d bytes", path, maxSize)
 	}
-	if len(s.Excluded) > maxIDs {
-		return State{}, fmt.Errorf("handover: %s: over %d exclusions", path, maxIDs)
+	return content, nil
+}
+
+// decode decodes and checks the content of the file.
+func decode(content []byte) (State, error) {
+	var s State
+	if err := json.Unmarshal(content, &s); err != nil {
+		return State{}, err
 	}
-	for _, id := range s.Excluded {
-		if id == "" || len(id) > maxIDSize {
-			return State{}, fmt.Errorf("handover: %s: an exclusion of %d bytes", path, len(id))
+	for _, ids := range [][]string{s.Excluded, s.OlderView} {
+		if len(ids) > maxIDs {
+			return State{}, fmt.Errorf("over %d exclusions", maxIDs)
+		}
+		for _, id := range ids {
+			if id == "" || len(id) > maxIDSize {
+				return State{}, fmt.Errorf("an exclusion of %d bytes", len(id))
+			}
 		}
 	}
 	return s, nil
