Be ready only with the operators' exclusions

Callers saw (found by looking, not reported): a process that replaced another said YES to readyz while it still waited for its disk, and sent to servers that operators had taken out of use.

Cause: awaitReady waited for discovery's list and the fleet's plan; the exclusions were read beside that. Nor did a successor wait for exclusions that its predecessor had confirmed and could not write yet.

awaitReady waits for them first.

--- a/cmd/dewhitch/handover_test.go
+++ b/cmd/dewhitch/handover_test.go
@@ -79,6 +79,16 @@
 // shareListener has all programs of the environment share a folder and the clients' listening socket, as on the platform. It
 // returns a function that starts one and waits until it is ready.
 func (env *environment) shareListener() func() *process {
+	start := env.shareListenerUnready()
+	return func() *process {
+		p := start()
+		env.awaitReady(p)
+		return p
+	}
+}
+
+// shareListenerUnready is like shareListener, but the function that it returns does not wait until the program is ready.
+func (env *environment) shareListenerUnready() func() *process {
 	go env.backends.serveAll()
 	env.sharedTempDir = env.t.TempDir()
 	env.limitsAddr = "" // two programs can't listen at the same address
@@ -93,11 +103,15 @@
 		cmd := env.command("serve")
 		cmd.Env = append(cmd.Env, "NODE_FD=3")
 		cmd.ExtraFiles = []*os.File{socket}
-		p := env.startCommand(cmd)
-		if !eventually(func() bool { return adminCall(env.t, env.adminAddr, "readyz") == "YES" }) {
-			env.t.Fatalf("the program with operators' address %s is not ready\n%s", env.adminAddr, p.log())
-		}
-		return p
+		return env.startCommand(cmd)
+	}
+}
+
+// awaitReady waits until the program that was started last is ready.
+func (env *environment) awaitReady(p *process) {
+	env.t.Helper()
+	if !eventually(func() bool { return adminCall(env.t, env.adminAddr, "readyz") == "YES" }) {
+		env.t.Fatalf("the program with operators' address %s is not ready\n%s", env.adminAddr, p.log())
 	}
 }
 
--- a/cmd/dewhitch/replacement_test.go
+++ b/cmd/dewhitch/replacement_test.go
@@ -17,8 +17,8 @@
 
 // replacement is a gateway of three servers whose processes replace each other.
 type replacement struct {
-	env          *environment
-	startProcess func() *process
+	env                 *environment
+	startWithoutWaiting func() *process
 }
 
 // gatewayProcess is one process of a replacement, with its operators' address.
@@ -30,13 +30,15 @@
 func newReplacement(t *testing.T) *replacement {
 	env := newEnvironment(t)
 	env.discovery.Set(env.members("s-00000001=up s-00000002=up s-00000003=up"))
-	return &replacement{env: env, startProcess: env.shareListener()}
+	return &replacement{env: env, startWithoutWaiting: env.shareListenerUnready()}
 }
 
 // start starts one more process and waits until it is ready.
 func (r *replacement) start() *gatewayProcess {
-	p := r.startProcess()
-	return &gatewayProcess{p, r.env.adminAddr}
+	r.env.t.Helper()
+	p := &gatewayProcess{r.startWithoutWaiting(), r.env.adminAddr}
+	r.env.awaitReady(p.process)
+	return p
 }
 
 // mustSayYes makes a call at a process's operators' address.
--- a/cmd/dewhitch/run.go
+++ b/cmd/dewhitch/run.go
@@ -87,9 +87,14 @@
 }
 
 // awaitReady waits for the information that the gateway needs before it serves, or until the context ends. It waits for the
-// director's first list, as the configured list may be old or empty, and for the fleet's first plan, as only the plan names the
-// listed servers that are in maintenance. Both waits have a timeout, as the director and the fleet may be down.
+// operators' exclusions, for the director's first list, as the configured list may be old or empty, and for the fleet's first plan,
+// as only the plan names the listed servers that are in maintenance. The waits for the list and the plan have a timeout, as the
+// director and the fleet may be down.
 func (g *gateway) awaitReady(ctx context.Context) {
+	select {
+	case <-g.exclusions.Restored():
+	case <-ctx.Done():
+	}
 	select {
 	case <-g.discovery.Synced:
 	case <-ctx.Done():
