Accept calls on an excluded server that the new process never saw listed

Callers saw (found by looking, not reported): a server that was excluded, restarted and unlisted while the gateway's process was replaced could not be put back; include and a repeated exclude were answered NO, and the server stayed out of use once it was listed again.

Cause: the planner took the exclusion over unchecked, but refused calls on servers that it had not seen listed itself. Now an excluded server counts as known.

TestExclusionOfAServerThatIsNotListed failed before ('NO no server of this id was ever listed', expected YES), passed 2 of 2 after.

--- a/cmd/dewhitch/replacement_test.go
+++ b/cmd/dewhitch/replacement_test.go
@@ -200,3 +200,26 @@
 		})
 	}
 }
+
+// TestExclusionOfAServerThatIsNotListed guards against a server that stays out of use for ever: it is excluded, restarts and is not
+// listed while the process is replaced, and the new process refuses to put it back, as it has never seen it listed.
+func TestExclusionOfAServerThatIsNotListed(t *testing.T) {
+	t.Parallel()
+	for _, lastProcess := range []string{"both", "the new one"} {
+		r := newReplacement(t)
+		old := r.start()
+		r.mustSayYes(old, "exclude s-00000001")
+		r.env.discovery.Set(r.env.members("s-00000002=up s-00000003=up"))
+		next := r.start()
+		if lastProcess == "the new one" {
+			r.end(old)
+		}
+		r.mustSayYes(next, "exclude s-00000001") // repeated
+		r.mustSayYes(next, "include s-00000001")
+		r.env.discovery.Set(r.env.members("s-00000001=up s-00000002=up s-00000003=up"))
+		r.expectExcluded(next, 0)
+		if got := adminCall(t, next.admin, "include s-0000000a"); got != "NO no server of this id was ever listed" {
+			t.Errorf("a server that was never listed: got %q", got)
+		}
+	}
+}
--- a/internal/core/exclusions.go
+++ b/internal/core/exclusions.go
@@ -54,7 +54,7 @@
 // handle answers the operator's call once the exclusion is recorded, before it notifies the module.
 func (m exclusionMessage) handle(p *Planner) {
 	switch {
-	case !p.wasListed(m.id):
+	case !p.isKnown(m.id):
 		m.done <- ErrUnknownServer
 		return
 	case p.excluded[m.id] == m.excluded:
@@ -115,6 +115,9 @@
 	p.reportTargets()
 }
 
+// isKnown reports whether a server was listed, to this process or to the one that excluded it.
+func (p *Planner) isKnown(id dw.ServerID) bool { return p.excluded[id] || p.wasListed(id) }
+
 // wasListed reports whether a server is or was listed. Once maxRememberedServers ids are kept, it returns true for a server
 // whose id is not among them only while the server is listed.
 func (p *Planner) wasListed(id dw.ServerID) bool {
