Answer exclusions only once they are written

Callers saw (found by a test): a process that was killed within a millisecond or two of a YES to exclude or include had not written it, and the next process did not know of it.

Cause: a process that ran alone answered first and wrote then. Now every call waits for the record, 0.7 s at most; only if the write fails or takes longer, and no other process runs, is it confirmed before.

TestConfirmedCallsAreRecorded failed before at its first call.

--- a/internal/exclusions/keeper.go
+++ b/internal/exclusions/keeper.go
@@ -19,10 +19,10 @@
 // recordTimeout is how long a call waits for the record. Operators are owed an answer within a second.
 const recordTimeout = 700 * time.Millisecond
 
-// ErrNotRecorded reports that a change is not in the record after recordTimeout. It may still take effect.
+// ErrNotRecorded reports that a change is not in the record after recordTimeout while other processes run. It may still take effect.
 var ErrNotRecorded = errors.New("not recorded for the gateway's other process in time: call again")
 
-// ErrRecordFailed reports that a change could not be recorded, and that nothing has changed.
+// ErrRecordFailed reports that a change could not be recorded while other processes run, and that nothing has changed.
 var ErrRecordFailed = errors.New("can't be recorded for the gateway's other process: nothing has changed")
 
 // Planner applies exclusions to this process.
@@ -47,7 +47,7 @@
 	mu         sync.Mutex
 	stopped    bool                      // whether Run has ended, or is about to
 	recorded   []string                  // excluded servers according to the record
-	confirmed  handover.Changes          // changes that were confirmed before they are recorded; recording is retried
+	confirmed  handover.Changes          // changes that were confirmed before they are recorded; a failed write is retried
 	waiting    map[string]*waitingChange // changes whose callers wait for the record
 	unresolved bool                      // whether the planner lacks an exclusion, as the server's number is not known
 
@@ -64,6 +64,13 @@
 	callers  []chan<- error
 }
 
+// answer sends the result to all callers.
+func (w *waitingChange) answer(result error) {
+	for _, caller := range w.callers {
+		caller <- result
+	}
+}
+
 // New returns a keeper of the exclusions in a gateway's handover file, and marks this process as running.
 func New(path string, planner Planner, lookup Lookup, log *zap.Logger) *Keeper {
 	locks := handover.OpenLocks(path)
@@ -96,26 +103,22 @@
 	if !known {
 		return core.ErrUnknownServer
 	}
-	recorded, err := k.begin(id, server, excluded)
-	if err != nil || recorded == nil {
+	result, err := k.begin(id, server, excluded)
+	if err != nil {
 		return err
 	}
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
 	select {
-	case err := <-recorded:
+	case err := <-result:
 		return err
 	case <-timeout.C:
-		return ErrNotRecorded
+		return k.giveUp(id, result)
 	}
 }
 
-// begin starts a change. If the change is confirmed at once, it returns no channel, and otherwise one that receives the result.
-//
-// A process that runs alone confirms a change at once, and records it as soon as the disk allows. Another process that starts
-// meanwhile sees the lock that SetUnrecorded takes, and waits until the change is recorded. The lock is taken before the check for
-// other processes, and these check for it after they are marked as running, so that one of the two sees the other.
-func (k *Keeper) begin(id string, server dw.ServerID, excluded bool) (recorded <-chan error, err error) {
+// begin starts a change, and returns a channel that receives its result.
+func (k *Keeper) begin(id string, server dw.ServerID, excluded bool) (result <-chan error, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.stopped {
@@ -129,22 +132,45 @@
 	if err != nil {
 		return nil, err
 	}
-	k.locks.SetUnrecorded(true)
-	defer k.updateUnrecorded()
-	if k.locks.OthersRunning() {
-		return k.awaitRecord(id, excluded), nil
+	return k.awaitRecord(id, excluded), nil
+}
+
+// giveUp ends the wait of a caller for the record. It returns the result that the caller gets.
+func (k *Keeper) giveUp(id string, result <-chan error) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	select {
+	case err := <-result:
+		return err
+	default:
 	}
-	if !excluded {
-		if err := k.planner.Include(server); err != nil {
-			return nil, err
-		}
+	if !k.mayConfirmUnrecorded() {
+		return ErrNotRecorded
 	}
-	if w := k.waiting[id]; w != nil {
-		w.excluded = excluded
+	k.confirmUnrecorded(id)
+	return <-result
+}
+
+// mayConfirmUnrecorded reports whether changes may be confirmed before they are recorded: no other process of the gateway runs. It
+// marks this process as having such changes, so that a process that starts meanwhile waits for them. The mark is set before the
+// check for other processes, and these check for it after they are marked as running, so that one of the two sees the other. The
+// caller holds mu, and calls updateUnrecorded later.
+func (k *Keeper) mayConfirmUnrecorded() bool {
+	k.locks.SetUnrecorded(true)
+	if k.locks.OthersRunning() {
+		k.updateUnrecorded()
+		return false
 	}
-	k.confirmed[id] = excluded
-	k.kickWriter()
-	return nil, nil
+	return true
+}
+
+// confirmUnrecorded confirms a change that could not be recorded. Recording is retried. The caller holds mu.
+func (k *Keeper) confirmUnrecorded(id string) {
+	w := k.waiting[id]
+	k.confirmed[id] = w.excluded
+	delete(k.waiting, id)
+	k.apply()
+	w.answer(nil)
 }
 
 // awaitRecord adds a change that is confirmed once it is recorded. It replaces one of the same server that is not recorded yet.
--- a/internal/exclusions/run.go
+++ b/internal/exclusions/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -144,12 +145,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.recorded = k.record.State().Excluded
-	k.answerWaiting(changes, err)
-	if err == nil {
-		maps.DeleteFunc(k.confirmed, func(id string, excluded bool) bool {
-			written, wasWritten := changes[id]
-			return wasWritten && written == excluded
-		})
+	if err != nil {
+		k.failWaiting(err)
+	} else {
+		k.completeWritten(changes)
 	}
 	k.updateUnrecorded()
 	k.apply()
@@ -166,26 +165,40 @@
 	return changes
 }
 
-// answerWaiting answers the callers whose changes were written, or failed to be. A change that was replaced during the write keeps
-// waiting. The caller holds mu.
-func (k *Keeper) answerWaiting(written handover.Changes, err error) {
-	result := err
-	if err != nil {
-		result = errors.Join(ErrRecordFailed, err)
-	}
-	for id, w := range k.waiting {
-		if excluded, wasWritten := written[id]; !wasWritten || excluded != w.excluded {
-			k.kickWriter()
-			continue
+// completeWritten answers the callers whose changes were written. A change that was replaced during the write is to be written
+// still. The caller holds mu.
+func (k *Keeper) completeWritten(written handover.Changes) {
+	for id, excluded := range written {
+		if w := k.waiting[id]; w != nil && w.excluded == excluded {
+			w.answer(nil)
+			delete(k.waiting, id)
+			delete(k.confirmed, id) // an older change of the same server
 		}
-		for _, caller := range w.callers {
-			caller <- result
+		if confirmed, found := k.confirmed[id]; found && confirmed == excluded {
+			delete(k.confirmed, id)
 		}
-		delete(k.waiting, id)
-		if err == nil {
-			delete(k.confirmed, id) // an older change of the same server
+	}
+	if len(k.waiting) > 0 {
+		k.kickWriter()
+	}
+}
+
+// failWaiting ends the wait of all callers after a failed write. If no other process runs, their changes are confirmed, and
+// recorded later. The caller holds mu.
+func (k *Keeper) failWaiting(err error) {
+	if len(k.waiting) == 0 {
+		return
+	}
+	mayConfirm := k.mayConfirmUnrecorded()
+	for id, w := range k.waiting {
+		if mayConfirm {
+			k.confirmed[id] = w.excluded
+			w.answer(nil)
+		} else {
+			w.answer(fmt.Errorf("%w (%w)", ErrRecordFailed, err))
 		}
 	}
+	clear(k.waiting)
 }
 
 // logWrite logs each successful write that changed the record, and the first of consecutive failures.
@@ -221,9 +234,7 @@
 		k.log.Error("exclusions that were not written are lost with this process", zap.Any("changes", k.confirmed))
 	}
 	for _, w := range k.waiting {
-		for _, caller := range w.callers {
-			caller <- core.ErrStopped
-		}
+		w.answer(core.ErrStopped)
 	}
 	clear(k.waiting)
 }
