Wait for the first list before a call is refused as of an unknown server

Callers saw (found by looking, not reported): the new process of a gateway answers operators from its start, but refused exclude and include of listed servers until discovery's first list, which can take a second.

Cause: the check did not tell 'not listed' from 'no list yet'. Now a call of an unknown server waits for the first list, within its 0.7 s.

--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -177,7 +177,7 @@
 	if g.operatorListener, err = openOperatorListener(g.operations, parts, g.log); err != nil {
 		return err
 	}
-	g.exclusions = exclusions.New(handover.Path(g.node.TempDir, g.node.Name), g.planner, g.decoder.Lookup, g.log)
+	g.exclusions = exclusions.New(handover.Path(g.node.TempDir, g.node.Name), g.planner, g.decoder.Lookup, g.discovery.Synced, g.log)
 	g.adminCalls = &adminCalls{state: g.state, figures: g.figures, metrics: g.metrics, exclusions: g.exclusions, log: g.log}
 	g.adminServer, err = openAdmin(g.node, g.adminCalls)
 	return err
--- a/cmd/dewhitch/golden_test.go
+++ b/cmd/dewhitch/golden_test.go
@@ -115,7 +115,7 @@
 	calls := &adminCalls{state: &ops.State{}, figures: &ops.Figures{}, metrics: telemetry.New(),
 		log: zap.NewNop()}
 	decoder := discovery.NewDecoder(discovery.Names{})
-	calls.exclusions = exclusions.New(handover.Path(t.TempDir(), "n0"), nil, decoder.Lookup, calls.log)
+	calls.exclusions = exclusions.New(handover.Path(t.TempDir(), "n0"), nil, decoder.Lookup, nil, calls.log)
 	calls.figures.AddClasses([]string{"lookup"})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -66,6 +67,7 @@
 	backends               *manualBackends
 	counter                *standin.Counter
 	discovery              *standin.Discovery
+	discoveryAddr          string // address at which programs reach discovery, or empty for its own
 	registryAddr           string // address of a ZooKeeper stand-in, or empty
 	operatorAddr           string // address of the operators' listener, or empty
 	extraOperations        string // text appended to the operators' file
@@ -145,7 +147,7 @@
 		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
 	// As on the platform, each gateway has its own folder for the state that a process passes to the next one.
 	cmd.Env = append(os.Environ(), "TMPDIR="+tempDir, "NODE_CONFIG="+filepath.Join(dir, "config.json"),
-		"NODE_DISCOVERY="+env.discovery.Addr())
+		"NODE_DISCOVERY="+cmp.Or(env.discoveryAddr, env.discovery.Addr()))
 	return cmd
 }
 
--- a/cmd/dewhitch/replacement_ready_test.go
+++ b/cmd/dewhitch/replacement_ready_test.go
@@ -105,3 +105,28 @@
 	old.wait()
 	r.env.awaitReady(next.process)
 }
+
+// TestRefusedCallChangesNothing guards against an exclusion that holds in one process of two, as the disk is full. The call must be
+// answered NO while both run, and both must stay as they were.
+func TestRefusedCallChangesNothing(t *testing.T) {
+	t.Parallel()
+	r := newReplacement(t)
+	old := r.start()
+	r.mustSayYes(old, "exclude s-00000002")
+	next := r.start()
+	endFailure := r.failWrites(old)
+	for _, call := range []string{"exclude s-00000001", "include s-00000002"} {
+		if got := adminCall(t, old.admin, call); !strings.HasPrefix(got, "NO can't be recorded for the gateway's other process") {
+			t.Fatalf("%s was answered %q, expected a NO\n%s", call, got, old.log())
+		}
+	}
+	for _, p := range []*gatewayProcess{old, next} {
+		r.expectExcluded(p, 1)
+	}
+	r.expectRecorded("s-00000002")
+	r.mustSayYes(next, "exclude s-00000003") // its own disk is fine
+	r.expectExcluded(old, 2)
+	endFailure()
+	r.mustSayYes(old, "exclude s-00000001")
+	r.expectExcluded(next, 3)
+}
--- a/cmd/dewhitch/replacement_test.go
+++ b/cmd/dewhitch/replacement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"strings"
 	"syscall"
@@ -10,6 +11,7 @@
 	"time"
 
 	"dewhitch/internal/handover"
+	"dewhitch/internal/standin"
 )
 
 // followTimeLimit is the time after the answer to an operator's call within which every process of the gateway must follow it.
@@ -223,3 +225,31 @@
 		}
 	}
 }
+
+// TestCallBeforeTheFirstList guards against an operator's call that a process refuses, as of an unknown server, because it has just
+// started and waits for discovery's first list.
+func TestCallBeforeTheFirstList(t *testing.T) {
+	t.Parallel()
+	const delay = 200 * time.Millisecond
+	r := newReplacement(t)
+	old := r.start()
+	slow, err := standin.Listen("", func(conn net.Conn) {
+		time.Sleep(delay)
+		upstream, err := net.Dial("tcp", r.env.discovery.Addr())
+		if err != nil {
+			return
+		}
+		defer upstream.Close()
+		go io.Copy(upstream, conn)
+		io.Copy(conn, upstream)
+	})
+	closeAtCleanup(t, slow, err)
+	r.env.discoveryAddr = slow.Addr()
+	next := r.startUnready()
+	r.mustSayYes(next, "exclude s-00000001")
+	r.expectExcluded(old, 1)
+	r.expectExcluded(next, 1)
+	if got := adminCall(t, next.admin, "exclude s-0000000a"); got != "NO no server of this id was ever listed" {
+		t.Errorf("a server that was never listed: got %q", got)
+	}
+}
--- a/internal/exclusions/keeper.go
+++ b/internal/exclusions/keeper.go
@@ -16,10 +16,10 @@
 	"dewhitch/internal/handover"
 )
 
-// recordTimeout is how long a call waits for the record. Operators are owed an answer within a second.
-const recordTimeout = 700 * time.Millisecond
+// callTimeout is how long a call waits for the first list and the record. Operators are owed an answer within a second.
+const callTimeout = 700 * time.Millisecond
 
-// ErrNotRecorded reports that a change is not in the record after recordTimeout while other processes run. It may still take effect.
+// ErrNotRecorded reports that a change is not in the record after callTimeout while other processes run. It may still take effect.
 var ErrNotRecorded = errors.New("not recorded for the gateway's other process in time: call again")
 
 // ErrRecordFailed reports that a change could not be recorded while other processes run, and that nothing has changed.
@@ -40,6 +40,7 @@
 	locks    *handover.Locks
 	planner  Planner
 	lookup   Lookup
+	listed   <-chan struct{} // closed once the planner has a list from discovery
 	log      *zap.Logger
 	kick     chan struct{} // holds a value if there are changes to record
 	restored chan struct{} // closed once this process has the exclusions of the others
@@ -71,13 +72,15 @@
 	}
 }
 
-// New returns a keeper of the exclusions in a gateway's handover file, and marks this process as running.
-func New(path string, planner Planner, lookup Lookup, log *zap.Logger) *Keeper {
+// New returns a keeper of the exclusions in a gateway's handover file, and marks this process as running. The channel listed is
+// closed once the planner has a list from discovery.
+func New(path string, planner Planner, lookup Lookup, listed <-chan struct{}, log *zap.Logger) *Keeper {
 	locks := handover.OpenLocks(path)
 	return &Keeper{
 		locks:     locks,
 		planner:   planner,
 		lookup:    lookup,
+		listed:    listed,
 		log:       log,
 		kick:      make(chan struct{}, 1),
 		restored:  make(chan struct{}),
@@ -103,12 +106,16 @@
 	if !known {
 		return core.ErrUnknownServer
 	}
+	timeout := time.NewTimer(callTimeout)
+	defer timeout.Stop()
+	hadList := k.hasList()
 	result, err := k.begin(id, server, excluded)
+	if errors.Is(err, core.ErrUnknownServer) && !hadList && k.awaitList(timeout.C) {
+		result, err = k.begin(id, server, excluded)
+	}
 	if err != nil {
 		return err
 	}
-	timeout := time.NewTimer(recordTimeout)
-	defer timeout.Stop()
 	select {
 	case err := <-result:
 		return err
@@ -117,6 +124,26 @@
 	}
 }
 
+// hasList reports whether the planner has a list from discovery. It knows no server before.
+func (k *Keeper) hasList() bool {
+	select {
+	case <-k.listed:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitList waits for the first list from discovery. It returns false if there is none before the timeout.
+func (k *Keeper) awaitList(timeout <-chan time.Time) bool {
+	select {
+	case <-k.listed:
+		return true
+	case <-timeout:
+		return false
+	}
+}
+
 // begin starts a change, and returns a channel that receives its result.
 func (k *Keeper) begin(id string, server dw.ServerID, excluded bool) (result <-chan error, err error) {
 	k.mu.Lock()
