--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -71,6 +71,7 @@
 	registryAddr           string // address of a ZooKeeper stand-in, or empty
 	operatorAddr           string // address of the operators' listener, or empty
 	extraOperations        string // text appended to the operators' file
+	program                string // path of the program to start, or empty for the one under test
 }
 
 // newEnvironment returns an environment with one server, in which no program runs yet. Its stand-ins end with the test.
@@ -143,7 +144,7 @@
 	operations := fmt.Sprintf("[ledger]\nenabled = true\naudit_ms = 50\nstatement_ms = 300\nsegment_mb = 1\ndir = %q\n"+
 		"[operator]\nlisten = %q\n%s", filepath.Join(dir, "ledger"), env.operatorAddr, env.extraOperations)
 	os.WriteFile(filepath.Join(dir, "operations.toml"), []byte(operations), 0o600)
-	cmd := exec.Command(program, append([]string{"--limits", filepath.Join(dir, "limits.toml"),
+	cmd := exec.Command(cmp.Or(env.program, program), append([]string{"--limits", filepath.Join(dir, "limits.toml"),
 		"--operations", filepath.Join(dir, "operations.toml")}, args...)...)
 	// As on the platform, each gateway has its own folder for the state that a process passes to the next one.
 	cmd.Env = append(os.Environ(), "TMPDIR="+tempDir, "NODE_CONFIG="+filepath.Join(dir, "config.json"),
