Hold recorded exclusions as a set; split the replacement of the record

A file of an older build was compared id by id with each other, as was each exclusion in force: quadratic in up to 16,384 ids.

--- a/internal/exclusions/keeper.go
+++ b/internal/exclusions/keeper.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +46,7 @@
 
 	mu         sync.Mutex
 	stopped    bool                      // whether Run has ended, or is about to
-	recorded   []string                  // excluded servers according to the record
+	recorded   map[string]bool           // excluded servers according to the record
 	confirmed  handover.Changes          // changes that were confirmed before they are recorded; a failed write is retried
 	waiting    map[string]*waitingChange // changes whose callers wait for the record
 	unresolved bool                      // whether the planner lacks an exclusion, as the server's number is not known
@@ -84,6 +83,7 @@
 		log:       log,
 		kick:      make(chan struct{}, 1),
 		restored:  make(chan struct{}),
+		recorded:  map[string]bool{},
 		confirmed: handover.Changes{},
 		waiting:   map[string]*waitingChange{},
 		record:    handover.OpenRecord(path, locks),
@@ -196,7 +196,7 @@
 	w := k.waiting[id]
 	k.confirmed[id] = w.excluded
 	delete(k.waiting, id)
-	k.apply()
+	k.applyInForce()
 	w.answer(nil)
 }
 
@@ -222,7 +222,7 @@
 	if excluded, changed := k.confirmed[id]; changed {
 		return excluded
 	}
-	return slices.Contains(k.recorded, id)
+	return k.recorded[id]
 }
 
 // updateUnrecorded marks this process as having confirmed changes to record, or none. The caller holds mu.
--- a/internal/exclusions/run.go
+++ b/internal/exclusions/run.go
@@ -52,7 +52,6 @@
 	changed, err := k.record.Read()
 	k.logRead(changed, err)
 	k.mu.Lock()
-	k.recorded = k.record.State().Excluded
 	if changed || k.unresolved {
 		k.apply()
 	}
@@ -100,8 +99,18 @@
 	k.readError = ""
 }
 
-// apply passes the exclusions in force to the planner. The caller holds mu.
+// apply passes the exclusions in force to the planner, after a change of the record or of the changes to it. It runs on Run's
+// goroutine. The caller holds mu.
 func (k *Keeper) apply() {
+	clear(k.recorded)
+	for _, id := range k.record.State().Excluded {
+		k.recorded[id] = true
+	}
+	k.applyInForce()
+}
+
+// applyInForce passes the exclusions in force to the planner. The caller holds mu.
+func (k *Keeper) applyInForce() {
 	var ids []dw.ServerID
 	k.unresolved = false
 	for _, id := range k.idsInForce() {
@@ -116,11 +125,15 @@
 
 // idsInForce returns the servers that are excluded in this process. The caller holds mu.
 func (k *Keeper) idsInForce() []string {
-	ids := slices.Clone(k.recorded)
-	ids = slices.AppendSeq(ids, maps.Keys(k.confirmed))
-	ids = slices.AppendSeq(ids, maps.Keys(k.waiting))
-	slices.Sort(ids)
-	return slices.DeleteFunc(slices.Compact(ids), func(id string) bool { return !k.inForce(id) })
+	candidates := maps.Clone(k.recorded)
+	for id := range k.confirmed {
+		candidates[id] = true
+	}
+	for id := range k.waiting {
+		candidates[id] = true
+	}
+	maps.DeleteFunc(candidates, func(id string, _ bool) bool { return !k.inForce(id) })
+	return slices.Sorted(maps.Keys(candidates))
 }
 
 // retryDue reports whether there is something to write, and the last failure is long enough ago.
@@ -144,7 +157,6 @@
 	k.logWrite(err, k.record.State().Revision != revision)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.recorded = k.record.State().Excluded
 	if err != nil {
 		k.failWaiting(err)
 	} else {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -40,8 +40,8 @@
 	return filepath.Join(dir, "dewhitch-"+filepath.Base(name)+".handover.json")
 }
 
-// Save replaces the file atomically. The state is durable when Save returns without an error. The name of the temporary file
-// contains the process id, as two processes of a gateway may save at the same time.
+// Save replaces the file atomically, whatever it holds. The state is durable when Save returns without an error. The name of the
+// temporary file contains the process id, as two processes of a gateway may save at the same time.
 func Save(path string, s State) error {
 	text, err := json.Marshal(s)
 	if err != nil {
--- a/internal/handover/merge.go
+++ b/internal/handover/merge.go
@@ -15,14 +15,15 @@
 	if found.Revision > 0 {
 		return found
 	}
+	before, now := idSet(known.OlderView), idSet(found.Excluded)
 	changes := Changes{}
-	for _, id := range found.Excluded {
-		if !slices.Contains(known.OlderView, id) {
+	for id := range now {
+		if !before[id] {
 			changes[id] = true
 		}
 	}
-	for _, id := range known.OlderView {
-		if !slices.Contains(found.Excluded, id) {
+	for id := range before {
+		if !now[id] {
 			changes[id] = false
 		}
 	}
@@ -36,12 +37,17 @@
 
 // with returns the state with changes applied, and its ids sorted.
 func (s State) with(changes Changes) State {
-	excluded := map[string]bool{}
-	for _, id := range s.Excluded {
-		excluded[id] = true
-	}
+	excluded := idSet(s.Excluded)
 	maps.Copy(excluded, changes)
 	maps.DeleteFunc(excluded, func(_ string, isExcluded bool) bool { return !isExcluded })
 	s.Excluded = slices.Sorted(maps.Keys(excluded))
 	return s
 }
+
+func idSet(ids []string) map[string]bool {
+	set := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -101,21 +101,31 @@
 	if err := durable.Prepare(durable.Disk, temporary, text); err != nil {
 		return false, err
 	}
-	if content, err := readContent(r.path); err == nil && !bytes.Equal(content, r.seen) {
-		_, err := decode(content)
-		if err == nil {
-			return false, os.Remove(temporary)
-		}
+	if r.replacedByOthers() {
+		return false, os.Remove(temporary)
 	}
-	if err := durable.Commit(durable.Disk, temporary, r.path); err != nil {
-		content, readErr := readContent(r.path)
-		if readErr != nil || !bytes.Equal(content, text) {
-			return false, err
-		}
-		// All processes read the new file already. Only a loss of power could bring back the old one.
+	if err := durable.Commit(durable.Disk, temporary, r.path); err != nil && !r.holds(text) {
+		return false, err
 	}
+	// Where only the sync of the folder failed, all processes read the new file. Only a loss of power could bring back the old one.
 	r.state = next
 	r.seen = text
 	r.stale = false
 	return true, nil
 }
+
+// replacedByOthers reports whether the file holds another state than was last read. A process of an older build takes no lock.
+func (r *Record) replacedByOthers() bool {
+	content, err := readContent(r.path)
+	if err != nil || bytes.Equal(content, r.seen) {
+		return false
+	}
+	_, err = decode(content)
+	return err == nil
+}
+
+// holds reports whether the file has this content.
+func (r *Record) holds(text []byte) bool {
+	content, err := readContent(r.path)
+	return err == nil && bytes.Equal(content, text)
+}
