Wait for a damaged file of exclusions while another process knows them

Cause: a file that could not be read counted as no file. Now a process that finds its file damaged writes it again and is marked until it has; one that starts waits for the mark, and for a readable file while another process runs.

TestSuccessorWaitsForADamagedRecord failed before for both kinds of damage ('ready, expected it to wait'), passes after. The harness finds a program's configuration by its variable's name, not by its place.

--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -158,7 +158,11 @@
 // startCommand starts the command as start does. The process is killed at the end of the test.
 func (env *environment) startCommand(cmd *exec.Cmd) *process {
 	p := &process{cmd: cmd, exited: make(chan error, 1)}
-	p.configPath = strings.TrimPrefix(p.cmd.Env[len(p.cmd.Env)-2], "NODE_CONFIG=")
+	for _, variable := range cmd.Env {
+		if path, found := strings.CutPrefix(variable, "NODE_CONFIG="); found {
+			p.configPath = path
+		}
+	}
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
 		env.t.Fatal(err)
--- a/cmd/dewhitch/replacement_ready_test.go
+++ b/cmd/dewhitch/replacement_ready_test.go
@@ -91,6 +91,35 @@
 	r.expectExcluded(next, 1)
 }
 
+// TestSuccessorWaitsForADamagedRecord guards against a successor that serves without exclusions because the file is corrupt or
+// gone, while its predecessor knows them and can't write the file again yet.
+func TestSuccessorWaitsForADamagedRecord(t *testing.T) {
+	t.Parallel()
+	for name, damage := range map[string]func(path string) error{
+		"corrupt": func(path string) error { return os.Truncate(path, 5) },
+		"removed": os.Remove,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newReplacement(t)
+			old := r.start()
+			r.mustSayYes(old, "exclude s-00000001")
+			endFailure := r.failWrites(old)
+			if err := damage(handover.Path(r.env.sharedTempDir, "n0")); err != nil {
+				t.Fatal(err)
+			}
+			if !eventually(func() bool { return strings.Contains(old.log(), "exclusions are not written") }) {
+				t.Fatal(old.log())
+			}
+			next := r.startUnready()
+			r.expectNotReady(next)
+			endFailure()
+			r.env.awaitReady(next.process)
+			r.expectExcluded(next, 1)
+		})
+	}
+}
+
 // TestSuccessorDoesNotWaitForAProcessThatHasEnded guards against a successor that is never ready because its predecessor was killed
 // before it could write an exclusion.
 func TestSuccessorDoesNotWaitForAProcessThatHasEnded(t *testing.T) {
--- a/internal/exclusions/keeper.go
+++ b/internal/exclusions/keeper.go
@@ -50,6 +50,7 @@
 	confirmed  handover.Changes          // changes that were confirmed before they are recorded; a failed write is retried
 	waiting    map[string]*waitingChange // changes whose callers wait for the record
 	unresolved bool                      // whether the planner lacks an exclusion, as the server's number is not known
+	stale      bool                      // whether the file lacks some of what is known, and is to be written again
 
 	// The fields below belong to Run's goroutine.
 	record        *handover.Record
@@ -225,8 +226,8 @@
 	return k.recorded[id]
 }
 
-// updateUnrecorded marks this process as having confirmed changes to record, or none. The caller holds mu.
-func (k *Keeper) updateUnrecorded() { k.locks.SetUnrecorded(len(k.confirmed) > 0) }
+// updateUnrecorded marks whether this process has exclusions that the record lacks. The caller holds mu.
+func (k *Keeper) updateUnrecorded() { k.locks.SetUnrecorded(k.stale || len(k.confirmed) > 0) }
 
 func (k *Keeper) kickWriter() {
 	select {
--- a/internal/exclusions/run.go
+++ b/internal/exclusions/run.go
@@ -52,6 +52,8 @@
 	changed, err := k.record.Read()
 	k.logRead(changed, err)
 	k.mu.Lock()
+	k.stale = k.record.Stale()
+	k.updateUnrecorded()
 	if changed || k.unresolved {
 		k.apply()
 	}
@@ -59,11 +61,13 @@
 	if k.isRestored() {
 		return
 	}
-	if !othersUnrecorded {
+	// What can't be read is written again by a process that knows the exclusions, if there is one.
+	unreadable := err != nil && !errors.Is(err, handover.ErrNone) && k.locks.OthersRunning()
+	if !othersUnrecorded && !unreadable {
 		close(k.restored)
 	} else if !k.waitLogged {
 		k.waitLogged = true
-		k.log.Warn("another process has exclusions that it could not write yet: this one waits for them before it serves")
+		k.log.Warn("another process has exclusions that are not in the file yet: this one waits for them before it serves")
 	}
 }
 
@@ -143,7 +147,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.record.Stale() || len(k.confirmed) > 0 || len(k.waiting) > 0
+	return k.stale || len(k.confirmed) > 0 || len(k.waiting) > 0
 }
 
 // write records the changes that are not recorded yet, and answers their callers.
@@ -157,6 +161,7 @@
 	k.logWrite(err, k.record.State().Revision != revision)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.stale = k.record.Stale()
 	if err != nil {
 		k.failWaiting(err)
 	} else {
