Write an empty list of exclusions as a list, and kill starting processes too

The record without exclusions had null in place of [], which no older build writes; scripts that read the file may not take it. TestEmptyRecord got null before.

--- a/cmd/dewhitch/replacement_kill_test.go
+++ b/cmd/dewhitch/replacement_kill_test.go
@@ -70,8 +70,15 @@
 	}
 }
 
-// changeProcesses starts a process, or ends the oldest one during a call or just after it. At least one process stays.
+// changeProcesses starts a process, which may be killed before it is ready, or ends the oldest one during a call or just after it.
+// At least one process stays.
 func (s *exclusionSoak) changeProcesses() {
+	if s.rng.IntN(4) == 0 {
+		failed := s.startWithoutWaiting()
+		time.Sleep(time.Duration(s.rng.IntN(60)) * time.Millisecond)
+		s.call(s.processes[0])
+		failed.cmd.Process.Kill()
+	}
 	oldest := s.processes[0]
 	if len(s.processes) < 3 && s.rng.IntN(2) == 0 {
 		s.processes = append(s.processes, s.start())
--- a/internal/handover/locks.go
+++ b/internal/handover/locks.go
@@ -15,7 +15,7 @@
 const (
 	recordByte     = iota // locked exclusively while a process reads and replaces the record
 	runningByte           // locked shared by every process as long as it runs
-	unrecordedByte        // locked shared by every process that has confirmed changes which the record does not hold yet
+	unrecordedByte        // locked shared by every process that has exclusions which the file lacks
 )
 
 // Waiting for the lock of the record.
@@ -63,7 +63,7 @@
 	_ = l.refresh() // tried again at each use
 }
 
-// SetUnrecorded marks whether this process has confirmed changes that the record does not hold yet.
+// SetUnrecorded marks whether this process has exclusions that the file lacks.
 func (l *Locks) SetUnrecorded(unrecorded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -83,7 +83,7 @@
 // OthersRunning reports whether another process of the gateway runs.
 func (l *Locks) OthersRunning() bool { return l.lockedByOthers(runningByte) }
 
-// OthersUnrecorded reports whether another process has confirmed changes that the record does not hold yet.
+// OthersUnrecorded reports whether another process has exclusions that the file lacks.
 func (l *Locks) OthersUnrecorded() bool { return l.lockedByOthers(unrecordedByte) }
 
 func (l *Locks) lockedByOthers(position int64) bool {
--- a/internal/handover/merge.go
+++ b/internal/handover/merge.go
@@ -40,7 +40,8 @@
 	excluded := idSet(s.Excluded)
 	maps.Copy(excluded, changes)
 	maps.DeleteFunc(excluded, func(_ string, isExcluded bool) bool { return !isExcluded })
-	s.Excluded = slices.Sorted(maps.Keys(excluded))
+	s.Excluded = slices.AppendSeq([]string{}, maps.Keys(excluded)) // an empty list, as older builds write it, and not null
+	slices.Sort(s.Excluded)
 	return s
 }
 
--- a/internal/handover/record_test.go
+++ b/internal/handover/record_test.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// TestEmptyRecord guards against a file without exclusions whose list is null, which older builds never write.
+func TestEmptyRecord(t *testing.T) {
+	path := Path(t.TempDir(), "n0")
+	r := openShared(t, path)
+	for _, excluded := range []bool{true, false} {
+		if err := r.Update(Changes{"s-00000001": excluded}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if text, err := os.ReadFile(path); err != nil || string(text) != `{"excluded":[],"revision":2}` {
+		t.Errorf("got %s, %v", text, err)
+	}
+}
+
 // TestRecordReplacesWhatCannotBeRead guards against a file that is removed or corrupt while a process runs, so that the next one
 // would find no exclusions.
 func TestRecordReplacesWhatCannotBeRead(t *testing.T) {
