Give each process of the stand-ins a folder of its own for what it passes on

The soak and a test of the fleet started gateways of the same name with the machine's own temporary folder, so that runs beside each other would now share exclusions. Drills set the folder themselves; that code is gone. Soak, drill and stand-in tests pass.

--- a/internal/drill/open.go
+++ b/internal/drill/open.go
@@ -154,7 +154,6 @@
 	g.Listen = standin.OwnAddr()
 	g.Path = c.Program
 	g.Args = []string{"--log-level", c.logLevel(), "--limits", g.File("limits.toml"), "--operations", g.File("operations.toml"), "serve"}
-	g.Env = []string{"TMPDIR=" + g.Dir}
 	g.OnLogLine = func(line string) {
 		c.fleetLog.readLine(g, line)
 		c.traces.add(g.name, line)
--- a/internal/drill/rest.go
+++ b/internal/drill/rest.go
@@ -163,7 +163,6 @@
 	name := fmt.Sprintf("g%d", i)
 	p := &standin.Process{Name: name, Dir: filepath.Join(r.Dir, name), Listen: standin.OwnAddr(), Path: r.Program}
 	p.Args = []string{"--limits", p.File("limits.toml"), "--operations", p.File("operations.toml"), "serve"}
-	p.Env = []string{"TMPDIR=" + p.Dir}
 	p.OnLogLine = func(line string) { r.observeLine(name, line) }
 	config, err := standin.Config{
 		Name:      name,
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -56,7 +56,9 @@
 // Spawn starts an incarnation without waiting until it listens.
 func (p *Process) Spawn() (*Program, error) {
 	cmd := exec.Command(p.Path, p.Args...)
-	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+p.File("config.json")), p.Env...)
+	// As on the platform, the incarnations of a process share a folder for what they pass on, and no other process has it.
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.File("config.json"), "TMPDIR="+p.Dir)
+	cmd.Env = append(cmd.Env, p.Env...)
 	program, err := Start(cmd, p.OnLogLine)
 	if err != nil {
 		return nil, err
