Never overwrite a file of exclusions that could not be read

Callers saw (found by reading the code again, not reported): a process that could not open the file just when it was called, as with no descriptor free, replaced it by what it knew itself; what another process had just been told was lost.

Cause: any error of reading counted as a corrupt file, which is replaced. Now only a file that was read and can't be decoded is; else the write fails, and is repeated or answered NO.

TestUpdateNeedsToReadTheRecord got no error before, and the other's change was gone; it passes after, under the race detector too.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -34,6 +34,9 @@
 // ErrNone is returned by Load if there is no handover file.
 var ErrNone = errors.New("handover: no state was left")
 
+// ErrCorrupt is returned if the handover file was read and can't be used.
+var ErrCorrupt = errors.New("handover: corrupt file")
+
 // Path returns the path of a gateway's handover file in the folder. It uses only the last element of name, so that the file is
 // never outside the folder.
 func Path(dir, name string) string {
@@ -62,7 +65,7 @@
 	}
 	s, err := decode(content)
 	if err != nil {
-		return State{}, fmt.Errorf("handover: %s: %w", path, err)
+		return State{}, fmt.Errorf("%w %s: %w", ErrCorrupt, path, err)
 	}
 	return s, nil
 }
@@ -81,7 +84,7 @@
 		return nil, err
 	}
 	if len(content) > maxSize {
-		return nil, fmt.Errorf("handover: %s is over %d bytes", path, maxSize)
+		return nil, fmt.Errorf("%w %s: over %d bytes", ErrCorrupt, path, maxSize)
 	}
 	return content, nil
 }
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -38,9 +38,11 @@
 // and with another error if the file can't be read or is corrupt. The known state then stays.
 func (r *Record) Read() (changed bool, err error) {
 	content, err := readContent(r.path)
+	if errors.Is(err, ErrNone) || errors.Is(err, ErrCorrupt) {
+		r.stale = len(r.state.Excluded) > 0
+	}
 	if err != nil {
 		r.seen = nil
-		r.stale = len(r.state.Excluded) > 0
 		return false, err
 	}
 	return r.absorbContent(content)
@@ -55,7 +57,7 @@
 	if err != nil {
 		r.seen = nil
 		r.stale = len(r.state.Excluded) > 0
-		return false, fmt.Errorf("handover: %s: %w", r.path, err)
+		return false, fmt.Errorf("%w %s: %w", ErrCorrupt, r.path, err)
 	}
 	r.seen = content
 	r.state = absorb(r.state, found)
@@ -64,7 +66,7 @@
 }
 
 // Update applies changes to the shared state. When it returns without an error, the file holds them. It reads the file first, so
-// that the changes of other processes are kept.
+// that the changes of other processes are kept, and fails if the file can't be read; a corrupt file is replaced.
 func (r *Record) Update(changes Changes) error {
 	unlock, err := r.locks.lockRecord()
 	if err != nil {
@@ -72,8 +74,12 @@
 	}
 	defer unlock()
 	for range maxWriteAttempts {
-		if _, err := r.Read(); err != nil && !errors.Is(err, ErrNone) {
-			r.stale = true // a file that can't be used is replaced
+		_, err := r.Read()
+		switch {
+		case errors.Is(err, ErrCorrupt):
+			r.stale = true // the file is replaced
+		case err != nil && !errors.Is(err, ErrNone):
+			return err // the file may hold changes of other processes
 		}
 		next := r.state.with(changes)
 		if !r.stale && slices.Equal(next.Excluded, r.state.Excluded) {
--- a/internal/handover/record_test.go
+++ b/internal/handover/record_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// TestUpdateNeedsToReadTheRecord guards against a file that is overwritten, with the changes of other processes in it, because it
+// could not be read for a moment, as when no descriptor is free. A link to itself can't be opened, but can be replaced.
+func TestUpdateNeedsToReadTheRecord(t *testing.T) {
+	path := Path(t.TempDir(), "n0")
+	r, other := openShared(t, path), openShared(t, path)
+	if err := r.Update(Changes{"s-00000001": true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := other.Update(Changes{"s-00000002": true}); err != nil {
+		t.Fatal(err)
+	}
+	os.Rename(path, path+".kept")
+	os.Symlink(path, path)
+	if err := r.Update(Changes{"s-00000003": true}); err == nil || r.Stale() {
+		t.Errorf("got error %v, stale %v; expected an error, and nothing to write", err, r.Stale())
+	}
+	os.Rename(path+".kept", path)
+	if err := r.Update(Changes{"s-00000003": true}); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.State().Excluded; len(got) != 3 {
+		t.Errorf("got %v, expected all three servers", got)
+	}
+}
+
 // TestGoldenSharedRecord freezes the form of a file that a process of this build writes. A process of an older build reads the
 // exclusions and skips the other keys.
 func TestGoldenSharedRecord(t *testing.T) {
