Review: bookings run twice when a planner behind a forwarder goes on after a stop

A planner that has stopped answering for some seconds reads, when it goes on, the bookings that the forwarder had given up, and sends some of them to servers, more than 3 s after the clients' second tries under the same keys ran.

--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -23,9 +23,10 @@
 // servers are booking servers that answer each command with a short reference to the booking, whatever the length of its body.
 type servers struct {
 	listeners []*standin.Listener
-	service   func(id string) time.Duration // time until the answer
-	value     func(id string) string        // value of the answer; nil for a short reference
-	resets    func(id string) bool          // whether the connection is reset then, once for each command
+	service   func(id string) time.Duration                 // time until the answer
+	onCommand func(server int, args []string, at time.Time) // called for each command; may be nil
+	value     func(id string) string                        // value of the answer; nil for a short reference
+	resets    func(id string) bool                          // whether the connection is reset then, once for each command
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -57,8 +58,12 @@
 			fmt.Fprint(conn, "-SYNTAX\r\n")
 			continue
 		}
+		at := time.Now()
+		if all.onCommand != nil {
+			all.onCommand(number, args, at)
+		}
 		all.mu.Lock()
-		all.arrivals = append(all.arrivals, arrival{number, args[2], args[3], time.Now()})
+		all.arrivals = append(all.arrivals, arrival{number, args[2], args[3], at})
 		all.attempts[args[2]]++
 		reset := all.resets != nil && all.resets(args[2]) && all.attempts[args[2]] == 1
 		all.mu.Unlock()
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -20,11 +19,12 @@
 	discovery *standin.Discovery
 	counter   *standin.Counter
 	ids       []string // ids of the servers
+	classes   []standin.Class
 }
 
 // openWorld starts n servers that are listed under ids of discovery's usual form.
 func (s *scene) openWorld(n int, service func(id string) time.Duration) (*world, error) {
-	w := &world{scene: s}
+	w := &world{scene: s, classes: classes()}
 	var err error
 	if w.servers, err = s.openServers(n, service); err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 func (w *world) config(i, n int) standin.Config {
 	return standin.Config{Name: fmt.Sprintf("n%d", i), Listen: freeAddr(), Admin: freeAddr(), Discovery: w.discovery.Addr(),
 		Counter: w.counter.Addr(), Seed: uint64(1000 + i), Instances: n, Number: i, Zones: []string{"hall-a"}, Plans: plans(),
-		Classes: classes()}
+		Classes: w.classes}
 }
 
 // usualTraffic sends about 50 queries a second of ever new customers on 10 connections until stop is closed. It returns a function that
@@ -79,8 +79,8 @@
 					return
 				case <-time.After(150 * time.Millisecond):
 				}
-				a, err := ask(addr, 5*time.Second, "SVC.QUERY", fmt.Sprintf("%016x", 1<<24+i<<16+n), fmt.Sprintf("%016x", 1<<40+i<<20+n),
-					"c=space-query,t=basic,d=4000,units=1,spread=1,first=0")
+				a, err := ask(addr, 2*time.Second, "SVC.QUERY", fmt.Sprintf("%016x", 1<<24+i<<16+n), fmt.Sprintf("%016x", 1<<40+i<<20+n),
+					"c=space-query,t=basic,d=2000,units=1,spread=1,first=0")
 				mu.Lock()
 				if err != nil {
 					lost++
@@ -96,27 +96,6 @@
 	}
 }
 
-// blackHole listens at an address and answers nothing, as a machine that has vanished: new connections never come up.
-func (s *scene) blackHole(addr string) error {
-	a, err := net.ResolveTCPAddr("tcp", addr)
-	if err != nil {
-		return err
-	}
-	l, err := listenWithoutBacklog(a)
-	if err != nil {
-		return err
-	}
-	s.later(func() { l.Close() })
-	for range 16 { // fill the queue of connections
-		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
-		if err != nil {
-			return nil
-		}
-		s.later(func() { c.Close() })
-	}
-	return fmt.Errorf("the queue of %s does not fill", addr)
-}
-
 // limitsFile writes a limits file and returns its path.
 func (s *scene) limitsFile(name, text string) (string, error) {
 	path := filepath.Join(s.temp, name+".toml")
