--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -96,6 +97,27 @@
 	}
 }
 
+// blackHole listens at an address and answers nothing, as a machine that has vanished: new connections never come up.
+func (s *scene) blackHole(addr string) error {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return err
+	}
+	l, err := listenWithoutBacklog(a)
+	if err != nil {
+		return err
+	}
+	s.later(func() { l.Close() })
+	for range 16 { // fill the queue of connections
+		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		if err != nil {
+			return nil
+		}
+		s.later(func() { c.Close() })
+	}
+	return fmt.Errorf("the queue of %s does not fill", addr)
+}
+
 // limitsFile writes a limits file and returns its path.
 func (s *scene) limitsFile(name, text string) (string, error) {
 	path := filepath.Join(s.temp, name+".toml")
