--- a/review/standins-2/case_midcommand.go
+++ b/review/standins-2/case_midcommand.go
@@ -38,11 +38,14 @@
 	halfWritten := make(chan struct{}, slowClients)
 	for i := range slowClients {
 		running.Go(func() {
-			outcome := s.slowClient(g.config.Listen, i, halfWritten)
-			s.note("slow client %d: %s", i, outcome)
+			outcome, fault := s.slowClient(g.config.Listen, i, halfWritten)
 			mu.Lock()
 			defer mu.Unlock()
+			if fault != nil {
+				err = fault
+			}
 			if outcome != "" {
+				s.note("slow client %d: %s", i, outcome)
 				v.add("slow client %d: %s", i, outcome)
 			}
 		})
@@ -65,11 +68,12 @@
 		defer crowd.Wait()
 	}
 	running.Wait()
-	return v, nil
+	return v, err
 }
 
-// slowClient sends a query, rests, and writes a second one in two halves. It returns what is wrong with the second one's answer.
-func (s *scene) slowClient(addr string, i int, halfWritten chan<- struct{}) string {
+// slowClient sends a query, rests, and writes a second one in two halves. It returns what is wrong if all of that was written and has no
+// answer, and an error if the client did not come so far.
+func (s *scene) slowClient(addr string, i int, halfWritten chan<- struct{}) (string, error) {
 	signalled := false
 	signal := func() {
 		if !signalled {
@@ -80,7 +84,7 @@
 	defer signal()
 	c, err := standin.Dial(addr, time.Second)
 	if err != nil {
-		return err.Error()
+		return "", err
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(20 * time.Second))
@@ -90,23 +94,26 @@
 	}
 	c.Write(query(0))
 	if a, err := c.Reply(); err != nil || a.Kind != '$' {
-		return fmt.Sprintf("the first query was answered %q, %v", a.Text, err)
+		return "", fmt.Errorf("the first query of client %d was answered %q, %w", i, a.Text, err)
 	}
 	time.Sleep(slowRest)
 	command := query(1)
 	half := len(command) / 2
 	if _, err := c.Write(command[:half]); err != nil {
-		return "the first half: " + err.Error()
+		return "", fmt.Errorf("the first half of client %d: %w", i, err)
 	}
 	s.note("slow client %d has written half of its second command", i)
 	signal()
 	time.Sleep(slowPause)
 	_, err = c.Write(command[half:])
 	s.note("slow client %d has written the rest: %v", i, err)
+	if err != nil {
+		return "", nil // not written whole
+	}
 	a, err := c.Reply()
 	if err != nil {
-		return "no answer to a request that was written whole: " + err.Error()
+		return "no answer to a request that was written whole: " + err.Error(), nil
 	}
 	s.note("slow client %d got %c%s", i, a.Kind, a.Text)
-	return ""
+	return "", nil
 }
