Log and count connections that the gateway ends while their client is owed something

The log and the metrics named only the reason (and the log only for clients at fault), so they could not tell an end between two commands from one within a command, or within an answer that the client's system did not have yet.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"dewhitch/internal/sockets"
 )
 
 // CloseReason is the reason for which a client connection was closed.
@@ -37,6 +39,9 @@
 type Monitor interface {
 	// ConnectionClosed reports that a connection was closed; reason is the name of a CloseReason.
 	ConnectionClosed(reason string)
+	// ConnectionEndedOwed reports that the gateway closed a connection within a command, or before the client's system had received the
+	// answers; reason is the name of a CloseReason.
+	ConnectionEndedOwed(reason string)
 	// ConnectionsOverdue reports that n connections are open after the time limit of a drain or after the time by which a gateway that shuts
 	// down closes them.
 	ConnectionsOverdue(n int)
@@ -53,6 +58,21 @@
 	}
 }
 
+// recordCommandBegun records that the gateway ends the session within a command, without an answer to it.
+func (s *session) recordCommandBegun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owedAtEnd.commandBegun = true
+}
+
+// recordUndelivered records how much of the answers the client's system has not received when the connection is closed.
+func (s *session) recordUndelivered() {
+	unsent := sockets.Unsent(s.conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owedAtEnd.undelivered = unsent
+}
+
 // status describes a session in the log.
 type status struct {
 	ID             uint64 `json:"id"`
@@ -81,7 +101,16 @@
 	commands := s.commandsRead
 	faults := s.faultyCommands
 	forMemory := s.shedForMemory
+	owed := s.owedAtEnd
 	s.mu.Unlock()
+	if reason != ClosedByClient && !owed.none() {
+		srv.Log.Info("a client connection ended while its client was owed something", zap.Uint64("session", s.id),
+			zap.Stringer("reason", reason), zap.Stringer("remote", s.conn.RemoteAddr()), zap.Int("commands", commands),
+			zap.Bool("command_begun", owed.commandBegun), zap.Int("undelivered", owed.undelivered))
+		if srv.Monitor != nil {
+			srv.Monitor.ConnectionEndedOwed(reason.String())
+		}
+	}
 	if srv.Monitor != nil {
 		srv.Monitor.ConnectionClosed(reason.String())
 	}
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -22,6 +22,8 @@
 	m.byReason[reason]++
 }
 
+func (m *closeCounts) ConnectionEndedOwed(string) {}
+
 func (m *closeCounts) ConnectionsOverdue(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -53,6 +53,9 @@
 	}
 	c, err := r.ReadCommand()
 	err = s.finishCommandRead(err)
+	if errors.Is(err, errNoMoreCommands) {
+		s.recordCommandBegun()
+	}
 	if err != nil && !errors.Is(err, errCommandTimeout) && !errors.Is(err, errNoMemory) && !errors.Is(err, resp.ErrProtocol) {
 		s.endReading(err)
 		return false
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -75,6 +75,7 @@
 	closeReasonSet  bool        // closeReason is valid
 	shedForMemory   bool        // the session was closed because others waited for the memory that it held
 	closeReason     CloseReason
+	owedAtEnd       obligation // what the client was still owed when the gateway ended the connection
 }
 
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
@@ -104,6 +105,7 @@
 	s.read()
 	s.awaitAnswers()
 	s.discard()
+	s.recordUndelivered()
 	s.abandon()
 	writer.Wait()
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -52,6 +52,7 @@
 	requestsEnded      [ledger.EventCount]prometheus.Counter // ended requests by event; nil for events outside the planner's journal
 	retries            [dw.OutcomeCount]prometheus.Counter   // retries by the outcome of the previous attempt
 	connectionsClosed  *prometheus.CounterVec                // closed client connections, by reason
+	connectionsOwed    *prometheus.CounterVec                // client connections that ended while something was owed, by reason
 	connectionsOverdue prometheus.Counter                    // client connections open after the deadline for closing them
 }
 
@@ -80,6 +81,8 @@
 		m.retries[o] = retries.WithLabelValues(dw.Outcome(o).String())
 	}
 	m.connectionsClosed = m.counter("connections_closed_total", "Client connections that ended, by reason.", "reason")
+	m.connectionsOwed = m.counter("connections_ended_owed_total",
+		"Client connections that the gateway ended within a command or before all answers were delivered, by reason.", "reason")
 	m.connectionsOverdue = m.counter("connections_overdue_total", "Client connections held past the time of a drain or an ending.").WithLabelValues()
 	return m
 }
@@ -140,6 +143,12 @@
 // ConnectionClosed counts a client connection that was closed. The reason is one of a fixed set.
 func (m *Metrics) ConnectionClosed(reason string) { m.connectionsClosed.WithLabelValues(reason).Inc() }
 
+// ConnectionEndedOwed counts a client connection that the gateway ended within a command, or before the client's system had received
+// all answers. The reason is one of a fixed set.
+func (m *Metrics) ConnectionEndedOwed(reason string) {
+	m.connectionsOwed.WithLabelValues(reason).Inc()
+}
+
 // ConnectionsOverdue counts n client connections that are open after the deadline for closing them, in a drain or a shutdown.
 func (m *Metrics) ConnectionsOverdue(n int) { m.connectionsOverdue.Add(float64(n)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -29,6 +29,7 @@
 	m.Answered(ledger.FrontTaken) // not an event of the planner
 	m.Retried(dw.OutcomeNotSent)
 	m.ConnectionClosed("drained")
+	m.ConnectionEndedOwed("evicted")
 	m.ConnectionsOverdue(2)
 	var got map[string]int64
 	if err := json.Unmarshal(append(m.AppendFields([]byte(`{"a":1`)), '}'), &got); err != nil {
