Refuse the command of a client that is evicted while it writes, and evict others first

Cause: evictLongestIdle ranked sessions by the time since their last answer alone, so that a client in the middle of a command was the longest idle of all. The evicted session took the command as not read, shut its sending side, and discarded the rest.

Change: chooseEvictions decides by rank. Silent connections go first, and one that was served is evicted within a command only if no other session can be. A command that the gateway does not read to its end is refused with -BUSY, whatever ends the session, and so are commands that were read together with an invalid one and wait behind its pause. In a crowd the place of a session that discards input is free once its client's system has received the last answer; it was after 50 ms whether it had or not.

Why it works: the client's system accepts the rest of the command; with the refusal in front of the end of the stream, the client always has an answer. A client that stalls is evicted as before.

Six tests expected silence after half a command (TestIncompleteCommandAtTheEnd, TestConnectionsAcceptedDuringADrain, TestDrainClosesAllConnections, TestDrainEndsWithinACommand, TestDrainEndsNewConnections, TestBadInputDuringADrain). That is the fault: a client that then completes the command has it lost. They expect exactly the refusal now, with the same times.

--- a/cmd/dewhitch/drain_calls_test.go
+++ b/cmd/dewhitch/drain_calls_test.go
@@ -165,7 +165,7 @@
 		"*99\r\n":                              "-ERR protocol error: length 99, 16 at most\r\n",
 		"*1\r\n$4\r\nNONE\r\n":                 "-ERR unknown command \"NONE\"\r\n",
 		"*2\r\n$9\r\nSVC.QUERY\r\n$1\r\nx\r\n": "-ERR wrong number of arguments\r\n",
-		"*1\r\n$4\r\nPING\r\n*1\r\n$":          "-ERR draining\r\n",
+		"*1\r\n$4\r\nPING\r\n*1\r\n$":          "-ERR draining\r\n-BUSY\r\n",
 		"\r\n":                                 "-ERR protocol error: a command is an array\r\n",
 	} {
 		c := env.dial()
--- a/cmd/dewhitch/drain_test.go
+++ b/cmd/dewhitch/drain_test.go
@@ -75,13 +75,19 @@
 
 // expectClosedBy fails the test unless the gateway closes the connection by the deadline without writing to it.
 func (c *peerConn) expectClosedBy(t *testing.T, deadline time.Time) {
+	t.Helper()
+	c.expectLastAnswerBy(t, deadline, "")
+}
+
+// expectLastAnswerBy fails the test unless the gateway closes the connection by the deadline after it has written last and nothing else.
+func (c *peerConn) expectLastAnswerBy(t *testing.T, deadline time.Time, last string) {
 	t.Helper()
 	c.SetReadDeadline(deadline)
 	rest, err := io.ReadAll(c.r)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("the connection is still open %v after the start of the drain", drainTimeLimit)
-	} else if err != nil && !strings.Contains(err.Error(), "reset") || len(rest) > 0 {
-		t.Errorf("got %q and %v, expected the connection to end without data", rest, err)
+	} else if err != nil && !strings.Contains(err.Error(), "reset") || string(rest) != last {
+		t.Errorf("got %q and %v, expected %q and the end of the connection", rest, err, last)
 	}
 }
 
@@ -130,7 +136,7 @@
 }
 
 // TestDrainEndsWithinACommand guards against connections that stay open beyond the time limit because a command is incomplete: the
-// client stops in the middle of it, or goes on byte by byte.
+// client stops in the middle of it, or goes on byte by byte. The command is refused, as its client could complete it at any time.
 func TestDrainEndsWithinACommand(t *testing.T) {
 	t.Parallel()
 	for name, interval := range map[string]time.Duration{"left": time.Hour, "trickled": 50 * time.Millisecond} {
@@ -155,7 +161,7 @@
 					}
 				}
 			}()
-			c.expectClosedBy(t, drainedAt.Add(drainTimeLimit))
+			c.expectLastAnswerBy(t, drainedAt.Add(drainTimeLimit), "-BUSY\r\n")
 		})
 	}
 }
@@ -180,7 +186,7 @@
 }
 
 // TestDrainEndsNewConnections guards against connections that stay open beyond the time limit because they were opened after the
-// start of the drain: one sends nothing, the other half a command.
+// start of the drain: one sends nothing, the other half a command, which is refused.
 func TestDrainEndsNewConnections(t *testing.T) {
 	t.Parallel()
 	env := newEnvironment(t)
@@ -189,7 +195,7 @@
 	silent, half := env.dial(), env.dial()
 	half.Write([]byte("*1\r\n$4\r\nPI"))
 	silent.expectClosedBy(t, drainedAt.Add(drainTimeLimit))
-	half.expectClosedBy(t, drainedAt.Add(drainTimeLimit))
+	half.expectLastAnswerBy(t, drainedAt.Add(drainTimeLimit), "-BUSY\r\n")
 }
 
 // TestDrainRejectsLateRequests guards against requests on new connections that are sent to a server late in a drain. After the
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -42,6 +42,8 @@
 	// ConnectionEndedOwed reports that the gateway closed a connection within a command, or before the client's system had received the
 	// answers; reason is the name of a CloseReason.
 	ConnectionEndedOwed(reason string)
+	// CommandsRefused reports that n commands were refused because the gateway ended their connection; reason is the name of a CloseReason.
+	CommandsRefused(reason string, n int)
 	// ConnectionsOverdue reports that n connections are open after the time limit of a drain or after the time by which a gateway that shuts
 	// down closes them.
 	ConnectionsOverdue(n int)
@@ -58,18 +60,12 @@
 	}
 }
 
-// recordCommandBegun records that the gateway ends the session within a command, without an answer to it.
-func (s *session) recordCommandBegun() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.owedAtEnd.commandBegun = true
-}
-
-// recordUndelivered records how much of the answers the client's system has not received when the connection is closed.
-func (s *session) recordUndelivered() {
+// recordOwed records what the client is still owed when the connection is closed.
+func (s *session) recordOwed() {
 	unsent := sockets.Unsent(s.conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.owedAtEnd = s.obligation()
 	s.owedAtEnd.undelivered = unsent
 }
 
@@ -102,14 +98,13 @@
 	faults := s.faultyCommands
 	forMemory := s.shedForMemory
 	owed := s.owedAtEnd
+	refused := s.refusedCommands
 	s.mu.Unlock()
+	if refused > 0 {
+		srv.reportRefused(s, reason, refused)
+	}
 	if reason != ClosedByClient && !owed.none() {
-		srv.Log.Info("a client connection ended while its client was owed something", zap.Uint64("session", s.id),
-			zap.Stringer("reason", reason), zap.Stringer("remote", s.conn.RemoteAddr()), zap.Int("commands", commands),
-			zap.Bool("command_begun", owed.commandBegun), zap.Int("undelivered", owed.undelivered))
-		if srv.Monitor != nil {
-			srv.Monitor.ConnectionEndedOwed(reason.String())
-		}
+		srv.reportOwed(s, reason, owed)
 	}
 	if srv.Monitor != nil {
 		srv.Monitor.ConnectionClosed(reason.String())
@@ -121,6 +116,25 @@
 	}
 }
 
+// reportRefused reports that commands were refused because the gateway ended their connection.
+func (srv *Server) reportRefused(s *session, reason CloseReason, refused int) {
+	srv.Log.Info("commands were refused as their connection ended", zap.Uint64("session", s.id), zap.Stringer("reason", reason),
+		zap.Stringer("remote", s.conn.RemoteAddr()), zap.Int("refused", refused))
+	if srv.Monitor != nil {
+		srv.Monitor.CommandsRefused(reason.String(), refused)
+	}
+}
+
+// reportOwed reports that the gateway closed a connection although its client was owed something.
+func (srv *Server) reportOwed(s *session, reason CloseReason, owed obligation) {
+	srv.Log.Info("a client connection ended while its client was owed something", zap.Uint64("session", s.id),
+		zap.Stringer("reason", reason), zap.Stringer("remote", s.conn.RemoteAddr()), zap.Bool("command_begun", owed.commandBegun),
+		zap.Bool("answer_pending", owed.answerPending), zap.Int("undelivered", owed.undelivered))
+	if srv.Monitor != nil {
+		srv.Monitor.ConnectionEndedOwed(reason.String())
+	}
+}
+
 // maxOverdueLogged is the maximum number of sessions that one log line describes.
 const maxOverdueLogged = 8
 
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -24,6 +24,8 @@
 
 func (m *closeCounts) ConnectionEndedOwed(string) {}
 
+func (m *closeCounts) CommandsRefused(string, int) {}
+
 func (m *closeCounts) ConnectionsOverdue(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/front/command_memory.go
+++ b/internal/front/command_memory.go
@@ -21,6 +21,9 @@
 // reserveArgument acquires the memory of the next argument of the command that is being read, if the command is large. It waits if there
 // is none: nothing is read from the client meanwhile.
 func (s *session) reserveArgument(length int) error {
+	if s.refusing { // no more than the read buffer holds is read
+		return nil
+	}
 	s.command.read += length
 	missing := int64(s.command.read) - s.command.acquired
 	if s.command.read <= minLargeCommand || missing <= 0 {
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// TestIncompleteCommandAtTheEnd checks that an incomplete command gets no answer when the session ends, and that earlier commands do.
+// TestIncompleteCommandAtTheEnd guards against a client that writes the rest of its command to a session that has ended, and never gets
+// an answer: an incomplete command is refused when the session ends, after the answers to earlier commands.
 func TestIncompleteCommandAtTheEnd(t *testing.T) {
 	for name, end := range map[string]func(*session){"for room": (*session).evict, "at the end": (*session).stop} {
 		t.Run(name, func(t *testing.T) {
@@ -191,6 +192,10 @@
 				return s.commandsRead == 1 && !s.commandDeadline.IsZero()
 			})
 			end(s)
+			if line, err := r.ReadString('\n'); line != "-BUSY\r\n" {
+				t.Fatalf("got answer %q, error %v, expected a refusal", line, err)
+			}
+			c.Write([]byte(ping[9:])) // the rest of the command does not reset the connection
 			if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
 				t.Errorf("got %q, error %v, expected the end of the stream", rest, err)
 			}
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -11,10 +12,12 @@
 	evictableAfter   = 250 * time.Millisecond // minimum idle time before an eviction; an active client sends its next command sooner, or reconnects
 )
 
-// evictable is an idle session with the time since which it has been idle.
+// evictable is a session without pending answers.
 type evictable struct {
 	session   *session
 	idleSince time.Time
+	owed      obligation
+	served    bool // it has sent a valid command, or has had no time for one yet
 }
 
 // evictIdle evicts idle sessions above MaxIdleSessions after each evictionInterval, until the context ends. A platform limits the
@@ -47,7 +50,7 @@
 		}
 		used++
 		if waiting && time.Since(since) >= evictableAfter {
-			idle = append(idle, evictable{s, since})
+			idle = append(idle, evictable{session: s, idleSince: since})
 		}
 	}
 	srv.mu.Unlock()
@@ -60,44 +63,78 @@
 }
 
 const (
-	maxEvictedAtOnce          = 8                     // sessions without a valid command that evictLongestIdle evicts at a time
-	protectedEvictionInterval = 50 * time.Millisecond // minimum time from an eviction to that of a protected session; evicted ones may still be ending
+	maxEvictedAtOnce       = 8                     // sessions that were never served that are evicted at a time
+	servedEvictionInterval = 50 * time.Millisecond // minimum time from an eviction to that of a session that was served; evicted ones may still be ending
 )
 
-// evictLongestIdle frees places for new sessions. It closes those that only discard input, if there are any. Otherwise it evicts a few of
-// those that have been idle longest without having sent a valid command, as connections that send nothing must not displace clients
-// that are served. If there are none, and none has just been evicted, it evicts the one session that has been idle longest. A session that has been idle for less than firstCommandTime
-// has had no time for a command, and is protected like one that has sent a valid command.
+// evictionRank is the order in which sessions are evicted for new ones, the lowest rank first: connections that send nothing must not
+// displace clients that are served, and no client that was served is evicted within a command while another one can be.
+type evictionRank int
+
+// The ranks, in their order.
+const (
+	rankSilent          evictionRank = iota // was never served, and waits for a command
+	rankSilentInCommand                     // was never served, and is in the middle of a command
+	rankServed                              // was served, and waits for a command
+	rankServedInCommand                     // was served, and is in the middle of a command
+)
+
+// rank returns the rank of an idle session.
+func (e evictable) rank() evictionRank {
+	switch {
+	case e.served && e.owed.commandBegun:
+		return rankServedInCommand
+	case e.served:
+		return rankServed
+	case e.owed.commandBegun:
+		return rankSilentInCommand
+	}
+	return rankSilent
+}
+
+// chooseEvictions returns which of the idle sessions are evicted for a new one, a given time after the last eviction: of the lowest rank
+// that there is, those that have been idle longest. It changes the order of idle.
+func chooseEvictions(idle []evictable, sinceLast time.Duration) []evictable {
+	slices.SortFunc(idle, func(a, b evictable) int {
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.idleSince.Compare(b.idleSince))
+	})
+	if len(idle) == 0 {
+		return nil
+	}
+	lowest := idle[0].rank()
+	end := slices.IndexFunc(idle, func(e evictable) bool { return e.rank() > lowest })
+	if end >= 0 {
+		idle = idle[:end]
+	}
+	switch {
+	case lowest < rankServed:
+		return idle[:min(maxEvictedAtOnce, len(idle))]
+	case sinceLast < servedEvictionInterval:
+		return nil
+	}
+	return idle[:1]
+}
+
+// evictLongestIdle frees places for new sessions. It closes those that only discard input, if there are any, and otherwise evicts idle
+// ones.
 func (srv *Server) evictLongestIdle() {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	if srv.endDiscarding() {
 		return
 	}
-	var useless, protected []evictable
-	for s := range srv.sessions {
-		since, sentValidCommand, idle := s.idle()
-		switch {
-		case !idle:
-		case sentValidCommand || time.Since(since) < firstCommandTime:
-			protected = append(protected, evictable{s, since})
-		default:
-			useless = append(useless, evictable{s, since})
-		}
-	}
-	candidates, n := useless, maxEvictedAtOnce
 	now := time.Now()
-	if len(useless) == 0 {
-		if now.Sub(srv.lastEvictionAt) < protectedEvictionInterval {
-			return
+	var idle []evictable
+	for s := range srv.sessions {
+		if e, ok := s.evictable(now); ok {
+			idle = append(idle, e)
 		}
-		candidates, n = protected, 1
 	}
-	if len(candidates) > 0 {
+	chosen := chooseEvictions(idle, now.Sub(srv.lastEvictionAt))
+	if len(chosen) > 0 {
 		srv.lastEvictionAt = now
 	}
-	slices.SortFunc(candidates, func(a, b evictable) int { return a.idleSince.Compare(b.idleSince) })
-	for _, e := range candidates[:min(n, len(candidates))] {
+	for _, e := range chosen {
 		e.session.evict()
 	}
 }
--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,3 +126,106 @@
 		t.Error(err)
 	}
 }
+
+// TestEvictionSparesClientsWithinACommand guards against a crowd of silent connections that evicts a client in the middle of a command,
+// although sessions that wait for a command can be evicted (review/10).
+func TestEvictionSparesClientsWithinACommand(t *testing.T) {
+	const places, crowd = 8, 40
+	ln := listen(t)
+	startServer(t, &Server{Listener: ln, MaxSessions: places})
+	c := dialClient(t, ln, ping)
+	expectOK(t, c)
+	time.Sleep(2 * firstCommandTime) // the client has been idle for longer than any of the crowd
+	c.Write([]byte(ping[:9]))
+	time.Sleep(evictionInterval)
+	for range crowd {
+		dialClient(t, ln, "")
+	}
+	time.Sleep(4 * firstCommandTime)
+	c.Write([]byte(ping[9:]))
+	expectOK(t, c)
+}
+
+// TestEvictedCommandIsRefused guards against a client that is evicted within a command, as all others are too, and gets no answer.
+func TestEvictedCommandIsRefused(t *testing.T) {
+	const places = 4
+	ln := listen(t)
+	startServer(t, &Server{Listener: ln, MaxSessions: places})
+	var writers []net.Conn
+	for range places {
+		c := dialClient(t, ln, ping)
+		expectOK(t, c)
+		c.Write([]byte(ping[:9]))
+		writers = append(writers, c)
+	}
+	time.Sleep(evictionInterval)
+	expectOK(t, dialClient(t, ln, ping))
+	refused := 0
+	for _, c := range writers {
+		c.Write([]byte(ping[9:]))
+		switch answer, err := bufio.NewReader(c).ReadString('\n'); answer {
+		case "-BUSY\r\n":
+			refused++
+		case "+OK\r\n":
+		default:
+			t.Errorf("got answer %q, error %v", answer, err)
+		}
+	}
+	if refused == 0 {
+		t.Error("no client was evicted, expected one at least")
+	}
+}
+
+// TestEvictionDuringAPenaltyAnswersBufferedCommands guards against commands that were read together with an invalid one, and got no
+// answer because their session was evicted during the pause after that.
+func TestEvictionDuringAPenaltyAnswersBufferedCommands(t *testing.T) {
+	commands := &rejectBadCommands{delayedCommands{answer: make(chan struct{})}}
+	defer close(commands.answer)
+	c, buffered, s := newSessionPair(t, commands, true)
+	c.Write([]byte("*1\r\n$3\r\nBAD\r\n" + ping + ping[:9]))
+	<-buffered.holding
+	close(buffered.release)
+	eventually(t, "the session does not pause", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.cancelWait != nil && s.hasNoPendingAnswers()
+	})
+	s.evict()
+	if got := readUntilClosed(t, c); got != "-ERR bad\r\n-BUSY\r\n-BUSY\r\n" {
+		t.Errorf("got %q, expected an error and two refusals", got)
+	}
+	if n := commands.started.Load(); n != 0 {
+		t.Errorf("%d refused commands were started", n)
+	}
+}
+
+// TestChooseEvictions checks the order of evictions, and how many sessions are evicted at once.
+func TestChooseEvictions(t *testing.T) {
+	now := time.Now()
+	session := func(age time.Duration, served, commandBegun bool) evictable {
+		return evictable{idleSince: now.Add(-age), served: served, owed: obligation{commandBegun: commandBegun}}
+	}
+	silent, incomplete := session(time.Second, false, false), session(time.Minute, false, true)
+	resting, writing := session(time.Hour, true, false), session(24*time.Hour, true, true)
+	oldest := session(2*time.Hour, true, false)
+	many := slices.Repeat([]evictable{silent}, maxEvictedAtOnce+1)
+	for name, c := range map[string]struct {
+		idle      []evictable
+		sinceLast time.Duration
+		want      []evictable
+	}{
+		"nobody":                 {nil, time.Hour, nil},
+		"silent first":           {[]evictable{writing, resting, incomplete, silent}, 0, []evictable{silent}},
+		"a few silent at once":   {many, 0, many[:maxEvictedAtOnce]},
+		"then incomplete":        {[]evictable{writing, resting, incomplete}, 0, []evictable{incomplete}},
+		"served, too soon":       {[]evictable{writing, resting}, servedEvictionInterval - 1, nil},
+		"the longest idle":       {[]evictable{writing, resting, oldest}, servedEvictionInterval, []evictable{oldest}},
+		"writing as last resort": {[]evictable{writing, writing}, servedEvictionInterval, []evictable{writing}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := chooseEvictions(slices.Clone(c.idle), c.sinceLast); !slices.Equal(got, c.want) {
+				t.Errorf("got %+v, expected %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -34,6 +34,7 @@
 // Errors after which no more commands are read. The text of errCommandTimeout is sent to clients and must not change.
 var (
 	errNoMoreCommands = errors.New("the session takes no more commands")
+	errCommandRefused = errors.New("the session ends within a command")
 	errCommandTimeout = errors.New("the command is not whole in time")
 )
 
@@ -45,6 +46,16 @@
 	}
 }
 
+// isAnswered reports whether a command that could not be read because of err gets an answer. The others ended with their connection.
+func isAnswered(err error) bool {
+	for _, answered := range []error{errCommandTimeout, errNoMemory, errCommandRefused, resp.ErrProtocol} {
+		if errors.Is(err, answered) {
+			return true
+		}
+	}
+	return false
+}
+
 // readCommand reads and starts one command. It returns false if no more commands are to be read.
 func (s *session) readCommand(r *resp.Reader) bool {
 	if err := s.awaitCommand(r); err != nil {
@@ -53,10 +64,7 @@
 	}
 	c, err := r.ReadCommand()
 	err = s.finishCommandRead(err)
-	if errors.Is(err, errNoMoreCommands) {
-		s.recordCommandBegun()
-	}
-	if err != nil && !errors.Is(err, errCommandTimeout) && !errors.Is(err, errNoMemory) && !errors.Is(err, resp.ErrProtocol) {
+	if err != nil && !isAnswered(err) {
 		s.endReading(err)
 		return false
 	}
@@ -73,11 +81,16 @@
 	}
 	faultsBefore := s.faultyCount()
 	s.commands.Do(s.lastReadAt, c, slot)
-	return s.mayContinue(faultsBefore)
+	return s.mayContinue(r, faultsBefore)
 }
 
 // endWithError answers an unreadable command with its error, and ends the session because the start of the next command is unknown.
 func (s *session) endWithError(slot *Slot, err error) {
+	if errors.Is(err, errCommandRefused) {
+		slot.refuse()
+		s.finish(s.refusalReason())
+		return
+	}
 	slot.Fill(resp.AppendError(nil, "ERR "+err.Error()))
 	switch {
 	case errors.Is(err, errCommandTimeout):
@@ -89,23 +102,53 @@
 	}
 }
 
-// finishCommandRead records that no command is being read any more. It returns err, except for an exceeded deadline: that becomes
-// errNoMoreCommands if the session ends, and otherwise errCommandTimeout.
+// refusalReason returns the close reason of a session that refuses the command that its client is writing.
+func (s *session) refusalReason() CloseReason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lifecycle.state != stateOpen {
+		return s.shutdownReason
+	}
+	return ClosedEvicted
+}
+
+// refuseBuffered refuses the commands that have been read from the connection and not carried out, because the session ends. The last
+// one may be incomplete.
+func (s *session) refuseBuffered(r *resp.Reader) {
+	s.refusing = true
+	for r.Buffered() > 0 {
+		_, err := r.ReadCommand()
+		s.finishCommandRead(err)
+		slot := s.openSlot()
+		if slot == nil {
+			return
+		}
+		slot.refuse()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// finishCommandRead records that no command is being read any more. It returns err, except if the session ends, or if the deadline of the
+// command is exceeded: that becomes errCommandRefused or errCommandTimeout.
 func (s *session) finishCommandRead(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.commandBegun = false
 	s.commandDeadline = time.Time{}
 	s.finishReadBy = time.Time{}
 	if err != nil {
 		s.takeCommandMemory().Release()
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
-	}
-	if s.evicted || s.lifecycle.state != stateOpen { // the command is not accepted, and its client sends it elsewhere
-		return errNoMoreCommands
+	ends := s.evicted || s.lifecycle.state != stateOpen
+	switch {
+	case errors.Is(err, errNoMoreCommands), errors.Is(err, os.ErrDeadlineExceeded) && ends:
+		return errCommandRefused
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errCommandTimeout
 	}
-	return errCommandTimeout
+	return err
 }
 
 // endReading ends a session after the last read, which failed with err. If the client closed the connection or the connection failed,
@@ -139,12 +182,12 @@
 
 // mayContinue reports whether another command may be read after one that was started. If the number of invalid commands has grown since
 // faultsBefore, it pauses first, or ends the session.
-func (s *session) mayContinue(faultsBefore int) bool {
+func (s *session) mayContinue(r *resp.Reader, faultsBefore int) bool {
 	s.mu.Lock()
 	faults := s.faultyCommands
 	closing := s.lifecycle.state >= stateClosing
 	s.mu.Unlock()
-	return !closing && (faults == faultsBefore || s.penalize(faults))
+	return !closing && (faults == faultsBefore || s.penalize(r, faults))
 }
 
 // awaitCommand waits for the first byte of a command. The wait is bounded, because idle clients must not take the places of others. It
@@ -173,6 +216,7 @@
 	if s.lifecycle.state >= stateClosing {
 		return errNoMoreCommands
 	}
+	s.commandBegun = true
 	s.commandDeadline = s.lifecycle.limitReadDeadline(time.Now().Add(commandTimeout))
 	s.evicted = false // the session is in use again; another one is evicted, or this one later
 	return nil
@@ -182,6 +226,9 @@
 // returns errNoMoreCommands, even within a command. It sets the deadline of each read within a command; beginWait sets the deadline
 // of a wait for a command.
 func (s *session) Read(b []byte) (int, error) {
+	if s.refusing {
+		return 0, errNoMoreCommands
+	}
 	s.mu.Lock()
 	now := time.Now()
 	mayRead := s.lifecycle.mayRead(now) || now.Before(s.finishReadBy)
@@ -260,8 +307,9 @@
 // penalize pauses after an invalid command, in proportion to the number of invalid commands so far, because a client that repeats
 // them at full speed would take the CPU time of all others. It returns false if there were too many, or if another client needs the
 // place meanwhile; this ends the session. A draining session does not pause: its time is short, and it reads little.
-func (s *session) penalize(faults int) bool {
+func (s *session) penalize(r *resp.Reader, faults int) bool {
 	if faults >= maxFaults {
+		s.refuseBuffered(r)
 		s.finish(ClosedFaults)
 		return false
 	}
@@ -276,6 +324,7 @@
 	evicted := s.evicted && s.hasNoPendingAnswers()
 	s.mu.Unlock()
 	if evicted {
+		s.refuseBuffered(r)
 		s.finish(ClosedEvicted)
 		return false
 	}
--- a/internal/front/server_drain_test.go
+++ b/internal/front/server_drain_test.go
@@ -93,7 +93,7 @@
 }
 
 // TestConnectionsAcceptedDuringADrain checks that each connection that is accepted during a drain is closed after its complete commands
-// are answered.
+// are answered, and an incomplete one is refused.
 func TestConnectionsAcceptedDuringADrain(t *testing.T) {
 	early := newDrainTimes(time.Now().Add(testTimeout)) // its time to read does not end during the test
 	for name, c := range map[string]struct {
@@ -102,10 +102,10 @@
 	}{
 		"silent":                  {early, "", ""},
 		"whole":                   {early, ping, "+taken\r\n"},
-		"half a command":          {newDrainTimes(time.Now()), ping[:9], ""},
+		"half a command":          {newDrainTimes(time.Now()), ping[:9], "-BUSY\r\n"},
 		"late and silent":         {drainPastReading(), "", ""},
 		"late and whole":          {drainPastReading(), ping, "-BUSY\r\n"},
-		"late and half a command": {drainPastReading(), ping[:9], ""},
+		"late and half a command": {drainPastReading(), ping[:9], "-BUSY\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -143,8 +143,8 @@
 	})
 	srv.Drain(true)
 	for i, c := range conns {
-		if got := readUntilClosed(t, c); i%3 == 1 && got != "+taken\r\n" || i%3 != 1 && got != "" {
-			t.Errorf("connection %d: got unexpected answers %q", i, got)
+		if got, want := readUntilClosed(t, c), []string{"", "+taken\r\n", "-BUSY\r\n"}[i%3]; got != want {
+			t.Errorf("connection %d: got %q, expected %q", i, got, want)
 		}
 	}
 	eventually(t, "some sessions did not end", func() bool {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"dewhitch/internal/resp"
+	"dewhitch/internal/sockets"
 )
 
 // Commands carries out the commands of a client session. If it implements io.Closer, it is closed when the session ends.
@@ -40,6 +41,7 @@
 	drainStarted chan struct{} // closed when the session starts to drain
 	acceptedAt   time.Time
 	lastReadAt   time.Time // time of the last bytes received; used by the reading goroutine alone
+	refusing     bool      // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
 
 	streams       streamReading // guarded by Bounds.mu
 	streamedBytes atomic.Int64  // bytes of streamed values that the client has read since it has been reading one
@@ -64,6 +66,7 @@
 	finishReadBy    time.Time // time until which a command that has waited for memory may be read even if no other may; zero if none
 	command         commandMemory
 	cancelWait      func() // ends a wait of the reading goroutine for something other than its client; nil if it does not wait
+	commandBegun    bool   // a part of a command was read, and the rest was not
 	awaitingCommand bool   // the reading goroutine waits for the first byte of a command
 	evicted         bool   // chosen for eviction: the session ends if no answer is pending
 	commandsRead    int    // number of commands read
@@ -76,6 +79,7 @@
 	shedForMemory   bool        // the session was closed because others waited for the memory that it held
 	closeReason     CloseReason
 	owedAtEnd       obligation // what the client was still owed when the gateway ended the connection
+	refusedCommands int        // number of commands that were refused because the gateway ended the connection
 }
 
 func newSession(conn net.Conn, c Commands, b *Bounds) *session {
@@ -105,7 +109,7 @@
 	s.read()
 	s.awaitAnswers()
 	s.discard()
-	s.recordUndelivered()
+	s.recordOwed()
 	s.abandon()
 	writer.Wait()
 }
@@ -179,23 +183,33 @@
 	s.mu.Unlock()
 }
 
-// idle returns lastPendingAt, whether the client has sent a valid command, and whether the session is open and has no pending answers.
-func (s *session) idle() (since time.Time, sentValidCommand, idle bool) {
+// evictable describes the session to an eviction at the time now. It returns false if the session is ending or has pending answers.
+func (s *session) evictable(now time.Time) (e evictable, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lastPendingAt, s.commandsRead > s.faultyCommands, s.hasNoPendingAnswers() && s.isOpen()
+	e = evictable{session: s, idleSince: s.lastPendingAt, owed: s.obligation()}
+	if !s.isOpen() || e.owed.answerPending {
+		return evictable{}, false
+	}
+	e.served = s.commandsRead > s.faultyCommands || now.Sub(s.lastPendingAt) < firstCommandTime
+	return e, true
 }
 
 // isOpen reports whether the session is neither ending nor evicted. The caller holds the lock.
 func (s *session) isOpen() bool { return s.lifecycle.state == stateOpen && !s.evicted }
 
+// obligation returns what the client is owed, without what its system has not received. The caller holds the lock.
+func (s *session) obligation() obligation {
+	return obligation{commandBegun: s.commandBegun, answerPending: !s.hasNoPendingAnswers()}
+}
+
 // hasNoPendingAnswers reports whether no answer remains to be given or written. The caller holds the lock.
 func (s *session) hasNoPendingAnswers() bool {
 	return len(s.slots) == 0 && len(s.unwritten) == 0 && s.unsentBytes == 0
 }
 
-// idleBetweenCommands is like idle, but reports true only for a session that waits for the next command. A client in the middle of a
-// command may send slowly and is not idle. For a session that is ending, both booleans are false.
+// idleBetweenCommands returns lastPendingAt, whether the client has sent a valid command, and whether the session waits for the next
+// command. A client in the middle of a command may send slowly and is not idle. For a session that is ending, both booleans are false.
 func (s *session) idleBetweenCommands() (since time.Time, sentValidCommand, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,8 +217,7 @@
 	return s.lastPendingAt, open && s.commandsRead > s.faultyCommands, open && s.hasNoPendingAnswers() && s.awaitingCommand
 }
 
-// evict makes an open session end if no answer is pending. A command that arrives at the same time is not accepted, and its client
-// sends it again.
+// evict makes an open session end if no answer is pending. A command that its client is writing is refused.
 func (s *session) evict() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,12 +234,12 @@
 	s.interruptRead()
 }
 
-// endDiscarding closes the connection if its input is only discarded and the client has had minDiscardTime to receive the last answer.
-// It reports whether it did.
+// endDiscarding closes the connection if its input is only discarded and the client's system has received the last answer. It reports
+// whether it did.
 func (s *session) endDiscarding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.discardingSince.IsZero() || time.Since(s.discardingSince) < minDiscardTime {
+	if s.discardingSince.IsZero() || sockets.Unsent(s.conn) > 0 {
 		return false
 	}
 	s.discardingSince = time.Time{} // only once
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -26,6 +26,7 @@
 	m.ListInterrupted("too_long")
 	m.ConnectionClosed("drained")
 	m.ConnectionEndedOwed("evicted")
+	m.CommandsRefused("evicted", 3)
 	m.ConnectionsOverdue(2)
 	for e := ledger.None + 1; e < ledger.EventCount; e++ {
 		m.Answered(e)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -53,6 +53,7 @@
 	retries            [dw.OutcomeCount]prometheus.Counter   // retries by the outcome of the previous attempt
 	connectionsClosed  *prometheus.CounterVec                // closed client connections, by reason
 	connectionsOwed    *prometheus.CounterVec                // client connections that ended while something was owed, by reason
+	commandsRefused    *prometheus.CounterVec                // commands that were refused as their connection ended, by reason
 	connectionsOverdue prometheus.Counter                    // client connections open after the deadline for closing them
 }
 
@@ -83,6 +84,8 @@
 	m.connectionsClosed = m.counter("connections_closed_total", "Client connections that ended, by reason.", "reason")
 	m.connectionsOwed = m.counter("connections_ended_owed_total",
 		"Client connections that the gateway ended within a command or before all answers were delivered, by reason.", "reason")
+	m.commandsRefused = m.counter("commands_refused_total",
+		"Commands that were refused because the gateway ended their connection, by reason.", "reason")
 	m.connectionsOverdue = m.counter("connections_overdue_total", "Client connections held past the time of a drain or an ending.").WithLabelValues()
 	return m
 }
@@ -149,6 +152,11 @@
 	m.connectionsOwed.WithLabelValues(reason).Inc()
 }
 
+// CommandsRefused counts n commands that were refused because the gateway ended their connection. The reason is one of a fixed set.
+func (m *Metrics) CommandsRefused(reason string, n int) {
+	m.commandsRefused.WithLabelValues(reason).Add(float64(n))
+}
+
 // ConnectionsOverdue counts n client connections that are open after the deadline for closing them, in a drain or a shutdown.
 func (m *Metrics) ConnectionsOverdue(n int) { m.connectionsOverdue.Add(float64(n)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -30,6 +30,7 @@
 	m.Retried(dw.OutcomeNotSent)
 	m.ConnectionClosed("drained")
 	m.ConnectionEndedOwed("evicted")
+	m.CommandsRefused("evicted", 3)
 	m.ConnectionsOverdue(2)
 	var got map[string]int64
 	if err := json.Unmarshal(append(m.AppendFields([]byte(`{"a":1`)), '}'), &got); err != nil {
