Keep a closing connection until its client's system has received all answers

Cause: an answer counted as written once the gateway's system had it. The session then shut its sending side, discarded input for 300 ms at most, and closed. The client's next command reset the connection, and the system dropped what the client's had not acknowledged. The same path ends a session at a drain, an eviction, idleness and errors.

Change: session.awaitDelivery replaces discard: it drops input until lifecycle.mayClose allows the close, which is once SIOCOUTQ is 0. The check of progress while an answer is written uses the same type.

Why it works: what the client's system has acknowledged can be read there even after a reset; nothing else is lost by a close.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"dewhitch/internal/sockets"
 )
 
 // CloseReason is the reason for which a client connection was closed.
@@ -60,15 +58,6 @@
 	}
 }
 
-// recordOwed records what the client is still owed when the connection is closed.
-func (s *session) recordOwed() {
-	unsent := sockets.Unsent(s.conn)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.owedAtEnd = s.obligation()
-	s.owedAtEnd.undelivered = unsent
-}
-
 // status describes a session in the log.
 type status struct {
 	ID             uint64 `json:"id"`
@@ -129,7 +118,8 @@
 func (srv *Server) reportOwed(s *session, reason CloseReason, owed obligation) {
 	srv.Log.Info("a client connection ended while its client was owed something", zap.Uint64("session", s.id),
 		zap.Stringer("reason", reason), zap.Stringer("remote", s.conn.RemoteAddr()), zap.Bool("command_begun", owed.commandBegun),
-		zap.Bool("answer_pending", owed.answerPending), zap.Int("undelivered", owed.undelivered))
+		zap.Bool("answer_pending", owed.answerPending), zap.Int("undelivered", owed.undelivered),
+		zap.Duration("stalled", owed.stalled))
 	if srv.Monitor != nil {
 		srv.Monitor.ConnectionEndedOwed(reason.String())
 	}
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -120,10 +120,10 @@
 func (srv *Server) evictLongestIdle() {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	if srv.endDiscarding() {
+	now := time.Now()
+	if srv.endDiscarding(now) {
 		return
 	}
-	now := time.Now()
 	var idle []evictable
 	for s := range srv.sessions {
 		if e, ok := s.evictable(now); ok {
@@ -139,10 +139,11 @@
 	}
 }
 
-// endDiscarding closes the sessions that only discard input. It returns false if there are none. The caller holds mu.
-func (srv *Server) endDiscarding() (ended bool) {
+// endDiscarding closes the sessions that only discard input and whose clients are not receiving answers. It returns false if there are
+// none. The caller holds mu.
+func (srv *Server) endDiscarding(now time.Time) (ended bool) {
 	for s := range srv.sessions {
-		ended = s.endDiscarding() || ended
+		ended = s.endDiscarding(now) || ended
 	}
 	return ended
 }
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -29,6 +29,7 @@
 const (
 	maxDiscardTime = 300 * time.Millisecond // maximum time to discard input; closeAt may be earlier
 	minDiscardTime = 50 * time.Millisecond  // minimum time to discard input, even if closeAt is earlier
+	closeMargin    = 50 * time.Millisecond  // time by which the delivery of answers ends before the time of a shutdown for closing connections
 )
 
 // state is a stage of a client connection. It never goes back.
@@ -63,6 +64,9 @@
 	readUntil  time.Time // while draining: time after which no read starts
 	rejectFrom time.Time // time from which requests that are read are rejected; zero if none are
 	closeAt    time.Time // time at which the connection is closed if no answer is pending; zero if not set
+	closedAt   time.Time // time at which the sending side was shut; zero if it is not
+	drainBy    time.Time // time of the drain for closing connections whose clients go on sending; zero if it does not drain
+	shutdownBy time.Time // time of the shutdown for closing all connections; zero if not set
 }
 
 // drain starts the drain of an open connection. The connection may read at least until firstCommandBy, if that is set. It reports
@@ -75,11 +79,13 @@
 	l.readUntil = later(times.readUntil, firstCommandBy)
 	l.rejectFrom = times.readUntil
 	l.closeAt = times.closeAt
+	l.drainBy = times.closeAt
 	return true
 }
 
-// limitCloseAt moves the time at which a connection without pending answers is closed to at, if that is earlier.
-func (l *lifecycle) limitCloseAt(at time.Time) {
+// shutDownBy sets the time by which the connection is closed as the gateway shuts down.
+func (l *lifecycle) shutDownBy(at time.Time) {
+	l.shutdownBy = at
 	if l.closeAt.IsZero() || at.Before(l.closeAt) {
 		l.closeAt = at
 	}
@@ -127,6 +133,7 @@
 		return
 	}
 	l.state = stateClosed
+	l.closedAt = now
 	until := now.Add(maxDiscardTime)
 	if !l.closeAt.IsZero() {
 		until = later(earlier(until, l.closeAt), now.Add(minDiscardTime))
@@ -134,6 +141,22 @@
 	l.closeAt = until
 }
 
+// mayClose reports whether a connection whose sending side is shut may be closed at the time now. received is whether the client has sent
+// anything since nothing is read any more.
+func (l *lifecycle) mayClose(now time.Time, owed obligation, received bool) bool {
+	if l.closedAt.IsZero() || !owed.delivering(sendTimeout) {
+		return !now.Before(l.closeAt)
+	}
+	until := l.closedAt.Add(maxDeliveryTime)
+	if received && !l.drainBy.IsZero() { // a drained gateway must not hold a client that has just sent a request
+		until = earlier(until, later(l.drainBy, l.closeAt))
+	}
+	if !l.shutdownBy.IsZero() {
+		until = earlier(until, l.shutdownBy.Add(-closeMargin))
+	}
+	return !now.Before(until)
+}
+
 // abandon ends a connection to which nothing can be written any more. The connection is closed immediately.
 func (l *lifecycle) abandon(now time.Time) {
 	l.state = stateClosed
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"os"
 	"time"
 
@@ -12,16 +13,17 @@
 
 // Times for which a session waits for its client, and sizes of its input.
 const (
-	readBufferSize      = 2 << 10                 // bytes of the read buffer
-	firstByteTimeout    = 1500 * time.Millisecond // maximum time from the accept to the first byte
-	byteTimeout         = 2500 * time.Millisecond // maximum time between two bytes of a command; clients may take 2 s for a header
-	commandTimeout      = 10 * time.Second        // maximum time from the first byte of a command to its last
-	idleTimeout         = 5 * time.Second         // maximum time from an answer to the next command, after which a client must reconnect
-	drainCheckInterval  = 50 * time.Millisecond   // time between two checks whether a draining session has pending answers
-	finalReadTime       = time.Millisecond        // last wait for input before a session ends
-	stopReadTime        = 100 * time.Millisecond  // wait for a command that is arriving when the gateway shuts down
-	hangUpCheckInterval = 50 * time.Millisecond   // time between two checks whether the client has hung up while nothing is read
-	maxDiscardBytes     = 64 << 10                // maximum input to discard after the last answer, in bytes; further writes of the client block
+	readBufferSize        = 2 << 10                 // bytes of the read buffer
+	firstByteTimeout      = 1500 * time.Millisecond // maximum time from the accept to the first byte
+	byteTimeout           = 2500 * time.Millisecond // maximum time between two bytes of a command; clients may take 2 s for a header
+	commandTimeout        = 10 * time.Second        // maximum time from the first byte of a command to its last
+	idleTimeout           = 5 * time.Second         // maximum time from an answer to the next command, after which a client must reconnect
+	drainCheckInterval    = 50 * time.Millisecond   // time between two checks whether a draining session has pending answers
+	finalReadTime         = time.Millisecond        // last wait for input before a session ends
+	stopReadTime          = 100 * time.Millisecond  // wait for a command that is arriving when the gateway shuts down
+	hangUpCheckInterval   = 50 * time.Millisecond   // time between two checks whether the client has hung up while nothing is read
+	deliveryCheckInterval = 20 * time.Millisecond   // time between two checks whether a connection may be closed
+	maxDiscardBytes       = 64 << 10                // maximum input to discard after the last answer, in bytes; further writes of the client block
 )
 
 // Limit on invalid commands, and the pause after each of them before the next command is read.
@@ -427,24 +429,61 @@
 	s.abortOnHangUp(s.ctx)
 }
 
-// discard reads and drops input until the client closes the connection, or until closeAt. Closing a connection with unread input would
-// reset it, and the client could lose answers that it has not received yet. It reads at most maxDiscardBytes, because a client may
-// write without end; such a client has minDiscardTime to receive its last answer.
-func (s *session) discard() {
+// awaitDelivery reads and drops input until the connection may be closed: the lifecycle decides when. Closing a connection with unread
+// input would reset it, and the client could lose answers that its system has not received yet. It reads at most maxDiscardBytes, because
+// a client may write without end; such a client has minDiscardTime to receive its last answer, or as long as its system receives it.
+func (s *session) awaitDelivery() {
 	s.mu.Lock()
-	until := s.lifecycle.closeAt
-	s.discardingSince = time.Now()
+	s.discarding = s.lifecycle.state == stateClosed && !s.lifecycle.closedAt.IsZero()
+	s.delivery = delivery{unsent: math.MaxInt}
 	s.mu.Unlock()
-	if !time.Now().Before(until) {
-		return
-	}
 	buf := make([]byte, readBufferSize)
-	for remaining := maxDiscardBytes; remaining > 0; {
+	for remaining := maxDiscardBytes; !s.mayClose(remaining < maxDiscardBytes); {
+		if remaining <= 0 {
+			if hungUp(s.conn) {
+				s.clientLeft()
+				return
+			}
+			time.Sleep(deliveryCheckInterval)
+			continue
+		}
+		s.conn.SetReadDeadline(time.Now().Add(deliveryCheckInterval))
 		n, err := s.conn.Read(buf)
-		if err != nil {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			s.clientLeft()
 			return
 		}
 		remaining -= n
+		if remaining <= 0 {
+			s.limitDiscarding()
+		}
+	}
+}
+
+// mayClose reports whether the connection may be closed. received is whether input was discarded.
+func (s *session) mayClose(received bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.discarding {
+		return true
 	}
-	time.Sleep(min(minDiscardTime, time.Until(until)))
+	now := time.Now()
+	s.owedAtEnd = s.undelivered(now)
+	return s.lifecycle.mayClose(now, s.owedAtEnd, received)
+}
+
+// clientLeft records that the client is owed nothing any more, unless the gateway has closed the connection.
+func (s *session) clientLeft() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.discarding {
+		s.owedAtEnd = obligation{}
+	}
+}
+
+// limitDiscarding ends the discarding of input in minDiscardTime.
+func (s *session) limitDiscarding() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lifecycle.closeAt = earlier(s.lifecycle.closeAt, time.Now().Add(minDiscardTime))
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -73,7 +74,8 @@
 	faultyCommands  int    // number of invalid commands among commandsRead
 
 	// State of the closing.
-	discardingSince time.Time   // time since which input is only discarded; zero if it is not
+	discarding      bool        // input is only discarded
+	delivery        delivery    // of the answers, while input is discarded
 	shutdownReason  CloseReason // close reason if the gateway drains or shuts down
 	closeReasonSet  bool        // closeReason is valid
 	shedForMemory   bool        // the session was closed because others waited for the memory that it held
@@ -92,6 +94,7 @@
 		drainStarted:  make(chan struct{}),
 		acceptedAt:    time.Now(),
 		lastPendingAt: time.Now(),
+		delivery:      delivery{unsent: math.MaxInt},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.capacity = sync.NewCond(&s.mu)
@@ -108,8 +111,7 @@
 	writer.Go(s.write)
 	s.read()
 	s.awaitAnswers()
-	s.discard()
-	s.recordOwed()
+	s.awaitDelivery()
 	s.abandon()
 	writer.Wait()
 }
@@ -146,11 +148,11 @@
 	}
 }
 
-// closeBy makes the session close at a time, if no answer is pending then.
+// closeBy makes the session close at a time as the gateway shuts down, if no answer is pending then.
 func (s *session) closeBy(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lifecycle.limitCloseAt(at)
+	s.lifecycle.shutDownBy(at)
 }
 
 // notifyDrain wakes the reading goroutine from any wait when the session starts to drain. The caller holds the lock.
@@ -203,6 +205,15 @@
 	return obligation{commandBegun: s.commandBegun, answerPending: !s.hasNoPendingAnswers()}
 }
 
+// undelivered returns what the client is owed, with what its system has not received. The caller holds the lock.
+func (s *session) undelivered(now time.Time) obligation {
+	s.delivery.observe(sockets.Unsent(s.conn), now)
+	owed := s.obligation()
+	owed.undelivered = s.delivery.unsent
+	owed.stalled = s.delivery.stalled(now)
+	return owed
+}
+
 // hasNoPendingAnswers reports whether no answer remains to be given or written. The caller holds the lock.
 func (s *session) hasNoPendingAnswers() bool {
 	return len(s.slots) == 0 && len(s.unwritten) == 0 && s.unsentBytes == 0
@@ -234,15 +245,16 @@
 	s.interruptRead()
 }
 
-// endDiscarding closes the connection if its input is only discarded and the client's system has received the last answer. It reports
-// whether it did.
-func (s *session) endDiscarding() bool {
+// endDiscarding closes the connection if its input is only discarded, and the client's system has received all answers, or none of them
+// for crowdStallTime. It reports whether it did.
+func (s *session) endDiscarding(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.discardingSince.IsZero() || sockets.Unsent(s.conn) > 0 {
+	if !s.discarding || s.undelivered(now).delivering(crowdStallTime) {
 		return false
 	}
-	s.discardingSince = time.Time{} // only once
+	s.discarding = false // only once
+	s.owedAtEnd = s.undelivered(now)
 	s.conn.Close()
 	return true
 }
@@ -251,6 +263,7 @@
 func (s *session) abort(r CloseReason) {
 	s.mu.Lock()
 	s.setCloseReason(r)
+	s.owedAtEnd = s.undelivered(time.Now())
 	s.mu.Unlock()
 	s.abandon()
 }
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -65,7 +65,6 @@
 	b.count, s.gatheredCount = s.gatheredCount, 0
 	if s.lifecycle.state == stateClosing && len(s.slots) == 0 && len(b.answers) == 0 && b.streamed == nil {
 		s.lifecycle.closeWrite(time.Now())
-		s.conn.SetReadDeadline(s.lifecycle.closeAt)
 	}
 	return s.lifecycle.state == stateClosed
 }
@@ -108,6 +107,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		s.setCloseReason(ClosedUnread)
 	}
+	s.owedAtEnd = s.undelivered(time.Now())
 	s.lifecycle.abandon(time.Now())
 	s.capacity.Broadcast()
 	s.mu.Unlock()
@@ -168,18 +168,14 @@
 	if s.bounds == nil {
 		return n, nil
 	}
-	last := math.MaxInt
-	progressAt := time.Now()
+	d := delivery{unsent: math.MaxInt}
 	for poll := minSendPoll; ; poll = min(2*poll, maxSendPoll) {
-		unsent := sockets.Unsent(s.conn)
-		if unsent < s.bounds.sendBuffer {
-			return min(n, s.bounds.sendBuffer-unsent), nil
+		now := time.Now()
+		d.observe(sockets.Unsent(s.conn), now)
+		if d.unsent < s.bounds.sendBuffer {
+			return min(n, s.bounds.sendBuffer-d.unsent), nil
 		}
-		if unsent < last {
-			last = unsent
-			progressAt = time.Now()
-		}
-		if time.Since(progressAt) >= sendTimeout {
+		if d.stalled(now) >= sendTimeout {
 			return 0, os.ErrDeadlineExceeded
 		}
 		time.Sleep(poll)
