Read a command that is arriving at SIGTERM until the time of the last answers

Cause: a session stopped reading 0.5 s after SIGTERM, and a command that was arriving had 100 ms more, whatever time the shutdown had left.

Change: the lifecycle has finishBy, the time until which a command that began before readUntil may arrive. At a shutdown it is the plan's AnswerBy (Server.ShutDownBy, which replaces CloseBy); an incomplete command is refused then. What was only read ahead behind such a command is refused at once, so that a client that goes on sending does not prolong its session.

--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -159,7 +159,7 @@
 // the longest deadline that the platform allows.
 func (f *forwarder) shutDown(signalledAt time.Time) shutdown.Plan {
 	plan := shutdown.New(signalledAt, math.MaxInt64)
-	f.server.CloseBy(plan.CloseBy)
+	f.server.ShutDownBy(sessionTimes(plan))
 	f.planners.FailUnansweredAt(plan.AnswerBy)
 	return plan
 }
--- a/cmd/dewhitch/shutdown.go
+++ b/cmd/dewhitch/shutdown.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dewhitch/internal/front"
 	"dewhitch/internal/shutdown"
 )
 
@@ -46,13 +47,19 @@
 	}
 }
 
+// sessionTimes returns the times of a plan for client sessions: a command that arrives after the time of the last answers can't be
+// carried out.
+func sessionTimes(plan shutdown.Plan) front.ShutdownTimes {
+	return front.ShutdownTimes{CommandsBy: plan.AnswerBy, CloseBy: plan.CloseBy}
+}
+
 // shutDown starts the graceful shutdown of the gateway: the gateway is no longer ready, all requests are answered by
 // plan.AnswerBy, and sessions are closed by plan.CloseBy.
 func (g *gateway) shutDown(signalledAt time.Time) shutdown.Plan {
 	plan := shutdown.New(signalledAt, time.Duration(g.longestDeadline.Load()))
 	g.state.End()
 	for _, s := range g.servers {
-		s.CloseBy(plan.CloseBy)
+		s.ShutDownBy(sessionTimes(plan))
 	}
 	if err := g.planner.Shutdown(plan.AnswerBy); err != nil {
 		g.log.Warn("the planner could not be notified of the shutdown: requests are answered by their own deadlines only", zap.Error(err))
--- a/internal/front/command_memory.go
+++ b/internal/front/command_memory.go
@@ -59,8 +59,8 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.commandDeadline = now.Add(remaining)
-	if !s.lifecycle.mayRead(now) {
-		s.finishReadBy = now.Add(stopReadTime)
+	if !s.mayRead(now) {
+		s.finishReadBy = now.Add(minFinishTime)
 	}
 	switch {
 	case err == nil:
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -402,3 +402,71 @@
 		t.Errorf("%d commands of a departed client were started, expected none", n)
 	}
 }
+
+// newSessionWithinCommand returns a client that has had an answer and has sent a part of its next command, and its session, which reads that.
+func newSessionWithinCommand(t *testing.T) (c net.Conn, r *bufio.Reader, s *session) {
+	t.Helper()
+	c, _, s = newSessionPair(t, okCommands{}, false)
+	r = sendAndExpectOK(t, c, ping)
+	c.Write([]byte(ping[:3]))
+	eventually(t, "the incomplete command was not read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.commandBegun && s.commandsRead == 1
+	})
+	return c, r, s
+}
+
+// TestStoppedSessionFinishesArrivingCommand guards against the loss of a command that its client writes slowly while the gateway shuts
+// down, although there is time to serve it (review/9). What comes behind it in the same packet is refused.
+func TestStoppedSessionFinishesArrivingCommand(t *testing.T) {
+	c, r, s := newSessionWithinCommand(t)
+	now := time.Now()
+	s.shutDown(ShutdownTimes{CommandsBy: now.Add(testTimeout / 2), CloseBy: now.Add(testTimeout)})
+	s.stop()
+	for _, piece := range []string{ping[3:6], ping[6:9], ping[9:] + ping[:5]} {
+		time.Sleep(2 * minFinishTime)
+		c.Write([]byte(piece))
+	}
+	if rest, err := io.ReadAll(r); string(rest) != "+OK\r\n-BUSY\r\n" || err != nil {
+		t.Errorf("got %q, error %v, expected an answer and a refusal", rest, err)
+	}
+	if took := time.Since(now); took > testTimeout/2 {
+		t.Errorf("the session ended after %v, expected it to end with the command", took)
+	}
+}
+
+// TestStoppedSessionRefusesLateCommand checks that a command whose client stalls, or goes on byte by byte, while the gateway shuts down is
+// refused at CommandsBy.
+func TestStoppedSessionRefusesLateCommand(t *testing.T) {
+	const commandTime = time.Second
+	for name, interval := range map[string]time.Duration{"stalls": testTimeout, "trickles": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, r, s := newSessionWithinCommand(t)
+			now := time.Now()
+			s.shutDown(ShutdownTimes{CommandsBy: now.Add(commandTime), CloseBy: now.Add(testTimeout)})
+			s.stop()
+			tick := time.NewTicker(interval)
+			defer tick.Stop()
+			done := make(chan struct{})
+			defer close(done)
+			go func() {
+				for {
+					select {
+					case <-tick.C:
+						c.Write([]byte("0"))
+					case <-done:
+						return
+					}
+				}
+			}()
+			if line, err := r.ReadString('\n'); line != "-BUSY\r\n" {
+				t.Errorf("got %q, error %v, expected a refusal", line, err)
+			}
+			if took := time.Since(now); took < commandTime || took > 2*commandTime {
+				t.Errorf("the refusal came after %v, expected it after %v", took, commandTime)
+			}
+		})
+	}
+}
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -61,7 +61,8 @@
 // lock of its session guards it. The zero value is an open connection.
 type lifecycle struct {
 	state      state
-	readUntil  time.Time // while draining: time after which no read starts
+	readUntil  time.Time // while draining: time after which no read starts, except within a command that has begun
+	finishBy   time.Time // while draining: time until which a command that has begun may arrive
 	rejectFrom time.Time // time from which requests that are read are rejected; zero if none are
 	closeAt    time.Time // time at which the connection is closed if no answer is pending; zero if not set
 	closedAt   time.Time // time at which the sending side was shut; zero if it is not
@@ -77,6 +78,7 @@
 	}
 	l.state = stateDraining
 	l.readUntil = later(times.readUntil, firstCommandBy)
+	l.finishBy = l.readUntil
 	l.rejectFrom = times.readUntil
 	l.closeAt = times.closeAt
 	l.drainBy = times.closeAt
@@ -91,16 +93,18 @@
 	}
 }
 
-// limitReading lets a connection read until the given time at the latest, as the gateway shuts down. It reports whether the state
-// changed.
-func (l *lifecycle) limitReading(until time.Time) bool {
+// limitReading lets a connection read until the given time at the latest, and a command that has begun until finishBy if that is later,
+// as the gateway shuts down. It reports whether the state changed.
+func (l *lifecycle) limitReading(until, finishBy time.Time) bool {
 	switch l.state {
 	case stateOpen:
 		l.state = stateDraining
 		l.readUntil = until
+		l.finishBy = later(until, finishBy)
 		return true
 	case stateDraining:
 		l.readUntil = earlier(l.readUntil, until)
+		l.finishBy = later(l.readUntil, earlier(l.finishBy, finishBy))
 	}
 	return false
 }
@@ -110,6 +114,11 @@
 	return l.state == stateOpen || l.state == stateDraining && now.Before(l.readUntil)
 }
 
+// mayFinishCommand reports whether more of a command that has begun in time may be read at the time now.
+func (l *lifecycle) mayFinishCommand(now time.Time) bool {
+	return l.state == stateOpen || l.state == stateDraining && now.Before(l.finishBy)
+}
+
 // limitReadDeadline returns deadline, or the end of the time to read if that is earlier.
 func (l *lifecycle) limitReadDeadline(deadline time.Time) time.Time {
 	if l.state == stateDraining {
@@ -118,6 +127,14 @@
 	return deadline
 }
 
+// limitCommandDeadline returns deadline, or the end of the time for a command that has begun in time if that is earlier.
+func (l *lifecycle) limitCommandDeadline(deadline time.Time) time.Time {
+	if l.state == stateDraining {
+		return earlier(deadline, l.finishBy)
+	}
+	return deadline
+}
+
 // mustReject reports whether a request whose last byte was read at readAt must be rejected.
 func (l *lifecycle) mustReject(readAt time.Time) bool {
 	return !l.rejectFrom.IsZero() && !readAt.Before(l.rejectFrom)
--- a/internal/front/lifecycle_test.go
+++ b/internal/front/lifecycle_test.go
@@ -52,7 +52,7 @@
 					calledAt = now
 				}
 			case 1:
-				l.limitReading(now.Add(stopReadTime))
+				l.limitReading(now.Add(firstReadTime), now.Add(time.Duration(rng.Int64N(int64(4*time.Second)))))
 			case 2:
 				l.stopReading()
 			case 3:
@@ -82,6 +82,12 @@
 	if before.state == stateDraining && l.readUntil.After(before.readUntil) {
 		t.Errorf("run %d: the end of the time to read moved from %v to %v", run, before.readUntil, l.readUntil)
 	}
+	if before.state == stateDraining && l.finishBy.After(before.finishBy) || l.finishBy.Before(l.readUntil) {
+		t.Errorf("run %d: the end of the time for a command moved from %v to %v", run, before.finishBy, l.finishBy)
+	}
+	if l.mayFinishCommand(now) && (l.state >= stateClosing || l.state == stateDraining && !now.Before(l.finishBy)) {
+		t.Errorf("run %d: a command may be read in state %d, %v after the end of its time", run, l.state, now.Sub(l.finishBy))
+	}
 	if reads := l.mayRead(now); reads && (l.state >= stateClosing || l.state == stateDraining && !now.Before(l.readUntil)) {
 		t.Errorf("run %d: a connection in state %d may read", run, l.state)
 	} else if !reads && l.state == stateOpen {
@@ -114,11 +120,11 @@
 	if l.drain(newDrainTimes(start.Add(time.Second)), time.Time{}) || l.readUntil != start.Add(drainReadTime) {
 		t.Errorf("after a second drain: got %+v, expected the times of the first one", l)
 	}
-	l.limitReading(start.Add(time.Hour))
+	l.limitReading(start.Add(time.Hour), start.Add(time.Hour))
 	if l.readUntil != start.Add(drainReadTime) {
 		t.Errorf("after a stop at a later time: got %+v, expected no change of readUntil", l)
 	}
-	l.limitReading(start.Add(time.Second))
+	l.limitReading(start.Add(time.Second), start.Add(time.Second))
 	if l.readUntil != start.Add(time.Second) {
 		t.Errorf("after a stop at an earlier time: got %+v, expected readUntil at that time", l)
 	}
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -20,7 +20,8 @@
 	idleTimeout           = 5 * time.Second         // maximum time from an answer to the next command, after which a client must reconnect
 	drainCheckInterval    = 50 * time.Millisecond   // time between two checks whether a draining session has pending answers
 	finalReadTime         = time.Millisecond        // last wait for input before a session ends
-	stopReadTime          = 100 * time.Millisecond  // wait for a command that is arriving when the gateway shuts down
+	firstReadTime         = 100 * time.Millisecond  // wait for the first command of a session when the gateway shuts down
+	minFinishTime         = 100 * time.Millisecond  // minimum wait for the rest of a command that is arriving when the gateway shuts down
 	hangUpCheckInterval   = 50 * time.Millisecond   // time between two checks whether the client has hung up while nothing is read
 	deliveryCheckInterval = 20 * time.Millisecond   // time between two checks whether a connection may be closed
 	maxDiscardBytes       = 64 << 10                // maximum input to discard after the last answer, in bytes; further writes of the client block
@@ -195,6 +196,7 @@
 // awaitCommand waits for the first byte of a command. The wait is bounded, because idle clients must not take the places of others. It
 // returns errNoMoreCommands if the session ends, or the error of the connection.
 func (s *session) awaitCommand(r *resp.Reader) error {
+	readAhead := r.Buffered() > 0
 	for timeout := firstByteTimeout; r.Buffered() == 0; {
 		if s.commandsRead > 0 {
 			timeout = idleTimeout
@@ -218,8 +220,10 @@
 	if s.lifecycle.state >= stateClosing {
 		return errNoMoreCommands
 	}
+	now := time.Now()
 	s.commandBegun = true
-	s.commandDeadline = s.lifecycle.limitReadDeadline(time.Now().Add(commandTimeout))
+	s.begunInTime = !readAhead || s.lifecycle.mayRead(now)
+	s.commandDeadline = s.limitCommandDeadline(now.Add(commandTimeout))
 	s.evicted = false // the session is in use again; another one is evicted, or this one later
 	return nil
 }
@@ -233,7 +237,7 @@
 	}
 	s.mu.Lock()
 	now := time.Now()
-	mayRead := s.lifecycle.mayRead(now) || now.Before(s.finishReadBy)
+	mayRead := s.mayRead(now) || now.Before(s.finishReadBy)
 	if mayRead && !s.commandDeadline.IsZero() {
 		deadline := earlier(s.commandDeadline, now.Add(byteTimeout))
 		if !s.finishReadBy.IsZero() {
@@ -252,6 +256,23 @@
 	return n, err
 }
 
+// mayRead reports whether more may be read at the time now: of the command that has begun, or of the next one. The caller holds the lock.
+func (s *session) mayRead(now time.Time) bool {
+	if s.commandBegun && s.begunInTime {
+		return s.lifecycle.mayFinishCommand(now)
+	}
+	return s.lifecycle.mayRead(now)
+}
+
+// limitCommandDeadline returns the deadline of the command that has begun, or the time until which it may be read if that is earlier. The
+// caller holds the lock.
+func (s *session) limitCommandDeadline(deadline time.Time) time.Time {
+	if s.begunInTime {
+		return s.lifecycle.limitCommandDeadline(deadline)
+	}
+	return s.lifecycle.limitReadDeadline(deadline)
+}
+
 // beginWait sets the deadline of a wait for the next command. It returns false if no more commands are read. A draining session waits
 // for drainCheckInterval at a time, and an evicted one for finalReadTime.
 func (s *session) beginWait(timeout time.Duration) bool {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -30,15 +30,21 @@
 	Monitor         Monitor         // may be nil
 	Ready           <-chan struct{} // closed when sessions may be accepted; nil if they may be from the start
 
-	mu              sync.Mutex
-	sessions        map[*session]struct{}
-	placesTaken     int
-	lastEvictionAt  time.Time      // time of the last eviction for a new session
-	placeReleased   chan struct{}  // signals that a place may be free; buffer of one
-	running         sync.WaitGroup // counts the sessions that are running
-	drain           *drainTimes    // times of the current drain; nil if the gateway is not drained
-	drainChanged    chan struct{}  // closed at the next change of drain; nil if no goroutine waits for it
-	sessionsCloseBy time.Time      // time to close sessions as the gateway shuts down; zero if not set
+	mu             sync.Mutex
+	sessions       map[*session]struct{}
+	placesTaken    int
+	lastEvictionAt time.Time      // time of the last eviction for a new session
+	placeReleased  chan struct{}  // signals that a place may be free; buffer of one
+	running        sync.WaitGroup // counts the sessions that are running
+	drain          *drainTimes    // times of the current drain; nil if the gateway is not drained
+	drainChanged   chan struct{}  // closed at the next change of drain; nil if no goroutine waits for it
+	shutdown       *ShutdownTimes // times of the shutdown; nil if not set
+}
+
+// ShutdownTimes holds the times by which sessions end after the context of Server.Serve has ended.
+type ShutdownTimes struct {
+	CommandsBy time.Time // commands that were arriving when the context ended are read until then, and refused if they are incomplete
+	CloseBy    time.Time // connections are closed by then if no answer is pending
 }
 
 // Serve accepts sessions until the context ends. Then it closes the listener, lets each session end as soon as it has no pending
@@ -114,20 +120,20 @@
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	for s := range srv.sessions {
-		if !srv.sessionsCloseBy.IsZero() {
-			s.closeBy(srv.sessionsCloseBy)
+		if srv.shutdown != nil {
+			s.shutDown(*srv.shutdown)
 		}
 		s.stop()
 	}
 }
 
-// CloseBy sets a time by which sessions without pending answers are closed after the context of Serve has ended. Sessions that are open
-// at that time are reported. It may be called at any time.
-func (srv *Server) CloseBy(at time.Time) {
+// ShutDownBy sets the times by which sessions end after the context of Serve has ended. Sessions that are open at CloseBy are reported. It
+// may be called at any time.
+func (srv *Server) ShutDownBy(times ShutdownTimes) {
 	srv.mu.Lock()
-	srv.sessionsCloseBy = at
+	srv.shutdown = &times
 	srv.mu.Unlock()
-	time.AfterFunc(time.Until(at), func() {
+	time.AfterFunc(time.Until(times.CloseBy), func() {
 		srv.reportOverdue("the gateway's end", func(*session) bool { return true })
 	})
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -68,6 +68,7 @@
 	command         commandMemory
 	cancelWait      func() // ends a wait of the reading goroutine for something other than its client; nil if it does not wait
 	commandBegun    bool   // a part of a command was read, and the rest was not
+	begunInTime     bool   // the first part of that command was read while commands were
 	awaitingCommand bool   // the reading goroutine waits for the first byte of a command
 	evicted         bool   // chosen for eviction: the session ends if no answer is pending
 	commandsRead    int    // number of commands read
@@ -76,6 +77,7 @@
 	// State of the closing.
 	discarding      bool        // input is only discarded
 	delivery        delivery    // of the answers, while input is discarded
+	commandsBy      time.Time   // time until which a command that is arriving at the shutdown may be read; zero if not set
 	shutdownReason  CloseReason // close reason if the gateway drains or shuts down
 	closeReasonSet  bool        // closeReason is valid
 	shedForMemory   bool        // the session was closed because others waited for the memory that it held
@@ -131,28 +133,30 @@
 	}
 }
 
-// stop makes the session read only the commands that have arrived by now, and end when these are answered. Otherwise, a client that
-// goes on sending would be served until the process is killed, and would get no answers to its last commands.
+// stop makes the session read only the commands that have arrived by now, finish the one that is arriving, and end when these are answered.
+// Otherwise, a client that goes on sending would be served until the process is killed, and would get no answers to its last commands.
 func (s *session) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	readTime := finalReadTime
-	if s.commandsRead == 0 || !s.commandDeadline.IsZero() { // a command may be arriving
-		readTime = stopReadTime
+	if s.commandsRead == 0 { // the first command may be arriving
+		readTime = firstReadTime
 	}
 	s.shutdownReason = ClosedEnding
-	if s.lifecycle.limitReading(time.Now().Add(readTime)) {
+	if s.lifecycle.limitReading(now.Add(readTime), later(s.commandsBy, now.Add(minFinishTime))) {
 		s.notifyDrain()
 	} else {
 		s.interruptRead()
 	}
 }
 
-// closeBy makes the session close at a time as the gateway shuts down, if no answer is pending then.
-func (s *session) closeBy(at time.Time) {
+// shutDown sets the times of the shutdown of the gateway.
+func (s *session) shutDown(times ShutdownTimes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lifecycle.shutDownBy(at)
+	s.commandsBy = times.CommandsBy
+	s.lifecycle.shutDownBy(times.CloseBy)
 }
 
 // notifyDrain wakes the reading goroutine from any wait when the session starts to drain. The caller holds the lock.
@@ -170,7 +174,7 @@
 	case s.awaitingCommand:
 		s.conn.SetReadDeadline(now)
 	case !s.commandDeadline.IsZero():
-		s.commandDeadline = s.lifecycle.limitReadDeadline(s.commandDeadline)
+		s.commandDeadline = s.limitCommandDeadline(s.commandDeadline)
 		s.conn.SetReadDeadline(earlier(s.commandDeadline, now.Add(byteTimeout)))
 	}
 }
