Deliver the answers in front of a value that its server cuts off

What callers saw: no report; found by listing every end of a connection. A client that reads slowly and goes on sending lost whole answers that were written before a value which its server did not complete.

Cause: an incomplete value was handled like a failed write to the client, and the connection was closed at once, with input unread and answers not received.

Change: closeAfterCutValue shuts the sending side behind the part of the value, reports the pending answers as failed, and leaves the close to awaitDelivery. The close reason is value_cut; it was client.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -24,11 +24,12 @@
 	ClosedFaults                       // too many commands were invalid
 	ClosedUnread                       // the client did not read its answers
 	ClosedRequested                    // the client requested it with a command
+	ClosedValueCut                     // a backend did not complete a value of which a part was written
 	closeReasonCount
 )
 
 var closeReasonNames = [closeReasonCount]string{"client", "idle", "evicted", "drained", "ending", "slow", "protocol", "faults",
-	"unread_answers", "requested"}
+	"unread_answers", "requested", "value_cut"}
 
 // String returns the name of the reason in metrics and logs.
 func (r CloseReason) String() string { return closeReasonNames[r] }
--- a/internal/front/delivery_test.go
+++ b/internal/front/delivery_test.go
@@ -29,8 +29,8 @@
 	return c.(*net.TCPConn)
 }
 
-// newSlowReader returns a client that reads slowly, and the running session that answers its commands with values of size bytes.
-func newSlowReader(t *testing.T, size int) (*net.TCPConn, *session) {
+// newSlowReader returns a client that reads slowly, and the running session that carries out its commands.
+func newSlowReader(t *testing.T, commands Commands) (*net.TCPConn, *session) {
 	t.Helper()
 	ln := listen(t)
 	defer ln.Close()
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	sockets.LimitBuffers(conn, 0, 2*slowReadersBuffer)
-	s := newSession(conn, fixedSizeValues{size}, NewBounds(64<<20))
+	s := newSession(conn, commands, NewBounds(64<<20))
 	var running sync.WaitGroup
 	running.Go(s.run)
 	t.Cleanup(func() {
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			client, s := newSlowReader(t, size)
+			client, s := newSlowReader(t, fixedSizeValues{size})
 			client.Write([]byte(ping))
 			received := readUntilWritten(t, client, s)
 			c.end(s)
@@ -104,6 +104,47 @@
 	}
 }
 
+// cutValueCommands answers ECHO with a value of size bytes, and any other command with a longer value that is cut off after size bytes.
+type cutValueCommands struct{ size int }
+
+func (c cutValueCommands) Do(_ time.Time, cmd resp.Command, s *Slot) {
+	if string(cmd[0]) == "ECHO" {
+		s.Fill(resp.AppendBulk(nil, make([]byte, c.size)))
+		return
+	}
+	s.FillFrom(resp.AppendBulkHeader(nil, 2*c.size), &cutValue{remaining: c.size})
+}
+
+// cutValue is a value that fails after remaining bytes.
+type cutValue struct{ remaining int }
+
+func (v *cutValue) Read(b []byte) (int, error) {
+	if v.remaining == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(b), v.remaining)
+	v.remaining -= n
+	return n, nil
+}
+
+func (v *cutValue) Close() {}
+
+// TestAnswersBeforeACutValueAreDelivered guards against whole answers that are lost because the value behind them is incomplete: their
+// client reads them late and goes on sending, which resets a closed connection.
+func TestAnswersBeforeACutValueAreDelivered(t *testing.T) {
+	const size = 8 << 10 / 3 // three of these are more than the client's system holds, and less than both ends do
+	client, s := newSlowReader(t, cutValueCommands{size})
+	client.Write([]byte("*1\r\n$4\r\nECHO\r\n" + "*1\r\n$4\r\nECHO\r\n" + ping))
+	eventually(t, "the session did not end", func() bool { return s.reached(stateClosed) })
+	time.Sleep(2 * maxDiscardTime)
+	client.Write([]byte(ping))
+	answer := resp.AppendBulk(nil, make([]byte, size))
+	want := 2*len(answer) + len(resp.AppendBulkHeader(nil, 2*size)) + size
+	if got, err := io.ReadAll(client); len(got) != want || err != nil {
+		t.Errorf("got %d bytes and %v, expected two answers and a part of a value, %d bytes, and the end of the stream", len(got), err, want)
+	}
+}
+
 // TestStalledDeliveryFreesItsPlace checks that clients whose sessions have ended, and that read nothing of their answers, hold the places
 // of a full gateway for little longer than crowdStallTime.
 func TestStalledDeliveryFreesItsPlace(t *testing.T) {
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -21,6 +22,9 @@
 	maxSendPoll      = 16 * time.Millisecond // time between two checks whether the client has read something
 )
 
+// errValueCut is wrapped by the error of a streamed value that its backend does not complete.
+var errValueCut = errors.New("the value is incomplete")
+
 // batch holds what the writer writes before it takes more: encoded answers, and optionally a streamed value after them.
 type batch struct {
 	answers    []byte      // encoded answers
@@ -43,7 +47,10 @@
 			<-s.wake
 			continue
 		}
-		if err := s.writeBatch(b); err != nil {
+		if err := s.writeBatch(b); errors.Is(err, errValueCut) {
+			s.closeAfterCutValue()
+			return
+		} else if err != nil {
 			s.abandonAfterWriteError(err)
 			return
 		}
@@ -76,9 +83,7 @@
 	if b.streamed != nil {
 		b.streamed.settleValue(WriteFailed)
 	}
-	if tcp, ok := s.conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
+	s.shutSendingSide()
 }
 
 // writeBatch writes a batch, and reports the outcomes of its answers. If a value is cut off, the client recognizes that by the
@@ -114,6 +119,32 @@
 	s.conn.Close() // unblocks a Read of the reading goroutine
 }
 
+// closeAfterCutValue ends a session whose last answer can't be completed: nothing can be written behind a part of a value. What was written
+// before is still delivered.
+func (s *session) closeAfterCutValue() {
+	s.mu.Lock()
+	s.setCloseReason(ClosedValueCut)
+	s.lifecycle.closeWrite(time.Now())
+	s.streaming = nil
+	answerEnds := s.answerEnds
+	notify := s.abandonAnswers()
+	s.capacity.Broadcast()
+	s.conn.SetReadDeadline(time.Now()) // unblocks a Read of the reading goroutine
+	s.mu.Unlock()
+	settleAnswers(answerEnds, 0)
+	for _, f := range notify {
+		f()
+	}
+	s.shutSendingSide()
+}
+
+// shutSendingSide closes the sending side of the connection.
+func (s *session) shutSendingSide() {
+	if tcp, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		tcp.CloseWrite()
+	}
+}
+
 // batchWritten releases the capacity that a batch took, and gathers the answers that follow its value.
 func (s *session) batchWritten(b batch) {
 	s.mu.Lock()
@@ -203,13 +234,13 @@
 			_, err = s.send([]byte(resp.BulkEnd))
 			return err
 		}
-		if err == nil {
-			_, err = s.send((*chunk)[:n])
-			s.streamedBytes.Add(int64(n))
-		}
 		if err != nil {
+			return fmt.Errorf("%w: %w", errValueCut, err)
+		}
+		if _, err = s.send((*chunk)[:n]); err != nil {
 			return err
 		}
+		s.streamedBytes.Add(int64(n))
 	}
 }
 
