See the departure of a client behind the commands that are not read

Cause: a session reads nothing while 64 commands are unanswered, and its receive buffer is small. The end of the client's stream waits in the client's system behind the commands, and can't be seen.

Change: from 32 unanswered commands on, the receive buffer is 256 KiB, acquired from the memory for commands, of which these buffers take half at most, and released once no answer is pending. The commands stay unread, so that none is taken that can't be answered.

TestClientDepartsBehindUnreadCommands fell on (no departure reported in 20 s), and passes. TestMemoryLimit and TestForwarderMemoryLimit passed once; internal/front passed under the race detector.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -246,6 +247,23 @@
 	}
 }
 
+// TestClientDepartsBehindUnreadCommands guards against attempts that begin long after their client has gone: the end of its stream is
+// behind more commands than the system holds unread (review/8).
+func TestClientDepartsBehindUnreadCommands(t *testing.T) {
+	const commandCount, bodyBytes = 200, 300
+	commands := &delayedCommands{answer: make(chan struct{})}
+	defer close(commands.answer)
+	ln := listen(t)
+	startServerWith(t, &Server{Listener: ln, MaxSessions: 4}, func() Commands { return commands })
+	command := resp.AppendBulk(resp.AppendBulk(resp.AppendArray(nil, 2), "ECHO"), make([]byte, bodyBytes))
+	c := dialClient(t, ln, string(bytes.Repeat(command, commandCount)))
+	c.Close()
+	eventually(t, "the departure of the client was not reported", func() bool { return commands.clientsDeparted.Load() > 0 })
+	if started, departed := commands.started.Load(), commands.clientsDeparted.Load(); started != maxPipelined || departed > started {
+		t.Errorf("%d commands were started and %d departures reported, expected %d of each at most", started, departed, maxPipelined)
+	}
+}
+
 // queuedListener is a listener whose first connection waits in the queue of the system until the listener gets its deadline at
 // shutdown.
 type queuedListener struct {
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -409,12 +409,14 @@
 		s.furtherRequests++
 	}
 	s.pendingCount++
+	s.readAhead()
 	return true
 }
 
 // releaseRequests counts n answers as written. The caller holds the lock.
 func (s *session) releaseRequests(n int) {
 	s.pendingCount -= min(n, s.pendingCount)
+	s.endReadAhead()
 	released := s.furtherRequests - max(0, s.pendingCount-1)
 	if released > 0 {
 		s.furtherRequests -= released
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -59,6 +59,7 @@
 	unsentBytes     int         // bytes of answers in unwritten and in slots; a long value counts as streamingBytes
 	gatheredCount   int         // number of answers in unwritten and streaming
 	pendingCount    int         // number of commands that were read and whose answers are not written
+	readsAhead      bool        // the receive buffer is enlarged
 	furtherRequests int         // number of these, beyond the first, for which memory is acquired
 	lastPendingAt   time.Time   // time at which the last answer was given, or its value written; the accept time if there was none
 
