Do not start a large command whose client has closed the connection

What a client has written of a large command waits in its system, and may arrive long after the client has closed the connection.

The last byte of a large command has always just been read.

Change: it checks before every command that is large.

Measured: TestLargeCommandOfDepartedClient fell on (1 command started) and passes; internal/front passed.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -264,6 +264,23 @@
 	}
 }
 
+// TestLargeCommandOfDepartedClient guards against a large command that is started although its client has closed the connection: what
+// the client has written may take long to arrive.
+func TestLargeCommandOfDepartedClient(t *testing.T) {
+	commands := &delayedCommands{answer: make(chan struct{})}
+	defer close(commands.answer)
+	c, buffered, s := newSessionPair(t, commands, true)
+	c.Write(largeCommand())
+	<-buffered.holding
+	c.Close()
+	eventually(t, "the system did not report the hang-up", func() bool { return hungUp(buffered) })
+	close(buffered.release)
+	eventually(t, "the session did not end", func() bool { return s.ctx.Err() != nil })
+	if n := commands.started.Load(); n != 0 {
+		t.Errorf("%d commands of a departed client were started, expected none", n)
+	}
+}
+
 // queuedListener is a listener whose first connection waits in the queue of the system until the listener gets its deadline at
 // shutdown.
 type queuedListener struct {
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -71,8 +71,8 @@
 		s.endReading(err)
 		return false
 	}
-	if time.Since(s.lastReadAt) > hangUpCheckInterval {
-		s.abortIfHungUp() // the client may have hung up while the command was in the buffer
+	if s.command.acquired > 0 || time.Since(s.lastReadAt) > hangUpCheckInterval {
+		s.abortIfHungUp() // the client may have hung up while the command arrived, or was in the buffer
 	}
 	slot := s.openSlot()
 	if slot == nil {
