Send nothing to a planner for a client that left while the forwarder connected

Cause: the forwarder connects on the session's reading goroutine, up to 0.25 s for each planner that does not answer, and asked nobody whether the client had left before it sent the command to the next planner.

Change: where a command is more than 20 ms old when a link is ready, Slot.ClientLeft is asked first.

--- a/internal/forward/commands.go
+++ b/internal/forward/commands.go
@@ -28,6 +28,10 @@
 // deadline arrives first.
 const deadlineGrace = 100 * time.Millisecond
 
+// maxUncheckedDelay is the time from the arrival of a command after which its client may have left unnoticed: a connection to a planner was
+// opened for it, or for the commands before it.
+const maxUncheckedDelay = 20 * time.Millisecond
+
 // Commands forwards the commands of one client session. It owns a connection to each planner that the session has used;
 // Close closes them. It is not safe for concurrent use.
 type Commands struct {
@@ -99,7 +103,8 @@
 }
 
 // forward writes a command to the first planner of the customer's set that accepts all of its bytes. A planner to which the last
-// byte was not sent has applied nothing, so the next one may be tried. Once written completely, a command is never sent again.
+// byte was not sent has applied nothing, so the next one may be tried. Once written completely, a command is never sent again. Nothing is
+// sent for a client that has left.
 func (c *Commands) forward(receivedAt time.Time, cmd resp.Command, customer dewhitch.CustomerID, r *core.Request, s *front.Slot) {
 	encoded := resp.AppendArray(nil, len(cmd))
 	for _, arg := range cmd {
@@ -108,6 +113,10 @@
 	pending := c.accept(r, s)
 	for _, addr := range c.planners.Select(customer, r.Spread, r.FirstGateway, c.gateways) {
 		l, err := c.linkTo(addr)
+		if time.Since(receivedAt) > maxUncheckedDelay && s.ClientLeft() {
+			pending.decide(ledger.PlanClientDeparted)
+			return
+		}
 		if errors.Is(err, errShutDown) {
 			break
 		}
--- a/internal/forward/reset_test.go
+++ b/internal/forward/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -14,6 +15,7 @@
 	"dewhitch/internal/front"
 	"dewhitch/internal/ledger/recorder"
 	"dewhitch/internal/standin"
+	faultlink "dewhitch/internal/standin/link"
 )
 
 const testTimeout = 20 * time.Second
@@ -33,7 +35,7 @@
 		t.Fatal(err)
 	}
 	server := &front.Server{Listener: l, Log: zap.NewNop(), Bounds: front.NewBounds(64 << 20), MaxSessions: 1,
-		NewCommands: func() front.Commands { return New(planners, 1, recorder.Discard{}, zap.NewNop()) }}
+		NewCommands: func() front.Commands { return New(planners, 2, recorder.Discard{}, zap.NewNop()) }}
 	ctx, stop := context.WithCancel(t.Context())
 	serveDone := make(chan struct{})
 	go func() {
@@ -103,3 +105,35 @@
 		})
 	}
 }
+
+// TestCommandsOfDepartedClientAreNotForwarded guards against commands that are sent to a planner after their client has left, because the
+// session was waiting meanwhile for a connection to another planner, whose machine has vanished.
+func TestCommandsOfDepartedClientAreNotForwarded(t *testing.T) {
+	const commands = 10
+	planners, client, planner := newForwarder(t)
+	network := faultlink.NewNet(1)
+	t.Cleanup(network.Close)
+	vanished, err := network.Open("forwarder", "planner", standin.OwnAddr(), planner.Addr(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(vanished.Close)
+	network.Set("forwarder", "planner", func(s *faultlink.State) { s.Silent = true })
+	planners.Set(map[int]string{0: vanished.Addr(), 1: planner.Addr()})
+	var sent []byte
+	for i := range commands {
+		sent = standin.AppendCommand(sent, "SVC.SUBMIT", "0000000000000002", fmt.Sprintf("n%d", i),
+			"c=order,t=wide,d=4000,units=1,spread=2,first=0", "body")
+	}
+	client.Write(sent)
+	client.Close()
+	select {
+	case conn := <-planner.Conns:
+		defer conn.Close()
+		conn.SetReadDeadline(time.Now().Add(2 * dialTimeout))
+		if received, _ := io.ReadAll(conn); len(received) > 0 {
+			t.Errorf("the planner received %d bytes of commands whose client has left", len(received))
+		}
+	case <-time.After(commands / 2 * dialTimeout):
+	}
+}
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -89,6 +89,16 @@
 	slot.onClientDeparted = f
 }
 
+// ClientLeft reports whether the client has closed the connection, and then ends the session. It is for a Commands.Do that has had to wait: the
+// session does not notice meanwhile.
+func (slot *Slot) ClientLeft() bool {
+	s := slot.session
+	s.abortIfHungUp()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lifecycle.state == stateClosed
+}
+
 // OnExpedite sets a function that is called at most once, when the connection must end and any answer is needed immediately.
 func (slot *Slot) OnExpedite(f func()) {
 	slot.session.mu.Lock()
