Serve a client that has begun a command since it was chosen for an eviction

Sessions are chosen for an eviction while they wait for a command, and evicted after that; a command that began in between was refused.

Change: a session that was chosen between two commands is evicted only if its client has still not begun one.

Measured: TestCommandBegunSinceTheChoiceIsServed fell without the check (-BUSY) and passes.

--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -57,7 +57,7 @@
 	slices.SortFunc(idle, func(a, b evictable) int { return a.idleSince.Compare(b.idleSince) })
 	surplus := min(len(idle), used-srv.MaxIdleSessions)
 	for _, e := range idle[:max(0, surplus)] {
-		e.session.evict()
+		e.session.evictBetweenCommands()
 	}
 	return idle
 }
@@ -79,6 +79,15 @@
 	rankServedInCommand                     // was served, and is in the middle of a command
 )
 
+// evict evicts the session, unless its client has begun a command since it was chosen.
+func (e evictable) evict() {
+	if e.owed.commandBegun {
+		e.session.evict()
+		return
+	}
+	e.session.evictBetweenCommands()
+}
+
 // rank returns the rank of an idle session.
 func (e evictable) rank() evictionRank {
 	switch {
@@ -135,7 +144,7 @@
 		srv.lastEvictionAt = now
 	}
 	for _, e := range chosen {
-		e.session.evict()
+		e.evict()
 	}
 }
 
--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -199,6 +199,17 @@
 	}
 }
 
+// TestCommandBegunSinceTheChoiceIsServed guards against a client that was chosen for an eviction while it was idle, and has a command refused
+// that it has begun since.
+func TestCommandBegunSinceTheChoiceIsServed(t *testing.T) {
+	c, r, s := newSessionWithinCommand(t)
+	evictable{session: s, served: true}.evict()
+	c.Write([]byte(ping[3:]))
+	if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+		t.Errorf("got %q, error %v, expected an answer", line, err)
+	}
+}
+
 // TestChooseEvictions checks the order of evictions, and how many sessions are evicted at once.
 func TestChooseEvictions(t *testing.T) {
 	now := time.Now()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -237,6 +237,20 @@
 func (s *session) evict() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.startEviction()
+}
+
+// evictBetweenCommands is like evict, but does nothing if the client has begun a command.
+func (s *session) evictBetweenCommands() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.commandBegun {
+		s.startEviction()
+	}
+}
+
+// startEviction carries out evict. The caller holds the lock.
+func (s *session) startEviction() {
 	if !s.isOpen() {
 		return
 	}
