Split the reading of commands into files with one job each

reader.go held the reading of commands, the pauses after invalid ones, the refusals and the discarding of input; session.go the evictions. Two tests share the order of a close before the release of held input.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -264,6 +264,16 @@
 	}
 }
 
+// departBeforeRelease closes a client's connection while its input is held back, then releases the input and waits until the session has ended.
+func departBeforeRelease(t *testing.T, c net.Conn, buffered *bufferedConn, s *session) {
+	t.Helper()
+	<-buffered.holding
+	c.Close()
+	eventually(t, "the system did not report the hang-up", func() bool { return hungUp(buffered) })
+	close(buffered.release)
+	eventually(t, "the session did not end", func() bool { return s.ctx.Err() != nil })
+}
+
 // TestLargeCommandOfDepartedClient guards against a large command that is started although its client has closed the connection: what
 // the client has written may take long to arrive.
 func TestLargeCommandOfDepartedClient(t *testing.T) {
@@ -271,11 +281,7 @@
 	defer close(commands.answer)
 	c, buffered, s := newSessionPair(t, commands, true)
 	c.Write(largeCommand())
-	<-buffered.holding
-	c.Close()
-	eventually(t, "the system did not report the hang-up", func() bool { return hungUp(buffered) })
-	close(buffered.release)
-	eventually(t, "the session did not end", func() bool { return s.ctx.Err() != nil })
+	departBeforeRelease(t, c, buffered, s)
 	if n := commands.started.Load(); n != 0 {
 		t.Errorf("%d commands of a departed client were started, expected none", n)
 	}
@@ -428,11 +434,7 @@
 	defer close(commands.answer)
 	c, buffered, s := newSessionPair(t, commands, true)
 	c.Write([]byte("*1\r\n$3\r\nBAD\r\n" + ping))
-	<-buffered.holding
-	c.Close()
-	eventually(t, "the system did not report the hang-up", func() bool { return hungUp(buffered) })
-	close(buffered.release)
-	eventually(t, "the session did not end", func() bool { return s.ctx.Err() != nil })
+	departBeforeRelease(t, c, buffered, s)
 	if n := commands.started.Load(); n != 0 {
 		t.Errorf("%d commands of a departed client were started, expected none", n)
 	}
--- a/internal/front/obligation.go
+++ b/internal/front/obligation.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// refusal is the answer to a command that the gateway does not carry out because it ends the connection. The client may send the
-// command again elsewhere.
-const refusal = "BUSY"
-
 // Bounds on how long the delivery of answers keeps a connection whose sending side is shut.
 const (
 	maxDeliveryTime = 10 * time.Second // maximum time from the end of writing until the client's system has everything
@@ -34,25 +30,3 @@
 func (o obligation) delivering(stallTime time.Duration) bool {
 	return o.undelivered > 0 && o.stalled < stallTime
 }
-
-// delivery follows how a client's system receives what was written for it.
-type delivery struct {
-	unsent     int // bytes that it has not received
-	progressAt time.Time
-}
-
-// observe updates the delivery with the bytes that are unsent at the time now.
-func (d *delivery) observe(unsent int, now time.Time) {
-	if unsent < d.unsent {
-		d.progressAt = now
-	}
-	d.unsent = unsent
-}
-
-// stalled returns the time since the last progress, or 0 if everything was received.
-func (d *delivery) stalled(now time.Time) time.Duration {
-	if d.unsent == 0 {
-		return 0
-	}
-	return now.Sub(d.progressAt)
-}
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"os"
 	"time"
 
@@ -13,25 +12,16 @@
 
 // Times for which a session waits for its client, and sizes of its input.
 const (
-	readBufferSize        = 2 << 10                 // bytes of the read buffer
-	firstByteTimeout      = 1500 * time.Millisecond // maximum time from the accept to the first byte
-	byteTimeout           = 2500 * time.Millisecond // maximum time between two bytes of a command; clients may take 2 s for a header
-	commandTimeout        = 10 * time.Second        // maximum time from the first byte of a command to its last
-	idleTimeout           = 5 * time.Second         // maximum time from an answer to the next command, after which a client must reconnect
-	drainCheckInterval    = 50 * time.Millisecond   // time between two checks whether a draining session has pending answers
-	finalReadTime         = time.Millisecond        // last wait for input before a session ends
-	firstReadTime         = 100 * time.Millisecond  // wait for the first command of a session when the gateway shuts down
-	minFinishTime         = 100 * time.Millisecond  // minimum wait for the rest of a command that is arriving when the gateway shuts down
-	hangUpCheckInterval   = 50 * time.Millisecond   // time between two checks whether the client has hung up while nothing is read
-	deliveryCheckInterval = 20 * time.Millisecond   // time between two checks whether a connection may be closed
-	maxDiscardBytes       = 64 << 10                // maximum input to discard after the last answer, in bytes; further writes of the client block
-)
-
-// Limit on invalid commands, and the pause after each of them before the next command is read.
-const (
-	maxFaults       = 16                    // number of invalid commands at which the session ends
-	penaltyPerFault = 50 * time.Millisecond // increase of the pause with each invalid command
-	maxPenalty      = time.Second           // maximum pause
+	readBufferSize      = 2 << 10                 // bytes of the read buffer
+	firstByteTimeout    = 1500 * time.Millisecond // maximum time from the accept to the first byte
+	byteTimeout         = 2500 * time.Millisecond // maximum time between two bytes of a command; clients may take 2 s for a header
+	commandTimeout      = 10 * time.Second        // maximum time from the first byte of a command to its last
+	idleTimeout         = 5 * time.Second         // maximum time from an answer to the next command, after which a client must reconnect
+	drainCheckInterval  = 50 * time.Millisecond   // time between two checks whether a draining session has pending answers
+	finalReadTime       = time.Millisecond        // last wait for input before a session ends
+	firstReadTime       = 100 * time.Millisecond  // wait for the first command of a session when the gateway shuts down
+	minFinishTime       = 100 * time.Millisecond  // minimum wait for the rest of a command that is arriving when the gateway shuts down
+	hangUpCheckInterval = 50 * time.Millisecond   // time between two checks whether the client has hung up while nothing is read
 )
 
 // Errors after which no more commands are read. The text of errCommandTimeout is sent to clients and must not change.
@@ -105,34 +95,6 @@
 	}
 }
 
-// refusalReason returns the close reason of a session that refuses the command that its client is writing.
-func (s *session) refusalReason() CloseReason {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lifecycle.state != stateOpen {
-		return s.shutdownReason
-	}
-	return ClosedEvicted
-}
-
-// refuseBuffered refuses the commands that have been read from the connection and not carried out, because the session ends. The last
-// one may be incomplete.
-func (s *session) refuseBuffered(r *resp.Reader) {
-	s.refusing = true
-	for r.Buffered() > 0 {
-		_, err := r.ReadCommand()
-		s.finishCommandRead(err)
-		slot := s.openSlot()
-		if slot == nil {
-			return
-		}
-		slot.refuse()
-		if err != nil {
-			return
-		}
-	}
-}
-
 // finishCommandRead records that no command is being read any more. It returns err, except if the session ends, or if the deadline of the
 // command is exceeded: that becomes errCommandRefused or errCommandTimeout.
 func (s *session) finishCommandRead(err error) error {
@@ -176,23 +138,6 @@
 	}
 }
 
-// faultyCount returns the number of invalid commands so far.
-func (s *session) faultyCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faultyCommands
-}
-
-// mayContinue reports whether another command may be read after one that was started. If the number of invalid commands has grown since
-// faultsBefore, it pauses first, or ends the session.
-func (s *session) mayContinue(r *resp.Reader, faultsBefore int) bool {
-	s.mu.Lock()
-	faults := s.faultyCommands
-	closing := s.lifecycle.state >= stateClosing
-	s.mu.Unlock()
-	return !closing && (faults == faultsBefore || s.penalize(r, faults))
-}
-
 // awaitCommand waits for the first byte of a command. The wait is bounded, because idle clients must not take the places of others. It
 // returns errNoMoreCommands if the session ends, or the error of the connection.
 func (s *session) awaitCommand(r *resp.Reader) error {
@@ -327,33 +272,6 @@
 	return false
 }
 
-// penalize pauses after an invalid command, in proportion to the number of invalid commands so far, because a client that repeats
-// them at full speed would take the CPU time of all others. It returns false if there were too many, or if another client needs the
-// place meanwhile; this ends the session. A draining session does not pause: its time is short, and it reads little.
-func (s *session) penalize(r *resp.Reader, faults int) bool {
-	if faults >= maxFaults {
-		s.refuseBuffered(r)
-		s.finish(ClosedFaults)
-		return false
-	}
-	ctx, endWait := s.beginWaitForOthers()
-	defer endWait()
-	select {
-	case <-ctx.Done():
-	case <-s.drainStarted:
-	case <-time.After(min(time.Duration(faults)*penaltyPerFault, maxPenalty)):
-	}
-	s.mu.Lock()
-	evicted := s.evicted && s.hasNoPendingAnswers()
-	s.mu.Unlock()
-	if evicted {
-		s.refuseBuffered(r)
-		s.finish(ClosedEvicted)
-		return false
-	}
-	return true
-}
-
 // beginWaitForOthers begins a wait of the reading goroutine for something other than its client. The context ends when the session
 // ends or is evicted. The requests of a client that has hung up must not be forwarded meanwhile, so that this is watched for until end
 // is called.
@@ -451,62 +369,3 @@
 func (s *session) awaitAnswers() {
 	s.abortOnHangUp(s.ctx)
 }
-
-// awaitDelivery reads and drops input until the connection may be closed: the lifecycle decides when. Closing a connection with unread
-// input would reset it, and the client could lose answers that its system has not received yet. It reads at most maxDiscardBytes, because
-// a client may write without end; such a client has minDiscardTime to receive its last answer, or as long as its system receives it.
-func (s *session) awaitDelivery() {
-	s.mu.Lock()
-	s.discarding = s.lifecycle.state == stateClosed && !s.lifecycle.closedAt.IsZero()
-	s.delivery = delivery{unsent: math.MaxInt}
-	s.mu.Unlock()
-	buf := make([]byte, readBufferSize)
-	for remaining := maxDiscardBytes; !s.mayClose(remaining < maxDiscardBytes); {
-		if remaining <= 0 {
-			if hungUp(s.conn) {
-				s.clientLeft()
-				return
-			}
-			time.Sleep(deliveryCheckInterval)
-			continue
-		}
-		s.conn.SetReadDeadline(time.Now().Add(deliveryCheckInterval))
-		n, err := s.conn.Read(buf)
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			s.clientLeft()
-			return
-		}
-		remaining -= n
-		if remaining <= 0 {
-			s.limitDiscarding()
-		}
-	}
-}
-
-// mayClose reports whether the connection may be closed. received is whether input was discarded.
-func (s *session) mayClose(received bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.discarding {
-		return true
-	}
-	now := time.Now()
-	s.owedAtEnd = s.undelivered(now)
-	return s.lifecycle.mayClose(now, s.owedAtEnd, received)
-}
-
-// clientLeft records that the client is owed nothing any more, unless the gateway has closed the connection.
-func (s *session) clientLeft() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.discarding {
-		s.owedAtEnd = obligation{}
-	}
-}
-
-// limitDiscarding ends the discarding of input in minDiscardTime.
-func (s *session) limitDiscarding() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lifecycle.closeAt = earlier(s.lifecycle.closeAt, time.Now().Add(minDiscardTime))
-}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -1,8 +1,10 @@
 // Package front serves client sessions: it reads commands, and writes their answers in the order of the commands. The packages in its
 // subdirectories define and carry out the commands.
 //
-// A session (session.go) has a reading goroutine (reader.go) and a writing one (writer.go). A Slot holds the place of an answer.
-// lifecycle.go decides what a connection may still do, eviction.go and closing.go end sessions, and server.go accepts them.
+// A session (session.go) has a reading goroutine (reader.go, penalty.go, read_ahead.go) and a writing one (writer.go). A Slot holds the place
+// of an answer. obligation.go has the rule on ending a connection, and lifecycle.go decides by it what a connection may still do. eviction.go,
+// session_eviction.go and closing.go end sessions, refusal.go refuses what they do not carry out any more, delivery.go waits until the
+// client's system has the answers, and server.go accepts sessions.
 //
 // An answer is pending from the time its command was read until the answer is written completely.
 package front
@@ -17,7 +19,6 @@
 	"time"
 
 	"dewhitch/internal/resp"
-	"dewhitch/internal/sockets"
 )
 
 // Commands carries out the commands of a client session. If it implements io.Closer, it is closed when the session ends.
@@ -190,18 +191,6 @@
 	s.mu.Unlock()
 }
 
-// evictable describes the session to an eviction at the time now. It returns false if the session is ending or has pending answers.
-func (s *session) evictable(now time.Time) (e evictable, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e = evictable{session: s, idleSince: s.lastPendingAt, owed: s.obligation()}
-	if !s.isOpen() || e.owed.answerPending {
-		return evictable{}, false
-	}
-	e.served = s.commandsRead > s.faultyCommands || now.Sub(s.lastPendingAt) < firstCommandTime
-	return e, true
-}
-
 // isOpen reports whether the session is neither ending nor evicted. The caller holds the lock.
 func (s *session) isOpen() bool { return s.lifecycle.state == stateOpen && !s.evicted }
 
@@ -210,74 +199,11 @@
 	return obligation{commandBegun: s.commandBegun, answerPending: !s.hasNoPendingAnswers()}
 }
 
-// undelivered returns what the client is owed, with what its system has not received. The caller holds the lock.
-func (s *session) undelivered(now time.Time) obligation {
-	s.delivery.observe(sockets.Unsent(s.conn), now)
-	owed := s.obligation()
-	owed.undelivered = s.delivery.unsent
-	owed.stalled = s.delivery.stalled(now)
-	return owed
-}
-
 // hasNoPendingAnswers reports whether no answer remains to be given or written. The caller holds the lock.
 func (s *session) hasNoPendingAnswers() bool {
 	return len(s.slots) == 0 && len(s.unwritten) == 0 && s.unsentBytes == 0
 }
 
-// idleBetweenCommands returns lastPendingAt, whether the client has sent a valid command, and whether the session waits for the next
-// command. A client in the middle of a command may send slowly and is not idle. For a session that is ending, both booleans are false.
-func (s *session) idleBetweenCommands() (since time.Time, sentValidCommand, idle bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	open := s.isOpen()
-	return s.lastPendingAt, open && s.commandsRead > s.faultyCommands, open && s.hasNoPendingAnswers() && s.awaitingCommand
-}
-
-// evict makes an open session end if no answer is pending. A command that its client is writing is refused.
-func (s *session) evict() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.startEviction()
-}
-
-// evictBetweenCommands is like evict, but does nothing if the client has begun a command.
-func (s *session) evictBetweenCommands() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.commandBegun {
-		s.startEviction()
-	}
-}
-
-// startEviction carries out evict. The caller holds the lock.
-func (s *session) startEviction() {
-	if !s.isOpen() {
-		return
-	}
-	s.evicted = true
-	if s.cancelWait != nil {
-		s.cancelWait()
-	}
-	if !s.commandDeadline.IsZero() {
-		s.commandDeadline = time.Now()
-	}
-	s.interruptRead()
-}
-
-// endDiscarding closes the connection if its input is only discarded, and the client's system has received all answers, or none of them
-// for crowdStallTime. It reports whether it did.
-func (s *session) endDiscarding(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.discarding || s.undelivered(now).delivering(crowdStallTime) {
-		return false
-	}
-	s.discarding = false // only once
-	s.owedAtEnd = s.undelivered(now)
-	s.conn.Close()
-	return true
-}
-
 // abort ends the session immediately for a reason. Nothing more is written to its client.
 func (s *session) abort(r CloseReason) {
 	s.mu.Lock()
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -59,14 +59,6 @@
 	slot.Fill(resp.AppendError(nil, "ERR "+why))
 }
 
-// refuse answers a command that is not carried out because the gateway ends the connection.
-func (slot *Slot) refuse() {
-	slot.session.mu.Lock()
-	slot.session.refusedCommands++
-	slot.session.mu.Unlock()
-	slot.Fill(resp.AppendError(nil, refusal))
-}
-
 // FillAndClose fills the slot, and ends the session when all earlier commands are answered too. It must be called within Commands.Do.
 func (slot *Slot) FillAndClose(answer []byte) {
 	slot.Fill(answer)
