Read a command that is arriving in a drain to its end, and reject it then

A client that began a command within 1.5 s of the call and wrote it in 2.2 s was refused in the middle of it, and could not write its last piece ("broken pipe", six of six).

Cause: in a drain the time for a command that has begun ended with the time to read. The rest was discarded for 0.3 s, then the connection closed.

Change: finishBy is 3 s after the call in a drain. A command that is whole by then is rejected as any late request, an incomplete one is refused; the close is due by 3.75 s as before.

--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -263,6 +263,56 @@
 	}
 }
 
+// TestDrainReadsArrivingCommand guards against a connection that a drain closes while its client writes a command. The command is read to its
+// end and rejected, and is refused if it is incomplete at finishBy.
+func TestDrainReadsArrivingCommand(t *testing.T) {
+	for name, c := range map[string]struct {
+		pieces []string // written after the time to read, 200 ms apart
+		want   string
+	}{
+		"completed": {[]string{ping[3:6], ping[6:9], ping[9:]}, "-LATE\r\n"},
+		"left":      {[]string{ping[3:6]}, "-BUSY\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, _, s := newSessionPair(t, rejectLate{}, false)
+			client.Write([]byte(ping + ping[:3]))
+			r := bufio.NewReader(client)
+			if line, err := r.ReadString('\n'); line != "+OK\r\n" {
+				t.Fatalf("got answer %q, error %v", line, err)
+			}
+			eventually(t, "the incomplete command was not read", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.commandBegun && s.commandsRead == 1
+			})
+			s.drain(drainPastReading())
+			startedAt := time.Now()
+			for _, piece := range c.pieces {
+				time.Sleep(200 * time.Millisecond)
+				client.Write([]byte(piece))
+			}
+			if rest, err := io.ReadAll(r); string(rest) != c.want || err != nil {
+				t.Errorf("got %q, error %v, expected %q", rest, err, c.want)
+			}
+			if took := time.Since(startedAt); drainReadTime+took > drainCloseTime {
+				t.Errorf("the connection ended %v after the start of the drain", drainReadTime+took)
+			}
+		})
+	}
+}
+
+// rejectLate answers each command with OK, or with LATE if the command must be rejected.
+type rejectLate struct{}
+
+func (rejectLate) Do(_ time.Time, _ resp.Command, s *Slot) {
+	if s.MustReject() {
+		s.Fill(resp.AppendError(nil, "LATE"))
+		return
+	}
+	s.Fill(resp.AppendStatus(nil, "OK"))
+}
+
 // acceptOrBusy answers each command with "taken", or with BUSY if the command must be rejected.
 type acceptOrBusy struct{}
 
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -14,6 +14,8 @@
 	// drainReadTime is how long requests are accepted. At drainTimeLimit, the last accepted request is older than recentWindow, even if
 	// the gateway stalls twice for stallMargin.
 	drainReadTime = drainTimeLimit - recentWindow - 500*time.Millisecond
+	// drainFinishTime is how long a command that has begun may arrive. Its rejection and the close take the rest of drainTimeLimit.
+	drainFinishTime = drainTimeLimit - time.Second
 	// drainCloseTime is the time by which a connection without pending answers is closed.
 	drainCloseTime = drainTimeLimit - stallMargin - 100*time.Millisecond
 	// firstCommandTime is the time for the first command of a connection that is accepted during the drain.
@@ -49,12 +51,13 @@
 // drainTimes holds the times of one drain of the gateway.
 type drainTimes struct {
 	readUntil time.Time // time from which requests are rejected
+	finishBy  time.Time // time until which a command that has begun may arrive, to be rejected
 	closeAt   time.Time // time at which a connection without pending answers is closed
 }
 
 // newDrainTimes derives the times of a drain from the time of the operators' call.
 func newDrainTimes(calledAt time.Time) drainTimes {
-	return drainTimes{readUntil: calledAt.Add(drainReadTime), closeAt: calledAt.Add(drainCloseTime)}
+	return drainTimes{readUntil: calledAt.Add(drainReadTime), finishBy: calledAt.Add(drainFinishTime), closeAt: calledAt.Add(drainCloseTime)}
 }
 
 // lifecycle decides what a client connection may still do. It reads no clock and does no I/O. It is not safe for concurrent use: the
@@ -78,7 +81,7 @@
 	}
 	l.state = stateDraining
 	l.readUntil = later(times.readUntil, firstCommandBy)
-	l.finishBy = l.readUntil
+	l.finishBy = later(times.finishBy, l.readUntil)
 	l.rejectFrom = times.readUntil
 	l.closeAt = times.closeAt
 	l.drainBy = times.closeAt
--- a/internal/front/lifecycle_test.go
+++ b/internal/front/lifecycle_test.go
@@ -16,6 +16,9 @@
 	if latest := d.readUntil.Add(2 * stallMargin); drainTimeLimit-latest.Sub(calledAt) < recentWindow {
 		t.Errorf("a request that is read %v after the call is still recent at the time limit", latest.Sub(calledAt))
 	}
+	if latest := d.finishBy.Add(2*stallMargin + maxDiscardTime); latest.Sub(calledAt) >= drainTimeLimit {
+		t.Errorf("a connection whose command is rejected last may stay open for %v", latest.Sub(calledAt))
+	}
 	if latest := d.closeAt.Add(stallMargin); latest.Sub(calledAt) >= drainTimeLimit {
 		t.Errorf("a connection may stay open for %v", latest.Sub(calledAt))
 	}
