Evict a client that is still receiving an answer after others

What callers saw: no report; found by reading the eviction again.

Change: of the sessions that were served, one whose client's system has all answers goes first.

Measured: TestChooseEvictions has the order; without the change its case "receiving goes last" can't be stated. The eviction tests passed.

--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"dewhitch/internal/sockets"
 )
 
 const (
@@ -102,8 +104,9 @@
 }
 
 // chooseEvictions returns which of the idle sessions are evicted for a new one, a given time after the last eviction: of the lowest rank
-// that there is, those that have been idle longest. It changes the order of idle.
-func chooseEvictions(idle []evictable, sinceLast time.Duration) []evictable {
+// that there is, those that have been idle longest. A session whose client is still receiving an answer keeps its place for some time, so
+// that another one that was served goes first. It changes the order of idle.
+func chooseEvictions(idle []evictable, sinceLast time.Duration, receiving func(evictable) bool) []evictable {
 	slices.SortFunc(idle, func(a, b evictable) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.idleSince.Compare(b.idleSince))
 	})
@@ -121,9 +124,14 @@
 	case sinceLast < servedEvictionInterval:
 		return nil
 	}
-	return idle[:1]
+	free := slices.IndexFunc(idle, func(e evictable) bool { return !receiving(e) })
+	free = max(0, free) // the longest idle if all are receiving
+	return idle[free : free+1]
 }
 
+// receiving reports whether the client's system has not received all answers.
+func (e evictable) receiving() bool { return sockets.Unsent(e.session.conn) > 0 }
+
 // evictLongestIdle frees places for new sessions. It closes those that only discard input, if there are any, and otherwise evicts idle
 // ones.
 func (srv *Server) evictLongestIdle() {
@@ -139,7 +147,7 @@
 			idle = append(idle, e)
 		}
 	}
-	chosen := chooseEvictions(idle, now.Sub(srv.lastEvictionAt))
+	chosen := chooseEvictions(idle, now.Sub(srv.lastEvictionAt), evictable.receiving)
 	if len(chosen) > 0 {
 		srv.lastEvictionAt = now
 	}
--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -218,7 +218,8 @@
 	}
 	silent, incomplete := session(time.Second, false, false), session(time.Minute, false, true)
 	resting, writing := session(time.Hour, true, false), session(24*time.Hour, true, true)
-	oldest := session(2*time.Hour, true, false)
+	oldest, receiving := session(2*time.Hour, true, false), session(3*time.Hour, true, false)
+	isReceiving := func(e evictable) bool { return e == receiving }
 	many := slices.Repeat([]evictable{silent}, maxEvictedAtOnce+1)
 	for name, c := range map[string]struct {
 		idle      []evictable
@@ -231,10 +232,12 @@
 		"then incomplete":        {[]evictable{writing, resting, incomplete}, 0, []evictable{incomplete}},
 		"served, too soon":       {[]evictable{writing, resting}, servedEvictionInterval - 1, nil},
 		"the longest idle":       {[]evictable{writing, resting, oldest}, servedEvictionInterval, []evictable{oldest}},
+		"receiving goes last":    {[]evictable{resting, receiving, oldest}, servedEvictionInterval, []evictable{oldest}},
+		"all are receiving":      {[]evictable{receiving, receiving}, servedEvictionInterval, []evictable{receiving}},
 		"writing as last resort": {[]evictable{writing, writing}, servedEvictionInterval, []evictable{writing}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := chooseEvictions(slices.Clone(c.idle), c.sinceLast); !slices.Equal(got, c.want) {
+			if got := chooseEvictions(slices.Clone(c.idle), c.sinceLast, isReceiving); !slices.Equal(got, c.want) {
 				t.Errorf("got %+v, expected %+v", got, c.want)
 			}
 		})
