Read the reserved memory of a socket as the signed number that it is

The kernel's word on reserved memory is signed and is negative while data is not yet charged; memInfoBytes read it as unsigned. A negative word counts as nothing, so that the measurement is never below what the buffers hold.

--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -129,7 +129,7 @@
 	allStates          = 0xffffffff
 	netlinkBufferBytes = 64 << 10
 	memInfoReceived    = 0 // word of sk_meminfo: bytes of received data
-	memInfoForward     = 4 // word of sk_meminfo: bytes reserved for further data
+	memInfoForward     = 4 // word of sk_meminfo: bytes reserved for further data; signed, and negative while data is not yet charged
 	memInfoQueued      = 5 // word of sk_meminfo: bytes of data to send
 )
 
@@ -197,11 +197,11 @@
 		}
 		value := bytes.NewReader(attributes[headerBytes:length])
 		if binary.NativeEndian.Uint16(attributes[2:]) == extensionSkMemInfo {
-			words := make([]uint32, value.Len()/wordBytes)
+			words := make([]int32, value.Len()/wordBytes)
 			_ = binary.Read(value, binary.NativeEndian, words)
 			for _, word := range []int{memInfoReceived, memInfoForward, memInfoQueued} {
 				if word < len(words) {
-					total += int(words[word])
+					total += max(0, int(words[word]))
 				}
 			}
 		}
