Reproduce answers that are late beside a flood of PING, as a test that fails

Real processes on one core, on two, and several that share one; clients that pipeline PING at full speed and read the answers; 40 clients with open connections that wait 150 ms.

--- /dev/null
+++ b/cmd/dewhitch/flood_test.go
@@ -0,0 +1,122 @@
+package main_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dewhitch/internal/standin"
+	"dewhitch/internal/standin/hostile"
+)
+
+// Flags for longer and more specific runs: go test ./cmd/dewhitch -run TestFlood -flood.time 6s -flood.clients 20
+var (
+	floodTime    = flag.Duration("flood.time", 2*time.Second, "how long each flood of TestFlood lasts")
+	floodClients = flag.Int("flood.clients", 6, "flooding clients of each process")
+)
+
+// Clients beside a flood, as in the operators' reports.
+const (
+	waitingClients = 40
+	shortWait      = 150 * time.Millisecond // time that such a client waits for its answer
+	floodMemoryMB  = 64
+	floodSockets   = 512
+)
+
+// floodEnvironment returns an environment whose gateways have a number of cores.
+func floodEnvironment(t *testing.T, cores int) *environment {
+	env := newEnvironment(t)
+	env.limit(memoryLimits{floodMemoryMB, floodSockets})
+	env.overrides = append(env.overrides, fmt.Sprintf(`{"limits": {"cores": %d}}`, cores))
+	return env
+}
+
+// pin lets a process run on one core of the machine only, as it does where its platform grants it no more.
+func pin(t *testing.T, p *process, core int) {
+	var cores unix.CPUSet
+	cores.Set(core)
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		t.Fatalf("the process has no threads: %v", err)
+	}
+	for _, thread := range threads { // later threads inherit it
+		id, _ := strconv.Atoi(filepath.Base(thread))
+		if err := unix.SchedSetaffinity(id, &cores); err != nil && !errors.Is(err, unix.ESRCH) {
+			t.Fatal(err)
+		}
+	}
+}
+
+// playFlood floods a gateway beside clients with short waits, whose connections are open, and checks what these are owed.
+func playFlood(t *testing.T, env *environment, p *process, flood hostile.Flood, clients int, seed uint64) {
+	watch := standin.WatchMemory(p.cmd.Process.Pid, env.sharedTempDir)
+	defer watch.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), hostileStart+*floodTime)
+	defer cancel()
+	var running sync.WaitGroup
+	var read int64
+	running.Go(func() {
+		time.Sleep(hostileStart)
+		read = hostile.RunFlood(ctx, env.deployment(), flood, clients)
+	})
+	results := hostile.RunWaiting(ctx, env.deployment(), waitingClients, shortWait, seed)
+	running.Wait()
+	peak, err := watch.Peak()
+	t.Logf("peak %v; %d KiB of answers to the flood; usual clients: %v", peak, read>>10, results)
+	if err != nil || len(p.exited) > 0 {
+		t.Fatalf("the process ended: %v\n%.2000s", err, p.log())
+	}
+	if peak.Total() > floodMemoryMB<<20 {
+		t.Errorf("the process used %v; the limit is %d MiB", peak, floodMemoryMB)
+	}
+	if results.Missing > 0 {
+		t.Errorf("%d of %d requests of usual clients had no answer in time", results.Missing, results.Requests())
+	}
+	if !flood.OccupiesServers && results.Served*2 < results.Requests() { // the least share that the standing test allows
+		t.Errorf("%d of %d requests of usual clients were served in time, expected half of them", results.Served, results.Requests())
+	}
+}
+
+// TestFloodOfPings guards against answers that come late or never while clients pipeline PING at full speed: on one core, on two, and in each
+// of several processes that share one.
+func TestFloodOfPings(t *testing.T) {
+	ping := hostile.Floods[0]
+	for _, cores := range []int{1, 2} {
+		t.Run(fmt.Sprintf("cores %d", cores), func(t *testing.T) {
+			env := floodEnvironment(t, cores)
+			p := env.start("serve")
+			env.awaitReady(p)
+			if cores == 1 {
+				pin(t, p, 0)
+			}
+			playFlood(t, env, p, ping, *floodClients, uint64(cores))
+		})
+	}
+	t.Run("a hundred clients", func(t *testing.T) {
+		env := floodEnvironment(t, 1)
+		p := env.start("serve")
+		env.awaitReady(p)
+		pin(t, p, 0)
+		playFlood(t, env, p, ping, 100, 3)
+	})
+	t.Run("several processes", func(t *testing.T) {
+		for process := range 3 {
+			t.Run(fmt.Sprint(process), func(t *testing.T) {
+				t.Parallel()
+				env := floodEnvironment(t, 1)
+				p := env.start("serve")
+				env.awaitReady(p)
+				pin(t, p, 1)
+				playFlood(t, env, p, ping, *floodClients, uint64(process))
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/hostile/flood.go
@@ -0,0 +1,156 @@
+package hostile
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dewhitch/internal/standin"
+)
+
+// Flood is a kind of clients that make a process work as fast as it can. All read their answers, unless the name says otherwise.
+type Flood struct {
+	Name string
+	// OccupiesServers tells that the requests are valid and take what the servers or the customer's limits allow. Others may then be refused.
+	OccupiesServers bool
+	run             func(context.Context, *connection, *atomic.Int64) error
+}
+
+// Floods lists all kinds of floods. The first one is that of the operators' report.
+var Floods = []Flood{
+	{"ping", false, repeatedly("PING")},
+	{"ping, answers unread", false, unread("PING")},
+	{"unknown command", false, repeatedly("NOTHING", "x")},
+	{"empty line", false, repeatedText("\r\n")},
+	{"long unknown command", false, repeatedly("NOTHING", strings.Repeat("x", bodyBytes-100))},
+	{"unknown class", false, flood(func(c *connection, _ uint64) []byte {
+		return standin.AppendCommand(nil, "SVC.QUERY", customerID(c.number), "v10", c.deployment.arguments("novel", hostileDeadline))
+	})},
+	{"queries of one customer", true, flood(func(c *connection, n uint64) []byte {
+		return c.deployment.query(c.number, c.floodID("v10", n))
+	})},
+	{"queries of new customers", true, flood(func(c *connection, n uint64) []byte {
+		return c.deployment.query(c.number<<20+n, c.floodID("v10", n))
+	})},
+	{"queries with 1 ms left", false, flood(func(c *connection, n uint64) []byte {
+		return standin.AppendCommand(nil, "SVC.QUERY", customerID(c.number), c.floodID("v10", n),
+			c.deployment.arguments(c.deployment.QueryClass, time.Millisecond))
+	})},
+	{"new connections", false, reconnect(nil)},
+	{"new connections with a ping", false, reconnect(standin.AppendCommand(nil, "PING"))},
+	{"new connections with an unknown command", false, reconnect(standin.AppendCommand(nil, "NOTHING"))},
+}
+
+// FloodNamed returns the kind of floods with a name. It panics if there is none.
+func FloodNamed(name string) Flood {
+	for _, f := range Floods {
+		if f.Name == name {
+			return f
+		}
+	}
+	panic("hostile: no flood is named " + name)
+}
+
+// RunFlood runs clients of a kind until the context ends, and returns the number of bytes that they read. Each one connects again as soon
+// as it is cut off.
+func RunFlood(ctx context.Context, d Deployment, f Flood, clients int) (bytesRead int64) {
+	var running sync.WaitGroup
+	var total atomic.Int64
+	for range clients {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				floodConnection(ctx, d, f, &total)
+			}
+		})
+	}
+	running.Wait()
+	return total.Load()
+}
+
+// floodConnection opens a connection and uses it until it fails or the context ends.
+func floodConnection(ctx context.Context, d Deployment, f Flood, bytesRead *atomic.Int64) {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", d.Addr)
+	if err != nil {
+		pause(ctx, time.Millisecond)
+		return
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
+	_ = f.run(ctx, &connection{conn.(*net.TCPConn), d, nil, connectionCount.Add(1)}, bytesRead)
+}
+
+// floodWriteBytes is the least number of bytes that a flooding client writes at once.
+const floodWriteBytes = 32 << 10
+
+// floodID returns an id that no other command of the process has.
+func (c *connection) floodID(prefix string, n uint64) string {
+	return prefix + "-" + customerID(c.number<<24+n)
+}
+
+// flood returns the run of clients that write commands as fast as they are read. next returns the command with a number.
+func flood(next func(c *connection, n uint64) []byte) func(context.Context, *connection, *atomic.Int64) error {
+	return func(ctx context.Context, c *connection, bytesRead *atomic.Int64) error {
+		go func() {
+			n, _ := io.Copy(io.Discard, c)
+			bytesRead.Add(n)
+			c.Close()
+		}()
+		n := uint64(0)
+		for ctx.Err() == nil {
+			var b []byte
+			for len(b) < floodWriteBytes {
+				n++
+				b = append(b, next(c, n)...)
+			}
+			if _, err := c.Write(b); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// repeatedly returns the run of clients that repeat a command.
+func repeatedly(args ...string) func(context.Context, *connection, *atomic.Int64) error {
+	return repeatedText(string(standin.AppendCommand(nil, args...)))
+}
+
+// repeatedText returns the run of clients that repeat a text.
+func repeatedText(text string) func(context.Context, *connection, *atomic.Int64) error {
+	b := bytes.Repeat([]byte(text), max(1, floodWriteBytes/len(text)))
+	return flood(func(*connection, uint64) []byte { return b })
+}
+
+// unread returns the run of clients that repeat a command and read nothing.
+func unread(args ...string) func(context.Context, *connection, *atomic.Int64) error {
+	b := bytes.Repeat(standin.AppendCommand(nil, args...), pipelined)
+	return func(ctx context.Context, c *connection, _ *atomic.Int64) error {
+		for ctx.Err() == nil {
+			if _, err := c.Write(b); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// reconnect returns the run of clients that open a connection, send a text, wait for the first byte of an answer if there is one, and go.
+func reconnect(text []byte) func(context.Context, *connection, *atomic.Int64) error {
+	return func(_ context.Context, c *connection, bytesRead *atomic.Int64) error {
+		if len(text) == 0 {
+			return nil
+		}
+		if _, err := c.Write(text); err != nil {
+			return err
+		}
+		n, err := c.Read(make([]byte, 1))
+		bytesRead.Add(int64(n))
+		return err
+	}
+}
