Measure how late loop, readers and writers run, and which connections use the time

The histogram dewhitch_late_seconds has the delays of writers, of the planner's timers and of a goroutine that only sleeps; with a delay of over 0.1 s the log says once a second 'the process runs late', with the longest delay of each part and the connections that used the most time (wall time).

--- a/cmd/dewhitch/flood_test.go
+++ b/cmd/dewhitch/flood_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,6 +75,11 @@
 	if err != nil || len(p.exited) > 0 {
 		t.Fatalf("the process ended: %v\n%.2000s", err, p.log())
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log:\n%s", lastLine(p.log(), "the process runs late"))
+		}
+	})
 	if peak.Total() > floodMemoryMB<<20 {
 		t.Errorf("the process used %v; the limit is %d MiB", peak, floodMemoryMB)
 	}
@@ -85,6 +91,16 @@
 	}
 }
 
+// lastLine returns the last line of a log that contains a text.
+func lastLine(log, text string) (last string) {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, text) {
+			last = line
+		}
+	}
+	return last
+}
+
 // TestFloodOfPings guards against answers that come late or never while clients pipeline PING at full speed: on one core, on two, and in each
 // of several processes that share one.
 func TestFloodOfPings(t *testing.T) {
--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dewhitch/internal/config"
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/forward"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/sessions"
@@ -59,6 +60,8 @@
 	memoryPlan       memory.Plan
 	memory           *memory.Account
 	operatorListener service // serves operators over HTTP, or nil if it is not configured
+	metrics          *telemetry.Metrics
+	fair             *fairqueue.Scheduler
 	registry         *registry.Registry
 	planners         *forward.Planners
 	server           *front.Server
@@ -84,6 +87,8 @@
 	applyMemoryLimit(f.memoryPlan)
 	logMemory(f.log, int64(f.limits.Forward.MemoryMB)<<20, f.memoryPlan)
 	metrics := telemetry.New()
+	f.fair = fairqueue.New(metrics)
+	f.metrics = metrics
 	f.operatorListener, err = openOperatorListener(operations, append(f.ledger.operatorParts(), metrics, telemetry.Memory{Account: f.memory}), f.log)
 	if err != nil {
 		return err
@@ -96,7 +101,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: registry.servers: %w", err)
 	}
-	f.server = &front.Server{Listener: listener, Log: f.log, Monitor: metrics,
+	f.server = &front.Server{Listener: listener, Log: f.log, Monitor: metrics, Fair: f.fair,
 		Bounds: front.NewPlannedBounds(f.memoryPlan, f.memory), NewCommands: f.newSession}
 	return nil
 }
@@ -130,6 +135,10 @@
 		group.Go(func() error { return f.operatorListener(servingCtx) })
 	}
 	group.Go(func() error { return f.followRegistry(servingCtx) })
+	group.Go(func() error {
+		watchLateness(servingCtx, f.metrics, f.fair, f.log)
+		return nil
+	})
 	group.Go(func() error {
 		defer stopServing()
 		return serveSessions(acceptingCtx, []*front.Server{f.server}, f.memoryPlan.Sessions, 0)
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -16,6 +16,7 @@
 	"dewhitch/internal/counter"
 	"dewhitch/internal/discovery"
 	"dewhitch/internal/exclusions"
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/fleet/agent"
 	"dewhitch/internal/front"
 	"dewhitch/internal/front/limits"
@@ -60,6 +61,7 @@
 	state   *ops.State
 	figures *ops.Figures
 	metrics *telemetry.Metrics
+	fair    *fairqueue.Scheduler
 
 	// The planner and the parts that it calls.
 	classes          []string // names of the classes, including the spare classes for reloads
@@ -129,6 +131,7 @@
 	g.state = &ops.State{}
 	g.figures = &ops.Figures{}
 	g.metrics = telemetry.New()
+	g.fair = fairqueue.New(g.metrics)
 	g.figures.AddClasses(g.node.Names.Classes)
 	names := ledger.Names{Plans: g.node.Names.Plans, Classes: g.classes}
 	g.ledger, err = startLedger(g.operations, g.node.Name, statement.Gateway, names, g.log)
@@ -206,7 +209,7 @@
 		Figures: g.figures, State: g.state}
 	bounds := front.NewPlannedBounds(g.memoryPlans.alone, g.memory)
 	platformServer := &front.Server{NewCommands: func() front.Commands { return g.commands }, Bounds: bounds, Log: g.log,
-		Monitor: g.metrics, Ready: g.ready}
+		Monitor: g.metrics, Fair: g.fair, Ready: g.ready}
 	if platformServer.Listener, err = listenForClients(g.node); err != nil {
 		return err
 	}
@@ -214,7 +217,7 @@
 	if g.limits.Listen != "" {
 		limitsCommands := &limits.Commands{Commands: g.commands}
 		limitsServer := &front.Server{NewCommands: func() front.Commands { return sessions.New(limitsCommands, version) }, Bounds: bounds,
-			Log: g.log, Monitor: g.metrics, Ready: g.ready}
+			Log: g.log, Monitor: g.metrics, Fair: g.fair, Ready: g.ready}
 		if limitsServer.Listener, err = net.Listen("tcp", g.limits.Listen); err != nil {
 			return fmt.Errorf("configuration: listen (limits file): %w", err)
 		}
--- a/cmd/dewhitch/run.go
+++ b/cmd/dewhitch/run.go
@@ -57,6 +57,7 @@
 	services := []service{
 		g.planner.Run, g.pools.Run, g.counter.Run, g.discovery.Run, g.exclusions.Run,
 		infallible(g.snapshots.run), infallible(g.shareMemory),
+		infallible(func(ctx context.Context) { watchLateness(ctx, g.metrics, g.fair, g.log) }),
 		infallible(func(ctx context.Context) { g.reloadOnSignal(ctx, reload) }),
 	}
 	if g.adminServer != nil {
--- a/internal/core/inbox_test.go
+++ b/internal/core/inbox_test.go
@@ -38,6 +38,7 @@
 func (e *fakeEnvironment) Add(CounterCall, func(dw.Outcome, float64)) {}
 func (e *fakeEnvironment) Ref() uint64                                { return 0 }
 func (e *fakeEnvironment) Post(ledger.Posting)                        {}
+func (e *fakeEnvironment) TimerLate(time.Duration)                    {}
 func (e *fakeEnvironment) Waited(q Queue, _ time.Duration)            { e.record("%v", q) }
 func (e *fakeEnvironment) ListApplied(v int64, _ time.Duration)       { e.record("list %d", v) }
 func (e *fakeEnvironment) Answered(ledger.Event)                      {}
--- a/internal/core/monitor.go
+++ b/internal/core/monitor.go
@@ -26,6 +26,8 @@
 type Monitor interface {
 	// Waited reports the time that a message waited in its queue.
 	Waited(q Queue, wait time.Duration)
+	// TimerLate reports how long after its time a timer fired.
+	TimerLate(d time.Duration)
 	// ListApplied reports that an endpoint update was applied, and the time since its first byte was read.
 	ListApplied(version int64, age time.Duration)
 	// Answered reports the ledger event with which a request ended.
@@ -41,6 +43,7 @@
 type noMonitor struct{}
 
 func (noMonitor) Waited(Queue, time.Duration)      {}
+func (noMonitor) TimerLate(time.Duration)          {}
 func (noMonitor) ListApplied(int64, time.Duration) {}
 func (noMonitor) Answered(ledger.Event)            {}
 func (noMonitor) Retried(dw.Outcome)               {}
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	dw "dewhitch"
 )
@@ -14,6 +15,7 @@
 func (p *Planner) fireTimers(now dw.Instant) {
 	for n := 0; n < maxTimersPerRound && len(p.timers) > 0 && p.timers[0].At <= now; n++ {
 		t := heap.Pop(&p.timers).(dw.SetTimer)
+		p.monitor.TimerLate(time.Duration(now - t.At))
 		p.step(dw.TimerFired{ID: t.ID})
 	}
 }
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -180,8 +180,10 @@
 	if s.refusing {
 		return 0, errNoMoreCommands
 	}
-	s.mu.Lock()
 	now := time.Now()
+	s.useReading(now)
+	s.readBusySince = time.Time{}
+	s.mu.Lock()
 	mayRead := s.mayRead(now) || now.Before(s.finishReadBy)
 	if mayRead && !s.commandDeadline.IsZero() {
 		deadline := earlier(s.commandDeadline, now.Add(byteTimeout))
@@ -197,6 +199,7 @@
 	n, err := s.conn.Read(b)
 	if n > 0 {
 		s.lastReadAt = time.Now()
+		s.readBusySince = s.lastReadAt
 	}
 	return n, err
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/sockets"
 )
 
@@ -27,8 +28,9 @@
 	MaxIdleSessions int             // number of sessions above which idle ones are evicted early; 0 disables this
 	Bounds          *Bounds
 	Log             *zap.Logger
-	Monitor         Monitor         // may be nil
-	Ready           <-chan struct{} // closed when sessions may be accepted; nil if they may be from the start
+	Monitor         Monitor              // may be nil
+	Fair            *fairqueue.Scheduler // counts the time that connections use; may be nil
+	Ready           <-chan struct{}      // closed when sessions may be accepted; nil if they may be from the start
 
 	mu             sync.Mutex
 	sessions       map[*session]struct{}
@@ -98,6 +100,7 @@
 // addSession creates a session, which drains if the gateway does.
 func (srv *Server) addSession(conn net.Conn) *session {
 	s := newSession(conn, srv.NewCommands(), srv.Bounds)
+	s.openFlows(srv.Fair)
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	srv.sessions[s] = struct{}{}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/resp"
 )
 
@@ -39,11 +40,15 @@
 	ctx      context.Context // ends with the session
 	cancel   context.CancelFunc
 
-	wake         chan struct{} // signals the writer that there is something to write or that the session has ended; buffer of one
-	drainStarted chan struct{} // closed when the session starts to drain
-	acceptedAt   time.Time
-	lastReadAt   time.Time // time of the last bytes received; used by the reading goroutine alone
-	refusing     bool      // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
+	wake          chan struct{} // signals the writer that there is something to write or that the session has ended; buffer of one
+	drainStarted  chan struct{} // closed when the session starts to drain
+	acceptedAt    time.Time
+	readBusySince time.Time // time since which the reading goroutine has worked on received bytes; zero while it reads. Used by it alone
+	lastReadAt    time.Time // time of the last bytes received; used by the reading goroutine alone
+	refusing      bool      // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
+
+	reading *fairqueue.Flow // of the reading goroutine
+	writing *fairqueue.Flow // of the writing goroutine
 
 	streams       streamReading // guarded by Bounds.mu
 	streamedBytes atomic.Int64  // bytes of streamed values that the client has read since it has been reading one
@@ -58,6 +63,7 @@
 	streaming       *Slot       // slot whose value is written after unwritten; nil if none is
 	answerEnds      []answerEnd // ends of the answers in unwritten that have an onSettled
 	unsentBytes     int         // bytes of answers in unwritten and in slots; a long value counts as streamingBytes
+	wokenAt         time.Time   // time since which the writer has had something to write; zero if it has nothing
 	gatheredCount   int         // number of answers in unwritten and streaming
 	pendingCount    int         // number of commands that were read and whose answers are not written
 	readsAhead      bool        // the receive buffer is enlarged
@@ -108,6 +114,7 @@
 // run serves the session until it has ended.
 func (s *session) run() {
 	defer s.conn.Close()
+	defer s.closeFlows()
 	if c, ok := s.commands.(io.Closer); ok {
 		defer c.Close()
 	}
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -159,6 +159,9 @@
 	}
 	s.lastPendingAt = time.Now()
 	s.gatherAnswers()
+	if s.wokenAt.IsZero() {
+		s.wokenAt = s.lastPendingAt
+	}
 	s.wakeWriter()
 }
 
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -66,6 +66,7 @@
 func (s *session) nextBatch(b *batch) (ended bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reportWriterLate()
 	b.answers, s.unwritten = s.unwritten, b.answers[:0]
 	b.answerEnds, s.answerEnds = s.answerEnds, b.answerEnds[:0]
 	b.streamed = s.streaming
@@ -178,8 +179,10 @@
 		if err != nil {
 			return n, err
 		}
-		s.conn.SetWriteDeadline(time.Now().Add(sendTimeout / maxStalledWrites))
+		startedAt := time.Now()
+		s.conn.SetWriteDeadline(startedAt.Add(sendTimeout / maxStalledWrites))
 		m, err := s.conn.Write(b[n : n+allowed])
+		s.writing.Use(time.Since(startedAt))
 		n += m
 		if m > 0 {
 			stalledWrites = 0
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -23,6 +23,7 @@
 	for q := range core.QueueCount {
 		m.Waited(q, time.Duration(201+int(q))*time.Millisecond)
 	}
+	m.Late("reader", 205*time.Millisecond)
 	m.ListInterrupted("too_long")
 	m.ConnectionClosed("drained")
 	m.ConnectionEndedOwed("evicted")
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -49,6 +49,8 @@
 	listBytes         prometheus.Counter              // number of bytes of the messages read from discovery
 	listInterruptions *prometheus.CounterVec          // interrupted connections for the endpoint list, by reason
 
+	late lateness
+
 	requestsEnded      [ledger.EventCount]prometheus.Counter // ended requests by event; nil for events outside the planner's journal
 	retries            [dw.OutcomeCount]prometheus.Counter   // retries by the outcome of the previous attempt
 	connectionsClosed  *prometheus.CounterVec                // closed client connections, by reason
@@ -65,6 +67,7 @@
 	for q := range m.waits {
 		m.waits[q] = waits.WithLabelValues(core.Queue(q).String())
 	}
+	m.late = lateness{seconds: m.histogram("late_seconds", "How late parts of the process ran.", "part"), worst: map[string]time.Duration{}}
 	ages := m.histogram("list_age_seconds", "Age of a message of discovery's, from its first byte.", "stage")
 	for s := range m.ages {
 		m.ages[s] = ages.WithLabelValues(stageNames[s])
@@ -108,6 +111,7 @@
 // Waited implements core.Monitor.
 func (m *Metrics) Waited(q core.Queue, d time.Duration) {
 	m.waits[q].Observe(d.Seconds())
+	m.queueLate(q, d)
 	storeMax(&m.maxWaits[q], int64(d))
 }
 
