Give every client connection its turn, by fair queueing with stated bounds

What callers saw: answers late or never while other clients sent at full speed on connections of their own.

Cause: the goroutines that read and write for such a client are always ready to run. With one processor every other goroutine waited behind all of them at each step of a request, and the network was polled only by the runtime's monitor, every 10 ms. Nothing bounded what one connection, or all together, took before others ran.

Change: package fairqueue. Each reading, writing and accepting goroutine is a flow. A flow may use 0.1 ms in a turn; turns are given in the order in which flows ask, in rounds of 32 a processor; and between two rounds all other goroutines that are ready run and the network is polled. The time counts, not the number or the kind of commands. So what is not a flow waits for 3.2 ms of flows at most, and a flow for one turn of each other one; a connection that is new waits for its first turn as well.

--- a/cmd/dewhitch/flood_test.go
+++ b/cmd/dewhitch/flood_test.go
@@ -21,6 +21,7 @@
 // Flags for longer and more specific runs: go test ./cmd/dewhitch -run TestFlood -flood.time 6s -flood.clients 20
 var (
 	floodTime    = flag.Duration("flood.time", 2*time.Second, "how long each flood of TestFlood lasts")
+	floodKind    = flag.String("flood.kind", "", "TestFloods plays only the kinds whose name contains this")
 	floodClients = flag.Int("flood.clients", 6, "flooding clients of each process")
 )
 
@@ -33,7 +34,7 @@
 )
 
 // floodEnvironment returns an environment whose gateways have a number of cores.
-func floodEnvironment(t *testing.T, cores int) *environment {
+func floodEnvironment(t testing.TB, cores int) *environment {
 	env := newEnvironment(t)
 	env.limit(memoryLimits{floodMemoryMB, floodSockets})
 	env.overrides = append(env.overrides, fmt.Sprintf(`{"limits": {"cores": %d}}`, cores))
@@ -41,7 +42,7 @@
 }
 
 // pin lets a process run on one core of the machine only, as it does where its platform grants it no more.
-func pin(t *testing.T, p *process, core int) {
+func pin(t testing.TB, p *process, core int) {
 	var cores unix.CPUSet
 	cores.Set(core)
 	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.cmd.Process.Pid))
@@ -136,3 +137,18 @@
 		}
 	})
 }
+
+// TestFloods guards against what TestFloodOfPings does, for every other kind of input that makes a process work without limit.
+func TestFloods(t *testing.T) {
+	for seed, flood := range hostile.Floods[1:] {
+		if !strings.Contains(flood.Name, *floodKind) {
+			continue
+		}
+		t.Run(flood.Name, func(t *testing.T) {
+			env := floodEnvironment(t, 1)
+			p := env.start("serve")
+			env.awaitReady(p)
+			playFlood(t, env, p, flood, *floodClients, uint64(seed))
+		})
+	}
+}
--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -87,7 +87,9 @@
 	applyMemoryLimit(f.memoryPlan)
 	logMemory(f.log, int64(f.limits.Forward.MemoryMB)<<20, f.memoryPlan)
 	metrics := telemetry.New()
-	f.fair = fairqueue.New(metrics)
+	if f.fair, err = fairqueue.New(metrics); err != nil {
+		return err
+	}
 	f.metrics = metrics
 	f.operatorListener, err = openOperatorListener(operations, append(f.ledger.operatorParts(), metrics, telemetry.Memory{Account: f.memory}), f.log)
 	if err != nil {
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -131,7 +131,9 @@
 	g.state = &ops.State{}
 	g.figures = &ops.Figures{}
 	g.metrics = telemetry.New()
-	g.fair = fairqueue.New(g.metrics)
+	if g.fair, err = fairqueue.New(g.metrics); err != nil {
+		return err
+	}
 	g.figures.AddClasses(g.node.Names.Classes)
 	names := ledger.Names{Plans: g.node.Names.Plans, Classes: g.classes}
 	g.ledger, err = startLedger(g.operations, g.node.Name, statement.Gateway, names, g.log)
--- a/cmd/dewhitch/handover_test.go
+++ b/cmd/dewhitch/handover_test.go
@@ -18,7 +18,7 @@
 )
 
 // adminCall makes a call at an operators' address and returns the first line of the answer, which is empty if there is none.
-func adminCall(t *testing.T, addr, line string) string {
+func adminCall(t testing.TB, addr, line string) string {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", addr, waitLimit)
 	if err != nil {
@@ -63,7 +63,7 @@
 // that file, would put the socket into blocking mode for all holders of the socket: a program that waits in accept would
 // then wait in the kernel and could not close its listener until a client connects. A duplicated descriptor, in an os.File that
 // Go did not make non-blocking, is inherited as it is.
-func inheritableFile(t *testing.T, listener *net.TCPListener) *os.File {
+func inheritableFile(t testing.TB, listener *net.TCPListener) *os.File {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -58,7 +58,7 @@
 
 // environment is what a gateway needs to run: its addresses and settings, and stand-ins for all services that it connects to.
 type environment struct {
-	t                      *testing.T
+	t                      testing.TB
 	listenAddr, limitsAddr string
 	adminAddr              string   // the operators' address of the program that was started last
 	sharedTempDir          string   // $TMPDIR that all programs share, or empty if each has its own
@@ -77,7 +77,7 @@
 }
 
 // newEnvironment returns an environment with one server, in which no program runs yet. Its stand-ins end with the test.
-func newEnvironment(t *testing.T) *environment {
+func newEnvironment(t testing.TB) *environment {
 	env := &environment{t: t, listenAddr: standin.OwnAddr(), limitsAddr: standin.OwnAddr(), backends: newManualBackends(t), counter: newCounter(t)}
 	env.discovery = newDiscovery(t, env.members("s-00000001=up"), 41)
 	return env
--- a/cmd/dewhitch/standins_test.go
+++ b/cmd/dewhitch/standins_test.go
@@ -17,7 +17,7 @@
 }
 
 // closeAtCleanup fails the test if err is set, and otherwise closes standIn at the end of the test.
-func closeAtCleanup[T interface{ Close() }](t *testing.T, standIn T, err error) T {
+func closeAtCleanup[T interface{ Close() }](t testing.TB, standIn T, err error) T {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -27,7 +27,7 @@
 }
 
 // newManualBackends starts a listener for backends. It answers nothing unless the test does, or calls serveAll.
-func newManualBackends(t *testing.T) *manualBackends {
+func newManualBackends(t testing.TB) *manualBackends {
 	b := &manualBackends{conns: make(chan net.Conn, 1024)}
 	listener, err := standin.Listen("", func(conn net.Conn) {
 		b.conns <- conn
@@ -56,17 +56,17 @@
 	}
 }
 
-func newCounter(t *testing.T) *standin.Counter {
+func newCounter(t testing.TB) *standin.Counter {
 	c, err := standin.NewCounter()
 	return closeAtCleanup(t, c, err)
 }
 
-func newDiscovery(t *testing.T, members string, revision int) *standin.Discovery {
+func newDiscovery(t testing.TB, members string, revision int) *standin.Discovery {
 	d, err := standin.NewDiscovery(members, revision)
 	return closeAtCleanup(t, d, err)
 }
 
-func newZookeeper(t *testing.T) *zookeeper.Server {
+func newZookeeper(t testing.TB) *zookeeper.Server {
 	z, err := zookeeper.New()
 	return closeAtCleanup(t, z, err)
 }
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -21,24 +21,55 @@
 // String returns the name of the kind in metrics and logs.
 func (k Kind) String() string { return kindNames[k] }
 
-// Flow is the work of one goroutine for one connection. One goroutine at a time may call its methods, except Charge and Total. A nil Flow
-// counts nothing and never waits.
+// Quantum is the time that a flow may use in one turn. A unit of work that has begun is finished.
+const Quantum = 100 * time.Microsecond
+
+// maxOverdraft is the most time beyond a turn that a flow pays for by further turns. The time of a unit includes waits that the flow did
+// not cause.
+const maxOverdraft = 8 * Quantum
+
+// Flow is the work of one goroutine for one connection. One goroutine at a time may call its methods, except Charge. A nil Flow counts
+// nothing and never waits.
 type Flow struct {
 	scheduler *Scheduler
 	kind      Kind
 	label     string        // names the connection in the log
-	total     atomic.Int64  // time used since the flow was opened, in nanoseconds
+	unpaid    time.Duration // time used and not yet covered by a turn
+	charged   atomic.Int64  // time that others have used for the flow since its last Use, in nanoseconds
+	total     atomic.Int64  // time used in turns that are over, since the flow was opened, in nanoseconds
+	turn      chan struct{} // signals that the flow has its turn; buffer of one
 	reported  time.Duration // total at the last Busiest; guarded by Scheduler.mu
 }
 
-// Use counts time that the flow has used.
-func (f *Flow) Use(d time.Duration) {
+// Use counts time that the flow has used. If that is more than its turn allows, it waits for its next turn and returns true.
+func (f *Flow) Use(d time.Duration) (waited bool) {
 	if f == nil {
-		return
+		return false
+	}
+	if f.charged.Load() > 0 {
+		d += time.Duration(f.charged.Swap(0))
+	}
+	f.unpaid += d
+	if f.unpaid < Quantum {
+		return false
 	}
-	f.total.Add(int64(d))
+	f.total.Add(int64(f.unpaid))
+	for f.unpaid = min(f.unpaid, Quantum+maxOverdraft); f.unpaid >= Quantum; f.unpaid -= Quantum {
+		f.scheduler.awaitTurn(f)
+	}
+	return true
 }
 
+// Charge counts time that another goroutine has used for the flow. It does not wait, and is safe for concurrent use.
+func (f *Flow) Charge(d time.Duration) {
+	if f != nil {
+		f.charged.Add(int64(d))
+	}
+}
+
+// AwaitFirst waits for the first turn of the flow, so that flows that are opened without end do not work without one.
+func (f *Flow) AwaitFirst() { f.Use(Quantum) }
+
 // Late reports to the monitor how long the flow's goroutine has waited although it had something to do.
 func (f *Flow) Late(d time.Duration) {
 	if f != nil && f.scheduler.monitor != nil {
--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -1,47 +1,125 @@
-// Package fairqueue counts the time that connections use of the process, by flows: one for each goroutine that works for a connection.
+// Package fairqueue divides the time of a process between its connections, by fair queueing: each flow, the work of one goroutine for
+// one connection, may use a quantum of time in a turn, and turns are given in the order in which flows ask for them.
+//
+// Turns are given in rounds of a fixed number. Between two rounds every other goroutine that is ready runs, and the network is polled
+// (barrier.go): so all flows together can't keep the planner, timers, servers, discovery or a client that is not served yet waiting for
+// longer than a round takes, however many flows there are. While nobody else is ready, a round follows the one before at once.
 package fairqueue
 
 import (
 	"cmp"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
 )
 
+const (
+	turnsPerRound = 32                   // turns of a round, for each processor
+	maxRoundTime  = 5 * time.Millisecond // time after which the next round begins although others are still busy
+)
+
 // Monitor observes how late the process runs. Its methods are called concurrently from any goroutine and must not block.
 type Monitor interface {
 	// Late reports how long something waited to run; what is the name of a Kind.
 	Late(what string, d time.Duration)
 }
 
-// Scheduler knows all flows of a process. It is safe for concurrent use. A nil Scheduler has nil flows.
+// Scheduler gives turns to the flows of a process. It is safe for concurrent use. A nil Scheduler has nil flows.
 type Scheduler struct {
-	monitor Monitor // may be nil
+	monitor  Monitor // may be nil
+	barrier  *barrier
+	overtime *time.Timer // begins the next round after maxRoundTime
 
-	mu    sync.Mutex
-	flows map[*Flow]struct{} // open flows
+	mu        sync.Mutex
+	flows     map[*Flow]struct{} // open flows
+	line      []*Flow            // flows that wait for their turns, in their order
+	turnsLeft int                // turns that may still be given in this round
+	ending    bool               // the next round begins once the others have run
 }
 
-// New returns a scheduler without flows. The monitor may be nil.
-func New(m Monitor) *Scheduler { return &Scheduler{monitor: m, flows: map[*Flow]struct{}{}} }
+// New returns a scheduler without flows, which must be closed. The monitor may be nil. It fails if the system has no descriptor for it.
+func New(m Monitor) (*Scheduler, error) {
+	s := &Scheduler{monitor: m, flows: map[*Flow]struct{}{}, turnsLeft: turnsPerRound}
+	s.overtime = time.AfterFunc(maxRoundTime, s.beginRound)
+	var err error
+	s.barrier, err = newBarrier(s.beginRound)
+	return s, err
+}
+
+// Close ends the goroutine of the scheduler. Flows that wait get their turns all the same, after maxRoundTime.
+func (s *Scheduler) Close() { s.barrier.close() }
 
 // Open opens a flow. The label names its connection in the log.
 func (s *Scheduler) Open(k Kind, label string) *Flow {
 	if s == nil {
 		return nil
 	}
-	f := &Flow{scheduler: s, kind: k, label: label}
+	f := &Flow{scheduler: s, kind: k, label: label, turn: make(chan struct{}, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.flows[f] = struct{}{}
 	return f
 }
 
+// awaitTurn waits for a turn of a flow.
+func (s *Scheduler) awaitTurn(f *Flow) {
+	s.mu.Lock()
+	if s.turnsLeft > 0 && len(s.line) == 0 {
+		s.turnsLeft--
+		s.mu.Unlock()
+		return
+	}
+	askedAt := time.Now()
+	s.line = append(s.line, f)
+	ends := s.endRound()
+	s.mu.Unlock()
+	if ends {
+		s.barrier.pass()
+	}
+	<-f.turn
+	f.Late(time.Since(askedAt))
+}
+
+// endRound prepares the next round. It returns true if the caller must pass the barrier after it has released the lock. The caller holds
+// the lock.
+func (s *Scheduler) endRound() bool {
+	if s.ending {
+		return false
+	}
+	s.ending = true
+	s.overtime.Reset(maxRoundTime)
+	return true
+}
+
+// beginRound gives the turns of the next round.
+func (s *Scheduler) beginRound() {
+	s.mu.Lock()
+	if !s.ending {
+		s.mu.Unlock()
+		return
+	}
+	s.ending = false
+	s.overtime.Stop()
+	s.turnsLeft = turnsPerRound * runtime.GOMAXPROCS(0)
+	given := min(s.turnsLeft, len(s.line))
+	for _, f := range s.line[:given] {
+		f.turn <- struct{}{}
+	}
+	s.turnsLeft -= given
+	s.line = append(s.line[:0], s.line[given:]...)
+	ends := len(s.line) > 0 && s.endRound()
+	s.mu.Unlock()
+	if ends {
+		s.barrier.pass()
+	}
+}
+
 // Usage is the time that a flow has used.
 type Usage struct {
 	Kind  string `json:"kind"`
 	Label string `json:"of"`
-	Used  int64  `json:"used_ms"` // milliseconds since the last call of Busiest
+	Used  int64  `json:"used_ms"` // milliseconds since the last call of Busiest, with the waits of a unit of work that had begun
 }
 
 // Busiest returns the n flows that have used the most time since its last call, the busiest first, without those that used less than a
--- a/internal/front/flows.go
+++ b/internal/front/flows.go
@@ -20,12 +20,15 @@
 	s.writing.Close()
 }
 
-// useReading counts the time since the last bytes were received, or since the last call, as used for reading and starting commands.
-func (s *session) useReading(now time.Time) {
-	if !s.readBusySince.IsZero() {
-		s.reading.Use(now.Sub(s.readBusySince))
+// useReading counts the time since the last bytes were received, or since the last call, as used for reading and starting commands. It
+// waits if the session has used its turn. It returns the current time.
+func (s *session) useReading() (now time.Time) {
+	now = time.Now()
+	if s.reading.Use(now.Sub(s.workingSince)) {
+		now = time.Now()
 	}
-	s.readBusySince = now
+	s.workingSince = now
+	return now
 }
 
 // reportWriterLate reports how long the writer has had something to write. The caller holds the lock.
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -35,6 +35,8 @@
 func (s *session) read() {
 	r := resp.NewReader(s, readBufferSize)
 	r.BeforeBulk = s.reserveArgument
+	s.reading.AwaitFirst()
+	s.workingSince = time.Now()
 	for s.readCommand(r) {
 	}
 }
@@ -51,7 +53,8 @@
 
 // readCommand reads and starts one command. It returns false if no more commands are to be read.
 func (s *session) readCommand(r *resp.Reader) bool {
-	if err := s.awaitCommand(r); err != nil {
+	now := s.useReading()
+	if err := s.awaitCommand(r, now); err != nil {
 		s.endReading(err)
 		return false
 	}
@@ -61,7 +64,7 @@
 		s.endReading(err)
 		return false
 	}
-	if s.command.acquired > 0 || time.Since(s.lastReadAt) > hangUpCheckInterval {
+	if s.command.acquired > 0 || now.Sub(s.lastReadAt) > hangUpCheckInterval {
 		s.abortIfHungUp() // the client may have hung up while the command arrived, or was in the buffer
 	}
 	slot := s.openSlot()
@@ -98,6 +101,7 @@
 // finishCommandRead records that no command is being read any more. It returns err, except if the session ends, or if the deadline of the
 // command is exceeded: that becomes errCommandRefused or errCommandTimeout.
 func (s *session) finishCommandRead(err error) error {
+	s.inCommand = false
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commandBegun = false
@@ -139,8 +143,8 @@
 }
 
 // awaitCommand waits for the first byte of a command. The wait is bounded, because idle clients must not take the places of others. It
-// returns errNoMoreCommands if the session ends, or the error of the connection.
-func (s *session) awaitCommand(r *resp.Reader) error {
+// returns errNoMoreCommands if the session ends, or the error of the connection. now is the current time.
+func (s *session) awaitCommand(r *resp.Reader, now time.Time) error {
 	readAhead := r.Buffered() > 0
 	for timeout := firstByteTimeout; r.Buffered() == 0; {
 		if s.commandsRead > 0 {
@@ -150,6 +154,7 @@
 			return errNoMoreCommands
 		}
 		_, err := r.Peek()
+		now = time.Now()
 		s.mu.Lock()
 		s.awaitingCommand = false
 		s.mu.Unlock()
@@ -165,7 +170,7 @@
 	if s.lifecycle.state >= stateClosing {
 		return errNoMoreCommands
 	}
-	now := time.Now()
+	s.inCommand = true
 	s.commandBegun = true
 	s.begunInTime = !readAhead || s.lifecycle.mayRead(now)
 	s.commandDeadline = s.limitCommandDeadline(now.Add(commandTimeout))
@@ -180,10 +185,11 @@
 	if s.refusing {
 		return 0, errNoMoreCommands
 	}
-	now := time.Now()
-	s.useReading(now)
-	s.readBusySince = time.Time{}
+	if s.inCommand {
+		s.useReading()
+	}
 	s.mu.Lock()
+	now := time.Now()
 	mayRead := s.mayRead(now) || now.Before(s.finishReadBy)
 	if mayRead && !s.commandDeadline.IsZero() {
 		deadline := earlier(s.commandDeadline, now.Add(byteTimeout))
@@ -197,9 +203,9 @@
 		return 0, errNoMoreCommands
 	}
 	n, err := s.conn.Read(b)
+	s.workingSince = time.Now()
 	if n > 0 {
-		s.lastReadAt = time.Now()
-		s.readBusySince = s.lastReadAt
+		s.lastReadAt = s.workingSince
 	}
 	return n, err
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -29,7 +29,7 @@
 	Bounds          *Bounds
 	Log             *zap.Logger
 	Monitor         Monitor              // may be nil
-	Fair            *fairqueue.Scheduler // counts the time that connections use; may be nil
+	Fair            *fairqueue.Scheduler // divides the processor's time between the connections; may be nil
 	Ready           <-chan struct{}      // closed when sessions may be accepted; nil if they may be from the start
 
 	mu             sync.Mutex
@@ -76,12 +76,15 @@
 
 // acceptSessions accepts sessions until the listener fails. The error is sockets.ErrEnded after the context has ended.
 func (srv *Server) acceptSessions(ctx context.Context) error {
+	flow := srv.Fair.Open(fairqueue.Accepting, srv.Listener.Addr().String())
+	defer flow.Close()
 	for {
 		srv.awaitAccepting(ctx)
 		conn, err := sockets.Accept(srv.Listener, srv.Log, "a client session")
 		if err != nil {
 			return err
 		}
+		acceptedAt := time.Now()
 		srv.awaitAccepting(ctx) // a drain may have ended before the gateway is ready
 		sockets.LimitBuffers(conn, srv.Bounds.receiveBuffer, srv.Bounds.sendBuffer)
 		hasPlace := srv.acquirePlace(ctx)
@@ -94,6 +97,7 @@
 				srv.releasePlace()
 			}
 		})
+		flow.Use(time.Since(acceptedAt))
 	}
 }
 
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -179,10 +179,11 @@
 		if err != nil {
 			return n, err
 		}
+		s.writing.Use(0)
 		startedAt := time.Now()
 		s.conn.SetWriteDeadline(startedAt.Add(sendTimeout / maxStalledWrites))
 		m, err := s.conn.Write(b[n : n+allowed])
-		s.writing.Use(time.Since(startedAt))
+		s.writing.Charge(time.Since(startedAt))
 		n += m
 		if m > 0 {
 			stalledWrites = 0
