Do not hold it against servers that a client left too little time for an answer

What callers saw: while six clients pipelined queries with 1 ms left, 1884 of 2095 requests of others were refused for lack of servers (refused_servers), though the servers were well.

Cause: the throttle counts every request that the servers do not answer in time, whatever time its client left; and an attempt that timed out after 1 ms, while others succeeded, entered the latency estimate of its server as a whole latency objective.

Change, in the decision module: an attempt speaks for its servers in proportion to the time that it has, relative to the class's latency objective. Requests and accepts of the throttle count by that; a failure counts as no more latency than the time that it had; one that ran out of less than four mean latencies (and a tenth of the objective) says nothing. No retry is started beyond the client's time. Requests with the objective's time or more count as before.

--- a/attempt.go
+++ b/attempt.go
@@ -17,6 +17,11 @@
 	counter     *counterSync
 }
 
+// scantOutcomes are the outcomes of an attempt that ran out of time: at the gateway, or at a server that
+// drops requests which are over.
+var scantOutcomes = [OutcomeCount]bool{OutcomeTimeout: true, OutcomeRejected: true,
+	OutcomeConnectFailed: true}
+
 // start sends r to s, which the balancer must have selected for r during the current event.
 func (c *attemptController) start(r *request, s *server) {
 	c.scheduleHedge(r)
@@ -31,7 +36,8 @@
 	r.account.openAttempts++
 	c.traffic.recordAttempt()
 	c.slowStart.spend(s)
-	r.attempts = append(r.attempts, attempt{server: s, startedAt: c.ctx.now, concurrent: s.awaited() - 1})
+	r.attempts = append(r.attempts, attempt{server: s, startedAt: c.ctx.now, concurrent: s.awaited() - 1,
+		endsBy: endsBy, evidence: c.shedder.evidence(r, endsBy), scant: c.shedder.isScant(r, endsBy)})
 	timeout := Span(endsBy - c.ctx.now)
 	c.ctx.emit(StartAttempt{Request: r.id, Server: s.ID, Timeout: timeout, StartWithin: timeout})
 }
@@ -55,7 +61,9 @@
 
 // recordSuccess adds a success to the statistics of the servers.
 func (c *attemptController) recordSuccess(r *request, a *attempt, latency Span, load Load) {
-	c.traffic.recordAnswer(latency <= r.class.Objective)
+	if latency <= r.class.Objective {
+		c.traffic.recordAccept(a.evidence)
+	}
 	c.outliers.recordSuccess(a.server, r.classIndex)
 	c.latency.observeClassLatency(r.classIndex, seconds(latency), a.concurrent)
 	c.latency.observe(r.classIndex, a, seconds(latency), load)
@@ -101,7 +109,7 @@
 }
 
 // recordOutcome adds an outcome to the statistics of the servers. It ignores attempts that this gateway
-// cancelled or never sent: they contain no information on a server.
+// cancelled or never sent, and those that ran out of scant time: they contain no information on a server.
 func (c *attemptController) recordOutcome(r *request, a *attempt, e AttemptEnded) {
 	if e.Outcome == OutcomeNotSent || e.Outcome == OutcomeCancelled {
 		return
@@ -112,6 +120,9 @@
 		}
 		return
 	}
+	if a.scant && scantOutcomes[e.Outcome] {
+		return
+	}
 	// An error, a timeout, a reset or a failed connect makes the server an outlier, unless recordFailure does
 	// not count it. If these failures counted as latency, a few failed servers would raise the mean until every
 	// request is shed. Rejections count as latency nevertheless.
@@ -119,7 +130,7 @@
 	if outlier && e.Outcome != OutcomeRejected {
 		return
 	}
-	c.latency.observe(r.classIndex, a, c.latency.failureLatency(seconds(e.Latency)), e.Load)
+	c.latency.observe(r.classIndex, a, c.latency.failureLatency(a, seconds(e.Latency)), e.Load)
 }
 
 // correctUnits replaces the units of a request with those that its answer reports, where the settings define
--- a/internal/standin/hostile/flood.go
+++ b/internal/standin/hostile/flood.go
@@ -37,10 +37,8 @@
 	{"queries of new customers", true, flood(func(c *connection, n uint64) []byte {
 		return c.deployment.query(c.number<<20+n, c.floodID("v10", n))
 	})},
-	{"queries with 1 ms left", false, flood(func(c *connection, n uint64) []byte {
-		return standin.AppendCommand(nil, "SVC.QUERY", customerID(c.number), c.floodID("v10", n),
-			c.deployment.arguments(c.deployment.QueryClass, time.Millisecond))
-	})},
+	{"queries with 1 ms left", false, queriesWithin(time.Millisecond)},
+	{"queries with 10 ms left", false, queriesWithin(10 * time.Millisecond)},
 	{"new connections", false, reconnect(nil)},
 	{"new connections with a ping", false, reconnect(standin.AppendCommand(nil, "PING"))},
 	{"new connections with an unknown command", false, reconnect(standin.AppendCommand(nil, "NOTHING"))},
@@ -116,6 +114,14 @@
 	}
 }
 
+// queriesWithin returns the run of clients whose queries have little time left.
+func queriesWithin(d time.Duration) func(context.Context, *connection, *atomic.Int64) error {
+	return flood(func(c *connection, n uint64) []byte {
+		return standin.AppendCommand(nil, "SVC.QUERY", customerID(c.number), c.floodID("v10", n),
+			c.deployment.arguments(c.deployment.QueryClass, d))
+	})
+}
+
 // repeatedly returns the run of clients that repeat a command.
 func repeatedly(args ...string) func(context.Context, *connection, *atomic.Int64) error {
 	return repeatedText(string(standin.AppendCommand(nil, args...)))
--- a/latency_estimate.go
+++ b/latency_estimate.go
@@ -71,9 +71,10 @@
 }
 
 // failureLatency returns the latency in seconds with which a failed attempt is recorded, given its actual
-// latency. It is raised, because an early error must not make its server look fast.
-func (l *latencyEstimator) failureLatency(latency float64) float64 {
-	return max(failurePenalty*latency, seconds(l.minObjective))
+// latency. It is raised, because an early error must not make its server look fast, but an attempt that had
+// little time does not show that its server needs more.
+func (l *latencyEstimator) failureLatency(a *attempt, latency float64) float64 {
+	return max(failurePenalty*latency, min(seconds(l.minObjective), seconds(a.endsBy-a.startedAt)))
 }
 
 // observe adds the latency of an attempt, in seconds, and the load report in its answer to the mean and to
--- a/load_shedding.go
+++ b/load_shedding.go
@@ -8,6 +8,8 @@
 	beyondQuotaFraction  = 0.4  // fraction of the latency threshold left to requests beyond quota: shed first
 	throttleFreeRequests = 3.0  // requests that the throttle never counts against the servers
 	throttleAcceptRatio  = 0.5  // accepts per request below which the throttle starts to reject
+	scantTimeMultiple    = 4.0  // time, in mean latencies, below which a healthy server may answer too late
+	scantTimeFraction    = 0.1  // fraction of the latency objective from which an attempt always counts
 	minRetryAfterLatency = 0.5  // least Retry-After of shed requests in mean latencies; at most 1 more at random
 )
 
@@ -41,7 +43,7 @@
 	threshold := l.latencyThreshold(r, withinQuota)
 	l.traffic.endpointRequests++
 	s, expected := l.balancer.pick(r, threshold)
-	if s == nil || expected > threshold || l.throttled() {
+	if s == nil || expected > threshold || l.throttled(r) {
 		return nil, deny(ReasonOverload, l.retryAfter(r, expected/threshold))
 	}
 	l.retryBudget.deposit()
@@ -51,13 +53,27 @@
 // throttled returns true if client-side adaptive throttling rejects a request (Beyer et al., "Site
 // Reliability Engineering", 2016, chapter 21): while most attempts fail or are late, a random fraction of
 // the requests is rejected, because servers recover only under less load.
-func (l *loadShedder) throttled() bool {
+func (l *loadShedder) throttled(r *request) bool {
 	t := l.traffic
 	t.decay()
-	t.throttleRequests++
+	t.throttleRequests += l.evidence(r, r.deadline)
 	return l.ctx.rng.Float64()*t.throttleRequests > throttleFreeRequests+t.throttleAccepts/throttleAcceptRatio
 }
 
+// evidence returns how much the outcome of an attempt of r that starts now and ends at endsBy says about the
+// servers, from 0 to 1. Clients that leave little time are the reason if their requests fail, and those of
+// others must not be rejected for it.
+func (l *loadShedder) evidence(r *request, endsBy Instant) float64 {
+	return max(0, min(1, seconds(endsBy-l.ctx.now)/seconds(r.class.Objective)))
+}
+
+// isScant returns true if an attempt of r that starts now and ends at endsBy has so little time that its
+// failure says nothing about a server.
+func (l *loadShedder) isScant(r *request, endsBy Instant) bool {
+	usual := scantTimeMultiple * l.latency.mean * l.latency.classLatencyRatio[r.classIndex]
+	return seconds(endsBy-l.ctx.now) < min(usual, scantTimeFraction*seconds(r.class.Objective))
+}
+
 // retryAfter returns the Retry-After of a request that is shed: about the mean latency, more under pressure
 // (expected latency divided by the threshold), but early enough for the objective. The random part spreads
 // the clients' retries.
--- a/load_shedding_test.go
+++ b/load_shedding_test.go
@@ -155,3 +155,36 @@
 		t.Errorf("got %d of 20 requests admitted while clients read slowly, expected all", admitted)
 	}
 }
+
+// Clients whose requests have no time left must not get the requests of others rejected: that their attempts fail says nothing about the
+// servers (issue 71). Servers that let requests with usual time fail are still noticed meanwhile.
+func TestScantRequestsDoNotShedOthers(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{WeightFactor: 1}
+	h := newHarness(t, s, dw.Endpoint{ID: 7}, dw.Endpoint{ID: 8}, dw.Endpoint{ID: 9})
+	run := func(requests int, usualOutcome dw.Outcome) (admitted int) {
+		for range requests {
+			for range 5 {
+				if id, ok := h.request(dw.Arrival{Remaining: millisecond}); ok {
+					server := h.attempts[len(h.attempts)-1].Server
+					h.advance(millisecond)
+					h.handle(dw.AttemptEnded{Request: id, Server: server, Outcome: dw.OutcomeTimeout, Latency: millisecond})
+				}
+			}
+			if id, ok := h.request(dw.Arrival{}); ok {
+				admitted++
+				h.advance(5 * millisecond)
+				h.handle(dw.AttemptEnded{Request: id, Server: h.attempts[len(h.attempts)-1].Server, Outcome: usualOutcome, Final: true,
+					Latency: 5 * millisecond})
+			}
+			h.advance(5 * millisecond)
+		}
+		return admitted
+	}
+	if n := run(300, dw.OutcomeOK); n < 290 {
+		t.Errorf("%d of 300 requests with usual time were admitted beside five times as many with 1 ms", n)
+	}
+	if n := run(1000, dw.OutcomeTimeout); n > 800 {
+		t.Errorf("%d of 1000 requests were admitted although all that had usual time failed", n)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -6,7 +6,10 @@
 	startedAt      Instant
 	concurrent     int  // number of the server's other attempts that awaited an answer at the start
 	failureCounted bool // the attempt is counted as a failure of its server
-	answering      bool // the server has begun to answer; the client may read the rest slowly
+	endsBy         Instant
+	evidence       float64 // how much the outcome says about the servers, from 0 to 1
+	scant          bool    // the attempt may end before a healthy server answers
+	answering      bool    // the server has begun to answer; the client may read the rest slowly
 	ended          bool
 	outcome        Outcome // valid once the attempt has ended
 }
--- a/retry.go
+++ b/retry.go
@@ -17,10 +17,10 @@
 func (b *retryBudget) spend() { b.tokens-- }
 
 // retry starts another attempt of r if the retry budget and the attempt rules allow it and its answer is
-// expected within the latency objective and, if there is one, within the deduplication window. It returns
-// true if the attempt has started.
+// expected within the latency objective and the client's time and, if there is one, within the deduplication
+// window. It returns true if the attempt has started.
 func (c *attemptController) retry(r *request) bool {
-	answerBy := r.objective
+	answerBy := min(r.objective, r.deadline)
 	if end, bounded := r.dedupWindowEnd(); bounded {
 		answerBy = min(answerBy, end)
 	}
--- a/traffic.go
+++ b/traffic.go
@@ -13,8 +13,8 @@
 	ctx              *stepContext
 	sentAttempts     float64         // attempts sent
 	endpointRequests float64         // requests for which the balancer was to choose a server
-	throttleRequests float64         // requests that the adaptive throttle has checked
-	throttleAccepts  float64         // attempts answered within the latency objective
+	throttleRequests float64         // requests that the adaptive throttle has checked, by their evidence
+	throttleAccepts  float64         // attempts answered within the latency objective, by their evidence
 	zoneFailures     map[int]float64 // by zone: moving average of the fraction of failed attempts, from 0 to 1
 	decayedAt        Instant         // time of the last decay
 }
@@ -44,12 +44,10 @@
 	t.sentAttempts++
 }
 
-// recordAnswer counts an answer. Only an answer within the latency objective is an accept for the throttle.
-func (t *trafficStatistics) recordAnswer(withinObjective bool) {
+// recordAccept counts an answer within the latency objective as an accept for the throttle, by its evidence.
+func (t *trafficStatistics) recordAccept(evidence float64) {
 	t.decay()
-	if withinObjective {
-		t.throttleAccepts++
-	}
+	t.throttleAccepts += evidence
 }
 
 // recordZoneSuccess lowers a zone's failure fraction.
