Let a connection pay for what its requests cost the planner and the attempts

A turn counted what the goroutines of the connection itself used, about a tenth of the cost of a query: six clients that pipeline queries made ten times a turn's work for the planner and the attempts, on which others waited.

The planner counts the time that it uses for a request's messages, and the pools the time to write an attempt; the connection pays for both by further turns, eight at once at most. Time that a goroutine has measured itself counts as a quantum at most, as it contains waits: a reader that had waited for memory or for the planner paid for that with up to nine turns, 180 ms behind a hundred flooding clients.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -27,7 +27,10 @@
 // detaches the attempt's context from the connection, so that neither the deadline nor a cancellation ends a value that is
 // streamed; it returns false if the context has already ended.
 func (p *Pools) exchange(a *attempt, c *conn, detachContext func() bool) (result core.AttemptResult, reusable bool) {
-	if !p.writeCommand(a, c) {
+	startedAt := time.Now()
+	written := p.writeCommand(a, c)
+	a.Request.ChargeTime(time.Since(startedAt))
+	if !written {
 		return core.AttemptResult{Outcome: unsentOutcome(a.ctx, nil)}, false
 	}
 	if p.Dispatched != nil {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -27,6 +27,9 @@
 func (answerStartedMessage) queue() Queue { return QueueOutcome }
 func (attemptEndedMessage) queue() Queue  { return QueueOutcome }
 
+func (m answerStartedMessage) charge(d time.Duration) { m.attempt.Request.ChargeTime(d) }
+func (m attemptEndedMessage) charge(d time.Duration)  { m.attempt.Request.ChargeTime(d) }
+
 // startAttempt starts an attempt that the module has decided on. Only the module decides on retries; nothing here starts
 // another attempt. An attempt that may not start ends with dw.OutcomeNotSent. Its end is posted as a message because the
 // module expects the end of each attempt in a later event.
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -15,13 +15,20 @@
 // client's goroutine posts updates. They are handled in the order in which they were posted, before any other message.
 type EndpointUpdate struct {
 	List     dw.EndpointList
-	Addrs    []string  // addresses of List.Servers as host:port, in the same order
-	Complete bool      // true if the update results from a complete list; a delta then omits unchanged servers
-	ReadAt   time.Time // time when the first byte was read; zero if discovery did not send the update
+	Addrs    []string            // addresses of List.Servers as host:port, in the same order
+	Complete bool                // true if the update results from a complete list; a delta then omits unchanged servers
+	Charge   func(time.Duration) // counts time that the planner has used for the update; may be nil
+	ReadAt   time.Time           // time when the first byte was read; zero if discovery did not send the update
 }
 
 func (u EndpointUpdate) queue() Queue { return QueueEndpoints }
 
+func (u EndpointUpdate) charge(d time.Duration) {
+	if u.Charge != nil {
+		u.Charge(d)
+	}
+}
+
 // UpdateEndpoints applies an update to the ReadySet and then posts it for the planner. It must be called by one goroutine at
 // a time, in the order of the updates. It fails only with ErrStopped.
 func (p *Planner) UpdateEndpoints(u EndpointUpdate) error {
--- a/internal/core/inbox.go
+++ b/internal/core/inbox.go
@@ -38,6 +38,16 @@
 	postedAt time.Time
 }
 
+// chargeable is a message whose handling costs somebody who is not the planner.
+type chargeable interface{ charge(time.Duration) }
+
+// charge counts the time that the planner has used to handle the message.
+func (m queuedMessage) charge(d time.Duration) {
+	if c, ok := m.inboxMessage.(chargeable); ok {
+		c.charge(d)
+	}
+}
+
 // inbox holds the messages that wait for the planner, in queues by priority, highest first. Endpoint updates and control
 // messages go before client work. Ends of attempts go before new requests because they answer a client and release the
 // resources of the attempt.
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -109,8 +109,10 @@
 			wake.Reset(time.Until(p.Time(p.timers[0].At)))
 		}
 		if m, ok := p.next(ctx, wake.C); ok {
-			p.monitor.Waited(m.queue(), time.Since(m.postedAt))
+			startedAt := time.Now()
+			p.monitor.Waited(m.queue(), startedAt.Sub(m.postedAt))
 			m.handle(p)
+			m.charge(time.Since(startedAt))
 		}
 	}
 	return nil
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -48,6 +48,10 @@
 func (cancelMessage) queue() Queue   { return QueueOutcome }
 func (expediteMessage) queue() Queue { return QueueOutcome }
 
+func (m submitMessage) charge(d time.Duration)   { m.request.ChargeTime(d) }
+func (m cancelMessage) charge(d time.Duration)   { m.pending.request.ChargeTime(d) }
+func (m expediteMessage) charge(d time.Duration) { m.pending.request.ChargeTime(d) }
+
 // Submit passes a request to the planner. The request gets one final answer, through its Answer function, unless Cancel is
 // called first or the planner stops. On ErrBusy and ErrStopped the planner has not accepted the request; the caller rejects
 // the request on ErrBusy and fails it on ErrStopped. Submit blocks for arrivalTimeout at most, and is safe for concurrent use.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -29,23 +29,31 @@
 	IdempotentQuery bool      // true if the client sent a query, which is idempotent; KindForward only
 	Plan            int       // index of the customer's plan in the module's settings
 	Customer        dw.CustomerID
-	Timeout         time.Duration // how long the client waits, from ReceivedAt on
-	Units           float64       // cost in units; negative if units are returned, with KindAdjustLimit only
-	Spread          int           // number of consecutive gateways that the customer uses
-	FirstGateway    int           // first of the gateways that the customer uses
-	Repeat          bool          // true if the client marked the request as sent before
-	Message         Message       // contents for the backend; KindForward only
-	LedgerRef       uint64        // number of the request in the ledger
-	LedgerKey       ledger.Key    // row of the ledger to which the request's events are posted
-	Answer          func(Answer)  // called at most once, on the planner's goroutine; must not block
-	Memory          *memory.Hold  // memory of the command, released once nothing refers to Message any more; nil if it is short
-	clientDeparted  atomic.Bool   // true once the client has disconnected
+	Timeout         time.Duration       // how long the client waits, from ReceivedAt on
+	Units           float64             // cost in units; negative if units are returned, with KindAdjustLimit only
+	Spread          int                 // number of consecutive gateways that the customer uses
+	FirstGateway    int                 // first of the gateways that the customer uses
+	Repeat          bool                // true if the client marked the request as sent before
+	Message         Message             // contents for the backend; KindForward only
+	LedgerRef       uint64              // number of the request in the ledger
+	LedgerKey       ledger.Key          // row of the ledger to which the request's events are posted
+	Answer          func(Answer)        // called at most once, on the planner's goroutine; must not block
+	Charge          func(time.Duration) // counts time that was used for the request; must not block, and is called from any goroutine. May be nil
+	Memory          *memory.Hold        // memory of the command, released once nothing refers to Message any more; nil if it is short
+	clientDeparted  atomic.Bool         // true once the client has disconnected
 }
 
 // ClientDeparted reports whether the client has disconnected. It returns true as soon as Cancel is called, before the planner
 // handles the cancellation, so the pools check it just before they write an attempt. It is safe for concurrent use.
 func (r *Request) ClientDeparted() bool { return r.clientDeparted.Load() }
 
+// ChargeTime counts time that was used for the request.
+func (r *Request) ChargeTime(d time.Duration) {
+	if r.Charge != nil {
+		r.Charge(d)
+	}
+}
+
 // Message is the part of a request that gateways pass to a backend unchanged.
 type Message struct {
 	Name string // name that the client gave the request
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -13,10 +13,12 @@
 	Reading   Kind = iota // reads and starts a client's commands
 	Writing               // writes a client's answers
 	Accepting             // accepts connections
+	Operating             // serves an operator's connection
+	Following             // follows the endpoint list
 	KindCount             // number of kinds
 )
 
-var kindNames = [KindCount]string{"reader", "writer", "accepter"}
+var kindNames = [KindCount]string{"reader", "writer", "accepter", "operator", "discovery"}
 
 // String returns the name of the kind in metrics and logs.
 func (k Kind) String() string { return kindNames[k] }
@@ -24,9 +26,8 @@
 // Quantum is the time that a flow may use in one turn. A unit of work that has begun is finished.
 const Quantum = 100 * time.Microsecond
 
-// maxOverdraft is the most time beyond a turn that a flow pays for by further turns. The time of a unit includes waits that the flow did
-// not cause.
-const maxOverdraft = 8 * Quantum
+// maxTurnsAtOnce is the number of turns for which a flow waits at most before it goes on, however much time others have used for it.
+const maxTurnsAtOnce = 8
 
 // Flow is the work of one goroutine for one connection. One goroutine at a time may call its methods, except Charge. A nil Flow counts
 // nothing and never waits.
@@ -41,26 +42,28 @@
 	reported  time.Duration // total at the last Busiest; guarded by Scheduler.mu
 }
 
-// Use counts time that the flow has used. If that is more than its turn allows, it waits for its next turn and returns true.
+// Use counts time that the flow has used. If that is more than its turn allows, it waits for its next turn and returns true. More than a
+// quantum at once counts as one: it contains waits, as a unit of work is shorter than that.
 func (f *Flow) Use(d time.Duration) (waited bool) {
 	if f == nil {
 		return false
 	}
+	f.unpaid += min(d, Quantum)
 	if f.charged.Load() > 0 {
-		d += time.Duration(f.charged.Swap(0))
+		f.unpaid += time.Duration(f.charged.Swap(0))
 	}
-	f.unpaid += d
 	if f.unpaid < Quantum {
 		return false
 	}
 	f.total.Add(int64(f.unpaid))
-	for f.unpaid = min(f.unpaid, Quantum+maxOverdraft); f.unpaid >= Quantum; f.unpaid -= Quantum {
+	for f.unpaid = min(f.unpaid, maxTurnsAtOnce*Quantum); f.unpaid >= Quantum; f.unpaid -= Quantum {
 		f.scheduler.awaitTurn(f)
 	}
 	return true
 }
 
-// Charge counts time that another goroutine has used for the flow. It does not wait, and is safe for concurrent use.
+// Charge counts time that another goroutine has used for the flow, without waits. The flow pays for it by further turns. Charge does not
+// wait, and is safe for concurrent use.
 func (f *Flow) Charge(d time.Duration) {
 	if f != nil {
 		f.charged.Add(int64(d))
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -48,8 +48,9 @@
 	lastReadAt   time.Time // time of the last bytes received; used by the reading goroutine alone
 	refusing     bool      // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
 
-	reading *fairqueue.Flow // of the reading goroutine
-	writing *fairqueue.Flow // of the writing goroutine
+	reading   *fairqueue.Flow // of the reading goroutine
+	writing   *fairqueue.Flow // of the writing goroutine
+	writeTime time.Duration   // time of the last write, which is not counted yet; used by the writing goroutine alone
 
 	streams       streamReading // guarded by Bounds.mu
 	streamedBytes atomic.Int64  // bytes of streamed values that the client has read since it has been reading one
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -51,6 +51,9 @@
 // must not be carried out.
 func (slot *Slot) MustReject() bool { return slot.mustReject }
 
+// Charge counts time that was used for the command on another goroutine. The session pays for it. It is safe for concurrent use.
+func (slot *Slot) Charge(d time.Duration) { slot.session.reading.Charge(d) }
+
 // RejectInvalid answers an invalid command with an error. Too many invalid commands end the session.
 func (slot *Slot) RejectInvalid(why string) {
 	slot.session.mu.Lock()
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -179,11 +179,11 @@
 		if err != nil {
 			return n, err
 		}
-		s.writing.Use(0)
+		s.writing.Use(s.writeTime)
 		startedAt := time.Now()
 		s.conn.SetWriteDeadline(startedAt.Add(sendTimeout / maxStalledWrites))
 		m, err := s.conn.Write(b[n : n+allowed])
-		s.writing.Charge(time.Since(startedAt))
+		s.writeTime = time.Since(startedAt)
 		n += m
 		if m > 0 {
 			stalledWrites = 0
