Give the next turn to the connection that has used least

In the order of asking, a client that sends a request now and then waited for a turn of each of a hundred flooding connections, and a flow that paid for several turns waited for as many rounds of all others.

Start-time fair queueing: each flow has a virtual time that advances by what it uses, and the earliest goes first; a flow that has used little goes before those that have used much, and one that owes several turns waits once and pays by its place. What it owes counts against the round, so that a round stays at 3.2 ms a processor.

--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -26,8 +26,8 @@
 // Quantum is the time that a flow may use in one turn. A unit of work that has begun is finished.
 const Quantum = 100 * time.Microsecond
 
-// maxTurnsAtOnce is the number of turns for which a flow waits at most before it goes on, however much time others have used for it.
-const maxTurnsAtOnce = 8
+// maxUse is the most time for which a flow pays at once, however much others have used for it.
+const maxUse = 8 * Quantum
 
 // Flow is the work of one goroutine for one connection. One goroutine at a time may call its methods, except Charge. A nil Flow counts
 // nothing and never waits.
@@ -37,6 +37,7 @@
 	label     string        // names the connection in the log
 	unpaid    time.Duration // time used and not yet covered by a turn
 	charged   atomic.Int64  // time that others have used for the flow since its last Use, in nanoseconds
+	paidUntil time.Duration // virtual time up to which the flow has used what its turns allowed; guarded by Scheduler.mu
 	total     atomic.Int64  // time used in turns that are over, since the flow was opened, in nanoseconds
 	turn      chan struct{} // signals that the flow has its turn; buffer of one
 	reported  time.Duration // total at the last Busiest; guarded by Scheduler.mu
@@ -56,14 +57,12 @@
 		return false
 	}
 	f.total.Add(int64(f.unpaid))
-	for f.unpaid = min(f.unpaid, maxTurnsAtOnce*Quantum); f.unpaid >= Quantum; f.unpaid -= Quantum {
-		f.scheduler.awaitTurn(f)
-	}
+	f.scheduler.awaitTurn(f, min(f.unpaid, maxUse))
+	f.unpaid = 0
 	return true
 }
 
-// Charge counts time that another goroutine has used for the flow, without waits. The flow pays for it by further turns. Charge does not
-// wait, and is safe for concurrent use.
+// Charge counts time that another goroutine has used for the flow, without waits. It does not wait, and is safe for concurrent use.
 func (f *Flow) Charge(d time.Duration) {
 	if f != nil {
 		f.charged.Add(int64(d))
--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -1,7 +1,7 @@
 // Package fairqueue divides the time of a process between its connections, by fair queueing: each flow, the work of one goroutine for
-// one connection, may use a quantum of time in a turn, and turns are given in the order in which flows ask for them.
+// one connection, may use a quantum of time in a turn, and the flow that has used least goes first (line.go).
 //
-// Turns are given in rounds of a fixed number. Between two rounds every other goroutine that is ready runs, and the network is polled
+// Turns are given in rounds of a fixed time. Between two rounds every other goroutine that is ready runs, and the network is polled
 // (barrier.go): so all flows together can't keep the planner, timers, servers, discovery or a client that is not served yet waiting for
 // longer than a round takes, however many flows there are. While nobody else is ready, a round follows the one before at once.
 package fairqueue
@@ -15,8 +15,8 @@
 )
 
 const (
-	turnsPerRound = 32                   // turns of a round, for each processor
-	maxRoundTime  = 5 * time.Millisecond // time after which the next round begins although others are still busy
+	roundTime    = 32 * Quantum         // what all flows together may use in a round, for each processor
+	maxRoundTime = 5 * time.Millisecond // time after which the next round begins although others are still busy
 )
 
 // Monitor observes how late the process runs. Its methods are called concurrently from any goroutine and must not block.
@@ -31,16 +31,16 @@
 	barrier  *barrier
 	overtime *time.Timer // begins the next round after maxRoundTime
 
-	mu        sync.Mutex
-	flows     map[*Flow]struct{} // open flows
-	line      []*Flow            // flows that wait for their turns, in their order
-	turnsLeft int                // turns that may still be given in this round
-	ending    bool               // the next round begins once the others have run
+	mu     sync.Mutex
+	flows  map[*Flow]struct{} // open flows
+	line   line               // flows that wait for their turns
+	left   time.Duration      // what flows may still use in this round; negative if the next one is shorter for it
+	ending bool               // the next round begins once the others have run
 }
 
 // New returns a scheduler without flows, which must be closed. The monitor may be nil. It fails if the system has no descriptor for it.
 func New(m Monitor) (*Scheduler, error) {
-	s := &Scheduler{monitor: m, flows: map[*Flow]struct{}{}, turnsLeft: turnsPerRound}
+	s := &Scheduler{monitor: m, flows: map[*Flow]struct{}{}, left: roundTime}
 	s.overtime = time.AfterFunc(maxRoundTime, s.beginRound)
 	var err error
 	s.barrier, err = newBarrier(s.beginRound)
@@ -62,16 +62,17 @@
 	return f
 }
 
-// awaitTurn waits for a turn of a flow.
-func (s *Scheduler) awaitTurn(f *Flow) {
+// awaitTurn waits for a turn of a flow that has used something since its last one.
+func (s *Scheduler) awaitTurn(f *Flow, use time.Duration) {
 	s.mu.Lock()
-	if s.turnsLeft > 0 && len(s.line) == 0 {
-		s.turnsLeft--
+	if s.left > 0 && s.line.empty() {
+		s.line.pass(f, use)
+		s.left -= use
 		s.mu.Unlock()
 		return
 	}
 	askedAt := time.Now()
-	s.line = append(s.line, f)
+	s.line.join(f, use)
 	ends := s.endRound()
 	s.mu.Unlock()
 	if ends {
@@ -101,20 +102,28 @@
 	}
 	s.ending = false
 	s.overtime.Stop()
-	s.turnsLeft = turnsPerRound * runtime.GOMAXPROCS(0)
-	given := min(s.turnsLeft, len(s.line))
-	for _, f := range s.line[:given] {
+	s.line.beginRound()
+	var next []*Flow
+	for s.left = min(s.left, 0) + s.roundTime(); s.left > 0 && !s.line.empty(); {
+		w := s.line.next()
+		s.left -= w.use
+		next = append(next, w.flow)
+	}
+	for _, f := range slices.Backward(next) { // the runtime runs first what was made ready last
 		f.turn <- struct{}{}
 	}
-	s.turnsLeft -= given
-	s.line = append(s.line[:0], s.line[given:]...)
-	ends := len(s.line) > 0 && s.endRound()
+	ends := !s.line.empty() && s.endRound()
 	s.mu.Unlock()
 	if ends {
 		s.barrier.pass()
 	}
 }
 
+// roundTime returns what all flows together may use in a round.
+func (s *Scheduler) roundTime() time.Duration {
+	return time.Duration(runtime.GOMAXPROCS(0)) * roundTime
+}
+
 // Usage is the time that a flow has used.
 type Usage struct {
 	Kind  string `json:"kind"`
--- a/internal/fairqueue/scheduler_test.go
+++ b/internal/fairqueue/scheduler_test.go
@@ -86,7 +86,7 @@
 	for range sleeps {
 		startedAt := time.Now()
 		time.Sleep(time.Millisecond)
-		if time.Since(startedAt) < time.Millisecond+4*turnsPerRound*Quantum {
+		if time.Since(startedAt) < time.Millisecond+4*roundTime {
 			within++
 		}
 	}
@@ -95,6 +95,34 @@
 	}
 }
 
+// Guards against a flow that has used little and waits behind all others: beside a hundred busy flows it must get its turn within a few
+// rounds, however often it asks.
+func TestLightFlowGoesFirst(t *testing.T) {
+	var l line
+	light := &Flow{label: "light"}
+	var busy []*Flow
+	for range 100 {
+		busy = append(busy, &Flow{})
+		l.join(busy[len(busy)-1], Quantum)
+	}
+	for range 1000 { // after each turn the flow joins again, as it is busy
+		l.beginRound()
+		l.join(l.next().flow, Quantum)
+	}
+	l.join(light, Quantum)
+	if got := l.next().flow; got != light {
+		t.Error("a flow that has used nothing waits behind those that have used much")
+	}
+	l.join(light, Quantum)
+	behind := 0
+	for l.next().flow != light {
+		behind++
+	}
+	if behind == 0 || behind > len(busy) {
+		t.Errorf("a flow that has used its turn waits behind %d turns of %d flows", behind, len(busy))
+	}
+}
+
 // Guards against flows that get more turns than others.
 func TestTurnsAreShared(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
@@ -138,7 +166,7 @@
 	s.Close()
 	f := s.Open(Accepting, "late")
 	defer f.Close()
-	for range 3 * turnsPerRound * runtime.GOMAXPROCS(0) {
+	for range 3 * int(s.roundTime()/Quantum) {
 		f.AwaitFirst()
 	}
 	if worst.Load() == 0 {
