Give discovery and the operators' connections their turns as well

What the process does between two reads or writes of an operators' connection (the operators' address, the HTTP listener) counts as work for it; so does each change of the list, with the planner's time for it. The front for limits and forwarders have client sessions, which take turns already.

--- a/cmd/dewhitch/flood_test.go
+++ b/cmd/dewhitch/flood_test.go
@@ -1,10 +1,12 @@
 package main_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"net/http"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -37,6 +39,7 @@
 func floodEnvironment(t testing.TB, cores int) *environment {
 	env := newEnvironment(t)
 	env.limit(memoryLimits{floodMemoryMB, floodSockets})
+	env.operatorAddr = standin.OwnAddr()
 	env.overrides = append(env.overrides, fmt.Sprintf(`{"limits": {"cores": %d}}`, cores))
 	return env
 }
@@ -59,6 +62,13 @@
 
 // playFlood floods a gateway beside clients with short waits, whose connections are open, and checks what these are owed.
 func playFlood(t *testing.T, env *environment, p *process, flood hostile.Flood, clients int, seed uint64) {
+	playFloodOf(t, env, p, flood, env.listenAddr, clients, seed)
+}
+
+// playFloodOf does what playFlood does, with a flood of another address of the process.
+func playFloodOf(t *testing.T, env *environment, p *process, flood hostile.Flood, addr string, clients int, seed uint64) {
+	flooded := env.deployment()
+	flooded.Addr = addr
 	watch := standin.WatchMemory(p.cmd.Process.Pid, env.sharedTempDir)
 	defer watch.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), hostileStart+*floodTime)
@@ -67,11 +77,14 @@
 	var read int64
 	running.Go(func() {
 		time.Sleep(hostileStart)
-		read = hostile.RunFlood(ctx, env.deployment(), flood, clients)
+		read = hostile.RunFlood(ctx, flooded, flood, clients)
 	})
 	results := hostile.RunWaiting(ctx, env.deployment(), waitingClients, shortWait, seed)
 	running.Wait()
 	peak, err := watch.Peak()
+	if env.operatorAddr != "" {
+		t.Logf("%s", scrape(t, env.operatorAddr, "dewhitch_answers_total"))
+	}
 	t.Logf("peak %v; %d KiB of answers to the flood; usual clients: %v", peak, read>>10, results)
 	if err != nil || len(p.exited) > 0 {
 		t.Fatalf("the process ended: %v\n%.2000s", err, p.log())
@@ -92,6 +105,21 @@
 	}
 }
 
+// scrape returns the lines of the operators' metrics that begin with a name.
+func scrape(t *testing.T, addr, name string) (lines string) {
+	answer, err := http.Get("http://" + addr + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	for scanner := bufio.NewScanner(answer.Body); scanner.Scan(); {
+		if strings.HasPrefix(scanner.Text(), name) {
+			lines += scanner.Text() + "\n"
+		}
+	}
+	return lines
+}
+
 // lastLine returns the last line of a log that contains a text.
 func lastLine(log, text string) (last string) {
 	for line := range strings.Lines(log) {
@@ -152,3 +180,60 @@
 		})
 	}
 }
+
+// TestFloodsOfOtherAddresses guards against clients whose answers wait while others flood the front for limits, the operators' address or
+// the operators' listener of the same gateway, or read large values at full speed.
+func TestFloodsOfOtherAddresses(t *testing.T) {
+	play := func(flood hostile.Flood, addr func(*environment) string) {
+		if !strings.Contains(flood.Name, *floodKind) {
+			return
+		}
+		t.Run(flood.Name, func(t *testing.T) {
+			env := floodEnvironment(t, 1)
+			p := env.start("serve")
+			env.awaitReady(p)
+			playFloodOf(t, env, p, flood, addr(env), *floodClients, 1)
+		})
+	}
+	for _, flood := range hostile.LimitsFloods {
+		play(flood, func(env *environment) string { return env.limitsAddr })
+	}
+	play(hostile.OperatorFlood(), func(env *environment) string { return env.operatorAddr })
+	play(hostile.AdminFlood(), func(env *environment) string { return env.adminAddr })
+	play(hostile.ValueFlood(), func(env *environment) string { return env.listenAddr })
+}
+
+// TestFloodOfChanges guards against clients whose answers wait while discovery writes changes without a pause.
+func TestFloodOfChanges(t *testing.T) {
+	env := floodEnvironment(t, 1)
+	director, err := hostile.NewDirector(env.serverList, 200)
+	director = closeAtCleanup(t, director, err)
+	env.discoveryAddr = director.Addr()
+	p := env.start("serve")
+	env.awaitReady(p)
+	playFlood(t, env, p, hostile.Flood{}, 0, 1)
+	t.Logf("%d changes", director.Revision())
+}
+
+// TestFloodsOfAForwarder guards against what TestFloods does, at a forwarder.
+func TestFloodsOfAForwarder(t *testing.T) {
+	for seed, flood := range hostile.Floods[:3] {
+		t.Run(flood.Name, func(t *testing.T) {
+			registry := newZookeeper(t)
+			gateway := floodEnvironment(t, 1)
+			gateway.registryAddr = registry.Addr()
+			gateway.start("serve")
+			env := newEnvironment(t)
+			env.registryAddr = registry.Addr()
+			env.forwardMemoryMB = floodMemoryMB
+			env.withoutLedger = true
+			env.sharedTempDir = t.TempDir()
+			p := env.start("forward")
+			if !eventually(func() bool { return strings.Contains(p.log(), gateway.limitsAddr) }) {
+				t.Fatalf("the forwarder finds no gateway\n%s", p.log())
+			}
+			pin(t, p, 0)
+			playFlood(t, env, p, flood, *floodClients, uint64(seed))
+		})
+	}
+}
--- a/cmd/dewhitch/forward.go
+++ b/cmd/dewhitch/forward.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	f.metrics = metrics
-	f.operatorListener, err = openOperatorListener(operations, append(f.ledger.operatorParts(), metrics, telemetry.Memory{Account: f.memory}), f.log)
+	f.operatorListener, err = openOperatorListener(operations, append(f.ledger.operatorParts(), metrics, telemetry.Memory{Account: f.memory}), f.fair, f.log)
 	if err != nil {
 		return err
 	}
--- a/cmd/dewhitch/gateway.go
+++ b/cmd/dewhitch/gateway.go
@@ -176,6 +176,7 @@
 	}
 	g.discovery = discovery.New(g.node.Discovery, g.decoder, g.planner.UpdateEndpoints, g.node.Seed, g.log)
 	g.discovery.SetMonitor(g.metrics)
+	g.discovery.SetFlow(g.fair.Open(fairqueue.Following, "the list"))
 	g.firstListTimeout = firstListTimeout
 	if g.node.Settings.ListOnRequest {
 		hasList := len(g.configuredList.List.Servers) > 0
@@ -194,12 +195,12 @@
 	if g.fleetAgent != nil {
 		parts = append(parts, g.fleetAgent)
 	}
-	if g.operatorListener, err = openOperatorListener(g.operations, parts, g.log); err != nil {
+	if g.operatorListener, err = openOperatorListener(g.operations, parts, g.fair, g.log); err != nil {
 		return err
 	}
 	g.exclusions = exclusions.New(handover.Path(g.node.TempDir, g.node.Name), g.planner, g.decoder.Lookup, g.discovery.Synced, g.log)
 	g.adminCalls = &adminCalls{state: g.state, figures: g.figures, metrics: g.metrics, exclusions: g.exclusions, log: g.log}
-	g.adminServer, err = openAdmin(g.node, g.adminCalls)
+	g.adminServer, err = openAdmin(g.node, g.adminCalls, g.fair)
 	return err
 }
 
--- a/cmd/dewhitch/listeners.go
+++ b/cmd/dewhitch/listeners.go
@@ -10,6 +10,7 @@
 
 	"dewhitch/internal/admin"
 	"dewhitch/internal/config"
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/operator"
 	"dewhitch/internal/sockets"
 )
@@ -36,7 +37,7 @@
 }
 
 // openAdmin opens the address for operators' calls. It returns nil if none is configured.
-func openAdmin(node *config.Node, calls *adminCalls) (*admin.Server, error) {
+func openAdmin(node *config.Node, calls *adminCalls, fair *fairqueue.Scheduler) (*admin.Server, error) {
 	if node.Admin == "" {
 		return nil, nil
 	}
@@ -45,12 +46,13 @@
 		return nil, fmt.Errorf("configuration: admin (NODE_ADMIN): %w", err)
 	}
 	sockets.LimitBuffers(l, adminBuffer, adminBuffer)
-	return &admin.Server{Listener: l, Gateway: calls, Log: calls.log}, nil
+	return &admin.Server{Listener: fair.Listen(l, fairqueue.Operating), Gateway: calls, Log: calls.log}, nil
 }
 
 // openOperatorListener opens the operators' HTTP listener. It returns nil if none is configured. A fault of the running listener
 // is logged and does not end the process.
-func openOperatorListener(operations *config.Operations, parts []operator.Component, log *zap.Logger) (service, error) {
+func openOperatorListener(operations *config.Operations, parts []operator.Component, fair *fairqueue.Scheduler,
+	log *zap.Logger) (service, error) {
 	if operations.Operator.Listen == "" {
 		return nil, nil
 	}
@@ -59,7 +61,7 @@
 		return nil, fmt.Errorf("configuration: operator.listen: %w", err)
 	}
 	return func(ctx context.Context) error {
-		if err := operator.Serve(ctx, l, parts...); err != nil {
+		if err := operator.Serve(ctx, fair.Listen(l, fairqueue.Operating), parts...); err != nil {
 			log.Error("the operators' listener ended", zap.Error(err))
 		}
 		return nil
--- a/cmd/dewhitch/memory_test.go
+++ b/cmd/dewhitch/memory_test.go
@@ -63,6 +63,7 @@
 		server = closeAtCleanup(env.t, server, err)
 		members = append(members, standin.Member(fmt.Sprintf("s-%08x", i+1), server.Addr(), "up"))
 	}
+	env.serverList = members
 	env.discovery.Set(standin.Members(members...))
 	env.sharedTempDir = env.t.TempDir()
 	env.withoutLedger = true
--- a/cmd/dewhitch/process_test.go
+++ b/cmd/dewhitch/process_test.go
@@ -67,13 +67,14 @@
 	backends               *manualBackends
 	counter                *standin.Counter
 	discovery              *standin.Discovery
-	discoveryAddr          string // address at which programs reach discovery, or empty for its own
-	registryAddr           string // address of a ZooKeeper stand-in, or empty
-	operatorAddr           string // address of the operators' listener, or empty
-	extraOperations        string // text appended to the operators' file
-	forwardMemoryMB        int    // memory of a forwarder in MiB, or 0 for its default
-	withoutLedger          bool   // the ledger is off, as it is on the platform
-	program                string // path of the program to start, or empty for the one under test
+	serverList             []string // entries of the servers that limit has started
+	discoveryAddr          string   // address at which programs reach discovery, or empty for its own
+	registryAddr           string   // address of a ZooKeeper stand-in, or empty
+	operatorAddr           string   // address of the operators' listener, or empty
+	extraOperations        string   // text appended to the operators' file
+	forwardMemoryMB        int      // memory of a forwarder in MiB, or 0 for its default
+	withoutLedger          bool     // the ledger is off, as it is on the platform
+	program                string   // path of the program to start, or empty for the one under test
 }
 
 // newEnvironment returns an environment with one server, in which no program runs yet. Its stand-ins end with the test.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -108,8 +108,8 @@
 	}
 	conn.SetWriteDeadline(time.Now().Add(sendTimeout))
 	conn.Write(out)
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
 	}
 }
 
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -30,6 +30,7 @@
 	}
 	d.revision = update.List.Version
 	update.ReadAt = readAt
+	update.Charge = d.flow.Charge
 	d.logUpdate(m, update, stale, len(text))
 	if err := d.update(update); err != nil {
 		return err
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -18,6 +18,7 @@
 	"dewhitch/internal/backoff"
 	"dewhitch/internal/core"
 	"dewhitch/internal/dynaddr"
+	"dewhitch/internal/fairqueue"
 )
 
 const (
@@ -57,6 +58,7 @@
 	view    *view
 	update  func(core.EndpointUpdate) error
 	monitor Monitor
+	flow    *fairqueue.Flow // turns of the connection; may be nil
 	log     *zap.Logger
 	now     func() time.Time
 
@@ -108,6 +110,10 @@
 	d.backoff.BusyMax = max(backoffMax, 2*span)
 }
 
+// SetFlow sets the flow whose turns the client takes: a director that writes without end must not keep others waiting. It must be called
+// before Run.
+func (d *Client) SetFlow(f *fairqueue.Flow) { d.flow = f }
+
 // Move changes the director's address. The client reconnects to it and begins with a poll. It is safe for concurrent use.
 func (d *Client) Move(addr string) { d.addr.Move(addr) }
 
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -31,7 +31,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	c := &connection{Conn: conn, idleTimeout: d.watchTimeout}
+	c := &connection{Conn: conn, flow: d.flow, idleTimeout: d.watchTimeout}
 	r := bufio.NewReaderSize(c, readBufferSize)
 	polled := false
 	if !d.hasList {
@@ -113,6 +113,7 @@
 			}
 		}
 		progress = true
+		c.pay()
 	}
 }
 
--- a/internal/standin/hostile/flood.go
+++ b/internal/standin/hostile/flood.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -44,14 +45,31 @@
 	{"new connections with an unknown command", false, reconnect(standin.AppendCommand(nil, "NOTHING"))},
 }
 
-// FloodNamed returns the kind of floods with a name. It panics if there is none.
-func FloodNamed(name string) Flood {
-	for _, f := range Floods {
-		if f.Name == name {
-			return f
-		}
-	}
-	panic("hostile: no flood is named " + name)
+// LimitsFloods lists kinds of floods of the front for limits.
+var LimitsFloods = []Flood{
+	{"queries of a limit", false, flood(func(c *connection, _ uint64) []byte {
+		return standin.AppendCommand(nil, "LIMIT.GET", customerID(c.number), c.deployment.arguments(c.deployment.QueryClass, hostileDeadline))
+	})},
+	{"limits of new customers", false, flood(func(c *connection, n uint64) []byte {
+		return standin.AppendCommand(nil, "LIMIT.GET", customerID(c.number<<20+n), c.deployment.arguments(c.deployment.QueryClass, hostileDeadline))
+	})},
+	{"long echoes", false, repeatedly("ECHO", strings.Repeat("x", bodyBytes-100))},
+	{"lists of commands", false, repeatedly("COMMAND")},
+}
+
+// OperatorFlood returns the kind of floods of an operators' listener: requests for its metrics.
+func OperatorFlood() Flood {
+	return Flood{"metrics", false, repeatedText("GET /metrics HTTP/1.1\r\nHost: gateway\r\n\r\n")}
+}
+
+// AdminFlood returns the kind of floods of an operators' address: a call on each new connection.
+func AdminFlood() Flood { return Flood{"calls", false, reconnect([]byte("telemetry\n"))} }
+
+// ValueFlood returns the kind of floods of clients that ask for large values and read them at full speed.
+func ValueFlood() Flood {
+	return Flood{"large values", true, flood(func(c *connection, n uint64) []byte {
+		return c.deployment.query(c.number, c.floodID(fmt.Sprintf("v%d", largeValueBytes), n))
+	})}
 }
 
 // RunFlood runs clients of a kind until the context ends, and returns the number of bytes that they read. Each one connects again as soon
@@ -94,11 +112,14 @@
 // flood returns the run of clients that write commands as fast as they are read. next returns the command with a number.
 func flood(next func(c *connection, n uint64) []byte) func(context.Context, *connection, *atomic.Int64) error {
 	return func(ctx context.Context, c *connection, bytesRead *atomic.Int64) error {
-		go func() {
+		var reader sync.WaitGroup
+		reader.Go(func() {
 			n, _ := io.Copy(io.Discard, c)
 			bytesRead.Add(n)
 			c.Close()
-		}()
+		})
+		defer reader.Wait()
+		defer c.Close()
 		n := uint64(0)
 		for ctx.Err() == nil {
 			var b []byte
