Close at once a connection that its client has closed before it was accepted

Cause: connections are accepted in the order of the system's queue, which holds up to 4,096, and each got a session with two goroutines and a place before its end was seen. The accepting goroutine now asks the system whether the client has gone (POLLRDHUP, as a session does); such a connection is closed, counted as closed by its client, and takes no place.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -85,6 +85,11 @@
 			return err
 		}
 		acceptedAt := time.Now()
+		if hungUp(conn) { // others are behind it in the queue of the system
+			srv.discard(conn)
+			flow.Use(time.Since(acceptedAt))
+			continue
+		}
 		srv.awaitAccepting(ctx) // a drain may have ended before the gateway is ready
 		sockets.LimitBuffers(conn, srv.Bounds.receiveBuffer, srv.Bounds.sendBuffer)
 		hasPlace := srv.acquirePlace(ctx)
@@ -101,6 +106,14 @@
 	}
 }
 
+// discard closes a connection that its client has closed already.
+func (srv *Server) discard(conn net.Conn) {
+	conn.Close()
+	if srv.Monitor != nil {
+		srv.Monitor.ConnectionClosed(ClosedByClient.String())
+	}
+}
+
 // addSession creates a session, which drains if the gateway does.
 func (srv *Server) addSession(conn net.Conn) *session {
 	s := newSession(conn, srv.NewCommands(), srv.Bounds)
