Leave memory for pipelines to others beside clients that read no answers

Cause: each pending command took 4 KiB of the memory for pipelines until its answer was written, and hundreds of PONGs fit into the 4 KiB of unsent answers: a few connections held all of it, and others had one command read at a time, behind one that took long.

Change: short answers that are not written take the memory that they fill, 8 KiB a session at most, and not that of a command each; and a session takes no more of it than half of what is free, so that some is left however many try to get all.

--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"dewhitch/internal/memory"
 	"dewhitch/internal/resp"
 )
 
@@ -324,33 +323,6 @@
 	return slot
 }
 
-// acquireRequest counts a further command whose answer is pending. It returns false if it must wait until others of the session are
-// answered: because there are many, because the client has not read their answers, or because there is no memory for more. The
-// first command of a session needs no memory of its own. The caller holds the lock.
-func (s *session) acquireRequest() bool {
-	if s.pendingCount > 0 {
-		full := len(s.slots) >= maxPipelined || s.unsentBytes > maxUnsent
-		if full || !s.bounds.account.TryAcquire(memory.Requests, memory.RequestBytes) {
-			return false
-		}
-		s.furtherRequests++
-	}
-	s.pendingCount++
-	s.readAhead()
-	return true
-}
-
-// releaseRequests counts n answers as written. The caller holds the lock.
-func (s *session) releaseRequests(n int) {
-	s.pendingCount -= min(n, s.pendingCount)
-	s.endReadAhead()
-	released := s.furtherRequests - max(0, s.pendingCount-1)
-	if released > 0 {
-		s.furtherRequests -= released
-		s.bounds.account.Release(memory.Requests, int64(released)*memory.RequestBytes)
-	}
-}
-
 // abortOnHangUp aborts the session when its client hangs up. It returns when the context ends.
 func (s *session) abortOnHangUp(ctx context.Context) {
 	tick := time.NewTicker(hangUpCheckInterval)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -69,7 +69,7 @@
 	gatheredCount   int         // number of answers in unwritten and streaming
 	pendingCount    int         // number of commands that were read and whose answers are not written
 	readsAhead      bool        // the receive buffer is enlarged
-	furtherRequests int         // number of these, beyond the first, for which memory is acquired
+	furtherRequests int         // number of requests, beyond the first, for which memory is acquired
 	lastPendingAt   time.Time   // time at which the last answer was given, or its value written; the accept time if there was none
 
 	// State of the commands.
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -186,6 +186,7 @@
 		n++
 	}
 	s.slots = s.slots[n:]
+	s.releaseRequestMemory()
 	s.capacity.Signal()
 }
 
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -86,6 +86,18 @@
 	return a.uses[u].waiting.Len() == 0 && a.uses[u].take(bytes)
 }
 
+// TryAcquireShare is like TryAcquire for a holder that holds some bytes already. It acquires more only while all that the holder has is at
+// most one in share of the bytes that are free: so some are left for others, however many holders try to get all.
+func (a *Account) TryAcquireShare(u Use, bytes, held, share int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := &a.uses[u]
+	if (held+bytes)*share > state.capacity-state.used {
+		return false
+	}
+	return state.waiting.Len() == 0 && state.take(bytes)
+}
+
 // Acquire waits until bytes are available and acquires them, in the order of the calls. It returns the context's error if that ends
 // before. More bytes than the capacity are acquired once everything else is released.
 func (a *Account) Acquire(ctx context.Context, u Use, bytes int64) error {
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -77,3 +77,28 @@
 		}
 	}
 }
+
+// Guards against holders that together take all bytes of a use, so that one that comes later gets none.
+func TestSharesLeaveSomeForOthers(t *testing.T) {
+	a := NewAccount(Plan{Requests: 1000})
+	held := make([]int64, 40)
+	for range 1000 {
+		for i := range held {
+			if a.TryAcquireShare(Requests, 1, held[i], 2) {
+				held[i]++
+			}
+		}
+	}
+	if used, _ := a.Used(Requests); used < 900 {
+		t.Errorf("%d of 1000 bytes are in use by 40 holders that want all", used)
+	}
+	if !a.TryAcquireShare(Requests, 8, 0, 2) {
+		t.Error("a holder that comes later gets nothing")
+	}
+	for i := range held {
+		if held[i] < held[0]-1 || held[i] > held[0]+1 {
+			t.Errorf("holders have %v", held)
+			break
+		}
+	}
+}
