--- a/cmd/dewhitch/soak_hostile_test.go
+++ b/cmd/dewhitch/soak_hostile_test.go
@@ -12,6 +12,30 @@
 	"dewhitch/internal/standin/hostile"
 )
 
+// floodSoakSeeds is the number of runs of TestSoakUnderFloods: go test ./cmd/dewhitch -run TestSoakUnderFloods -soak.floods 50
+var floodSoakSeeds = flag.Int("soak.floods", 3, "runs of TestSoakUnderFloods")
+
+// floodSoakMB is the memory of a gateway under a flood, in MiB.
+const floodSoakMB = 64
+
+// TestSoakUnderFloods guards against what TestSoak does, and against a process that passes its memory limit, while clients of one kind
+// flood each gateway during the whole run: one, a few or many of them.
+func TestSoakUnderFloods(t *testing.T) {
+	for seed := range uint64(*floodSoakSeeds) {
+		s := newSoakRun(t, *soakFrom+seed)
+		rng := rand.New(rand.NewPCG(s.seed, 37))
+		s.throttled = false
+		s.memoryMB = floodSoakMB
+		s.flood = hostile.Floods[rng.IntN(len(hostile.Floods))]
+		s.floodClients = []int{1, 6, 40}[rng.IntN(3)]
+		t.Run(fmt.Sprintf("%v, %d clients, %s", s, s.floodClients, s.flood.Name), func(t *testing.T) {
+			s.t = t
+			s.execute()
+			s.reportFaults()
+		})
+	}
+}
+
 // hostileSoakSeeds is the number of runs of TestSoakUnderHostileClients: go test ./cmd/dewhitch -run TestSoakUnder -soak.hostile 50
 var hostileSoakSeeds = flag.Int("soak.hostile", 2, "runs of TestSoakUnderHostileClients")
 
@@ -34,6 +58,20 @@
 	s.clients.Go(func() { hostile.Run(ctx, deployment, s.hostile, hostileSoakClients, s.seed) })
 }
 
+// startFlood starts the flooding clients of a gateway, which come until the run is done.
+func (s *soakRun) startFlood(g *gatewayRecord) {
+	if s.floodClients == 0 {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	s.clients.Go(func() {
+		defer cancel()
+		<-s.done
+	})
+	deployment := hostile.Deployment{Addr: g.env.listenAddr, QueryClass: "lookup", SubmitClass: "lookup", Plan: "wide"}
+	s.clients.Go(func() { hostile.RunFlood(ctx, deployment, s.flood, s.floodClients) })
+}
+
 // watchMemory reports a fault if a process passes its memory limit before it ends.
 func (s *soakRun) watchMemory(g *gatewayRecord, p *process) {
 	watch := standin.WatchMemory(p.cmd.Process.Pid, "")
@@ -47,8 +85,8 @@
 			}
 			break
 		}
-		if peak, _ := watch.Peak(); peak.Total() > hostileSoakMB<<20 {
-			g.addFault("a process used %v; the limit is %d KiB", peak, hostileSoakMB<<10)
+		if peak, _ := watch.Peak(); peak.Total() > s.memoryMB<<20 {
+			g.addFault("a process used %v; the limit is %d KiB", peak, s.memoryMB<<10)
 		}
 	})
 }
@@ -61,6 +99,7 @@
 	for seed := range uint64(*hostileSoakSeeds) {
 		s := newSoakRun(t, *soakFrom+seed)
 		s.throttled = false
+		s.memoryMB = hostileSoakMB
 		name := kinds[rand.New(rand.NewPCG(s.seed, 31)).IntN(len(kinds))]
 		for _, kind := range hostile.Kinds {
 			if kind.Name == name {
--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -39,14 +39,17 @@
 // soakRun is one run of TestSoak: gateways that receive one signal after another, and servers that drain.
 type soakRun struct {
 	*drainTest
-	seed        uint64
-	rng         *rand.Rand // source of the run's parameters
-	servers     int
-	idleCrowd   bool
-	throttled   bool          // true if the gateways run for only a part of the time
-	maxDeadline time.Duration // deadline of the requests' class, and the longest time that a client waits
-	fullLists   bool          // true if discovery sends changes as full lists
-	hostile     hostile.Kind  // kind of the hostile clients that each gateway has; zero if there are none
+	seed         uint64
+	rng          *rand.Rand // source of the run's parameters
+	servers      int
+	idleCrowd    bool
+	throttled    bool          // true if the gateways run for only a part of the time
+	maxDeadline  time.Duration // deadline of the requests' class, and the longest time that a client waits
+	fullLists    bool          // true if discovery sends changes as full lists
+	hostile      hostile.Kind  // kind of the hostile clients that each gateway has; zero if there are none
+	flood        hostile.Flood // kind of the flooding clients of each gateway
+	memoryMB     int           // memory of each gateway in MiB; 0 if it is not limited further
+	floodClients int           // number of these
 
 	mu           sync.Mutex
 	drainedNodes map[int]time.Time // time at which all gateways had been notified, by draining node
@@ -90,7 +93,7 @@
 // start starts a gateway's process, or the one that replaces it.
 func (s *soakRun) start(g *gatewayRecord) *process {
 	p := g.env.start("serve")
-	if s.hostile.Name != "" {
+	if s.memoryMB > 0 {
 		s.watchMemory(g, p)
 	}
 	if s.throttled {
@@ -130,8 +133,8 @@
 	env := newEnvironment(s.t)
 	env.instance = number
 	env.overrides = append(env.overrides, s.settings(s.maxDeadline))
-	if s.hostile.Name != "" {
-		env.overrides = append(env.overrides, fmt.Sprintf(`{"limits": {"memory_mb": %d}}`, hostileSoakMB))
+	if s.memoryMB > 0 {
+		env.overrides = append(env.overrides, fmt.Sprintf(`{"limits": {"memory_mb": %d}}`, s.memoryMB))
 		env.withoutLedger = true
 	}
 	env.discovery.SetCompleteUpdates(s.fullLists)
@@ -354,6 +357,7 @@
 	for _, g := range s.gateways {
 		s.startClients(g, 0)
 		s.startHostileClients(g)
+		s.startFlood(g)
 	}
 	startedAt := time.Now()
 	var events sync.WaitGroup
