Count a request's evidence for the throttle once, when it arrives

The evidence is that of the request, fixed on its arrival.

The tests of the decision module pass; TestFloods with queries passes as before.

--- a/admission.go
+++ b/admission.go
@@ -101,6 +101,7 @@
 		account:    a,
 		units:      max(0, e.Units),
 		unitsOnly:  unitsOnly,
+		evidence:   evidenceOf(class, e.Remaining),
 		objective:  ad.ctx.now + Instant(class.Objective),
 		deadline:   ad.ctx.now + Instant(e.Remaining),
 	}
--- a/attempt.go
+++ b/attempt.go
@@ -37,7 +37,7 @@
 	c.traffic.recordAttempt()
 	c.slowStart.spend(s)
 	r.attempts = append(r.attempts, attempt{server: s, startedAt: c.ctx.now, concurrent: s.awaited() - 1,
-		endsBy: endsBy, evidence: c.shedder.evidence(r, endsBy), scant: c.shedder.isScant(r, endsBy)})
+		endsBy: endsBy, scant: c.shedder.isScant(r, endsBy)})
 	timeout := Span(endsBy - c.ctx.now)
 	c.ctx.emit(StartAttempt{Request: r.id, Server: s.ID, Timeout: timeout, StartWithin: timeout})
 }
@@ -62,7 +62,7 @@
 // recordSuccess adds a success to the statistics of the servers.
 func (c *attemptController) recordSuccess(r *request, a *attempt, latency Span, load Load) {
 	if latency <= r.class.Objective {
-		c.traffic.recordAccept(a.evidence)
+		c.traffic.recordAccept(r.evidence)
 	}
 	c.outliers.recordSuccess(a.server, r.classIndex)
 	c.latency.observeClassLatency(r.classIndex, seconds(latency), a.concurrent)
--- a/load_shedding.go
+++ b/load_shedding.go
@@ -56,15 +56,15 @@
 func (l *loadShedder) throttled(r *request) bool {
 	t := l.traffic
 	t.decay()
-	t.throttleRequests += l.evidence(r, r.deadline)
+	t.throttleRequests += r.evidence
 	return l.ctx.rng.Float64()*t.throttleRequests > throttleFreeRequests+t.throttleAccepts/throttleAcceptRatio
 }
 
-// evidence returns how much the outcome of an attempt of r that starts now and ends at endsBy says about the
-// servers, from 0 to 1. Clients that leave little time are the reason if their requests fail, and those of
-// others must not be rejected for it.
-func (l *loadShedder) evidence(r *request, endsBy Instant) float64 {
-	return max(0, min(1, seconds(endsBy-l.ctx.now)/seconds(r.class.Objective)))
+// evidenceOf returns how much the outcome of a request with the remaining time says about the servers, from 0
+// to 1. Clients that leave little time are the reason if their requests fail, and those of others must not be
+// rejected for it.
+func evidenceOf(class *Class, remaining Span) float64 {
+	return max(0, min(1, seconds(remaining)/seconds(class.Objective)))
 }
 
 // isScant returns true if an attempt of r that starts now and ends at endsBy has so little time that its
--- a/request.go
+++ b/request.go
@@ -7,9 +7,8 @@
 	concurrent     int  // number of the server's other attempts that awaited an answer at the start
 	failureCounted bool // the attempt is counted as a failure of its server
 	endsBy         Instant
-	evidence       float64 // how much the outcome says about the servers, from 0 to 1
-	scant          bool    // the attempt may end before a healthy server answers
-	answering      bool    // the server has begun to answer; the client may read the rest slowly
+	scant          bool // the attempt may end before a healthy server answers
+	answering      bool // the server has begun to answer; the client may read the rest slowly
 	ended          bool
 	outcome        Outcome // valid once the attempt has ended
 }
@@ -25,6 +24,7 @@
 	unitsOnly      bool    // the request takes units from the quota and is not forwarded
 	withinQuota    bool    // the units of the request are taken from the quota
 	consumedBefore float64 // units that the customer had consumed here when the limit query arrived
+	evidence       float64 // how much the outcome says about the servers, from 0 to 1
 	objective      Instant // time at which the latency objective ends
 	deadline       Instant // time at which the client gives up
 	attempts       []attempt
