--- a/cmd/dewhitch/alone_test.go
+++ b/cmd/dewhitch/alone_test.go
@@ -45,9 +45,7 @@
 		},
 	} {
 		b.Run(name, func(b *testing.B) {
-			env := floodEnvironment(b, 1)
-			p := env.start("serve")
-			env.awaitReady(p)
+			env, p := startFlooded(b, 1)
 			pin(b, p, 0)
 			before := processorTime(b, p)
 			answers := 0
--- a/cmd/dewhitch/flood_test.go
+++ b/cmd/dewhitch/flood_test.go
@@ -44,6 +44,14 @@
 	return env
 }
 
+// startFlooded starts a gateway that has a number of cores.
+func startFlooded(t testing.TB, cores int) (*environment, *process) {
+	env := floodEnvironment(t, cores)
+	p := env.start("serve")
+	env.awaitReady(p)
+	return env, p
+}
+
 // pin lets a process run on one core of the machine only, as it does where its platform grants it no more.
 func pin(t testing.TB, p *process, core int) {
 	var cores unix.CPUSet
@@ -136,9 +144,7 @@
 	ping := hostile.Floods[0]
 	for _, cores := range []int{1, 2} {
 		t.Run(fmt.Sprintf("cores %d", cores), func(t *testing.T) {
-			env := floodEnvironment(t, cores)
-			p := env.start("serve")
-			env.awaitReady(p)
+			env, p := startFlooded(t, cores)
 			if cores == 1 {
 				pin(t, p, 0)
 			}
@@ -146,9 +152,7 @@
 		})
 	}
 	t.Run("a hundred clients", func(t *testing.T) {
-		env := floodEnvironment(t, 1)
-		p := env.start("serve")
-		env.awaitReady(p)
+		env, p := startFlooded(t, 1)
 		pin(t, p, 0)
 		playFlood(t, env, p, ping, 100, 3)
 	})
@@ -156,9 +160,7 @@
 		for process := range 3 {
 			t.Run(fmt.Sprint(process), func(t *testing.T) {
 				t.Parallel()
-				env := floodEnvironment(t, 1)
-				p := env.start("serve")
-				env.awaitReady(p)
+				env, p := startFlooded(t, 1)
 				pin(t, p, 1)
 				playFlood(t, env, p, ping, *floodClients, uint64(process))
 			})
@@ -173,9 +175,7 @@
 			continue
 		}
 		t.Run(flood.Name, func(t *testing.T) {
-			env := floodEnvironment(t, 1)
-			p := env.start("serve")
-			env.awaitReady(p)
+			env, p := startFlooded(t, 1)
 			playFlood(t, env, p, flood, *floodClients, uint64(seed))
 		})
 	}
@@ -189,9 +189,7 @@
 			return
 		}
 		t.Run(flood.Name, func(t *testing.T) {
-			env := floodEnvironment(t, 1)
-			p := env.start("serve")
-			env.awaitReady(p)
+			env, p := startFlooded(t, 1)
 			playFloodOf(t, env, p, flood, addr(env), *floodClients, 1)
 		})
 	}
--- a/cmd/dewhitch/soak_hostile_test.go
+++ b/cmd/dewhitch/soak_hostile_test.go
@@ -44,32 +44,20 @@
 	hostileSoakClients = 150 // hostile clients of each gateway
 )
 
-// startHostileClients starts the hostile clients of a gateway, which come until the run is done.
+// startHostileClients starts the hostile and the flooding clients of a gateway, which come until the run is done.
 func (s *soakRun) startHostileClients(g *gatewayRecord) {
-	if s.hostile.Name == "" {
-		return
-	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	s.clients.Go(func() {
 		defer cancel()
 		<-s.done
 	})
 	deployment := hostile.Deployment{Addr: g.env.listenAddr, QueryClass: "lookup", SubmitClass: "lookup", Plan: "wide"}
-	s.clients.Go(func() { hostile.Run(ctx, deployment, s.hostile, hostileSoakClients, s.seed) })
-}
-
-// startFlood starts the flooding clients of a gateway, which come until the run is done.
-func (s *soakRun) startFlood(g *gatewayRecord) {
-	if s.floodClients == 0 {
-		return
+	if s.hostile.Name != "" {
+		s.clients.Go(func() { hostile.Run(ctx, deployment, s.hostile, hostileSoakClients, s.seed) })
+	}
+	if s.floodClients > 0 {
+		s.clients.Go(func() { hostile.RunFlood(ctx, deployment, s.flood, s.floodClients) })
 	}
-	ctx, cancel := context.WithCancel(s.t.Context())
-	s.clients.Go(func() {
-		defer cancel()
-		<-s.done
-	})
-	deployment := hostile.Deployment{Addr: g.env.listenAddr, QueryClass: "lookup", SubmitClass: "lookup", Plan: "wide"}
-	s.clients.Go(func() { hostile.RunFlood(ctx, deployment, s.flood, s.floodClients) })
 }
 
 // watchMemory reports a fault if a process passes its memory limit before it ends.
--- a/cmd/dewhitch/soak_test.go
+++ b/cmd/dewhitch/soak_test.go
@@ -357,7 +357,6 @@
 	for _, g := range s.gateways {
 		s.startClients(g, 0)
 		s.startHostileClients(g)
-		s.startFlood(g)
 	}
 	startedAt := time.Now()
 	var events sync.WaitGroup
--- a/internal/telemetry/lateness.go
+++ b/internal/telemetry/lateness.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"dewhitch/internal/core"
 )
 
 // Names of what runs late, besides the kinds of package fairqueue and the queues of the planner.
@@ -59,6 +57,3 @@
 	}
 	return byPart, worst
 }
-
-// queueLate records the wait of a message for the planner.
-func (m *Metrics) queueLate(q core.Queue, d time.Duration) { m.recordWorst(q.String(), d) }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -111,7 +111,7 @@
 // Waited implements core.Monitor.
 func (m *Metrics) Waited(q core.Queue, d time.Duration) {
 	m.waits[q].Observe(d.Seconds())
-	m.queueLate(q, d)
+	m.recordWorst(q.String(), d)
 	storeMax(&m.maxWaits[q], int64(d))
 }
 
