End a connection that was half-closed before its accept without a reset

A client that had closed only its sending side before its connection was accepted got a reset instead of the end of the stream.

The test now waits until the commands are started before it closes its client, which is the case it is for; the other order has a test of its own, which expects no command to be started and the end of the stream.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"dewhitch/internal/resp"
+	"dewhitch/internal/sockets"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -257,6 +259,7 @@
 	startServerWith(t, &Server{Listener: ln, MaxSessions: 4}, func() Commands { return commands })
 	command := resp.AppendBulk(resp.AppendBulk(resp.AppendArray(nil, 2), "ECHO"), make([]byte, bodyBytes))
 	c := dialClient(t, ln, string(bytes.Repeat(command, commandCount)))
+	eventually(t, "the commands were not started", func() bool { return commands.started.Load() == maxPipelined })
 	c.Close()
 	eventually(t, "the departure of the client was not reported", func() bool { return commands.clientsDeparted.Load() > 0 })
 	if started, departed := commands.started.Load(), commands.clientsDeparted.Load(); started != maxPipelined || departed > started {
@@ -264,6 +267,29 @@
 	}
 }
 
+// TestClientDepartsBeforeItIsAccepted guards against commands that begin although their client had closed the connection while it waited to
+// be accepted, and against a reset of the connection of a client that has closed its sending side only.
+func TestClientDepartsBeforeItIsAccepted(t *testing.T) {
+	commands := &delayedCommands{answer: make(chan struct{})}
+	defer close(commands.answer)
+	ln := listen(t)
+	c := dialClient(t, ln, strings.Repeat(ping, 300))
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the end of the client's stream did not arrive", func() bool { return peerHasAll(c) })
+	startServerWith(t, &Server{Listener: ln, MaxSessions: 4}, func() Commands { return commands })
+	if answers, err := io.ReadAll(c); err != nil || len(answers) > 0 {
+		t.Errorf("%d bytes of answers and %v, expected the end of the stream", len(answers), err)
+	}
+	if n := commands.started.Load(); n != 0 {
+		t.Errorf("%d commands of a departed client were started, expected none", n)
+	}
+}
+
+// peerHasAll reports whether the peer's system has received all that was sent on a connection.
+func peerHasAll(c net.Conn) bool { return sockets.Unsent(c) == 0 }
+
 // departBeforeRelease closes a client's connection while its input is held back, then releases the input and waits until the session has ended.
 func departBeforeRelease(t *testing.T, c net.Conn, buffered *bufferedConn, s *session) {
 	t.Helper()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -106,8 +106,9 @@
 	}
 }
 
-// discard closes a connection that its client has closed already.
+// discard closes a connection whose client has closed it, or its sending side, already. Such a client gets no answers, but no reset either.
 func (srv *Server) discard(conn net.Conn) {
+	discardUnread(conn)
 	conn.Close()
 	if srv.Monitor != nil {
 		srv.Monitor.ConnectionClosed(ClosedByClient.String())
