Accept the queued connections of a process that was stopped after SIGTERM

Cause: at SIGTERM the listener gets a deadline 20 ms away and is closed at it. A process that the operators stop within these 20 ms, or whose accepting goroutine waits for its turn, has accepted nothing by then, and the close resets what waits in the queue of the system, also clients that have sent a request.

The accepting part of the server has a file of its own.

TestQueuedConnectionsOfStoppedProcess fell before with three resets of three connections.

--- a/cmd/dewhitch/drain_fleet_test.go
+++ b/cmd/dewhitch/drain_fleet_test.go
@@ -86,6 +86,16 @@
 	g.faults = append(g.faults, fmt.Sprintf(format, a...))
 }
 
+// ending returns when the gateway's drain or shutdown began, relative to the time at which a connection was opened.
+func (g *gatewayRecord) ending(c *connection) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.endingSince.IsZero() {
+		return ""
+	}
+	return fmt.Sprintf("; the gateway was ending since %v after it was opened", g.endingSince.Sub(c.openedAt))
+}
+
 // receivesNewConnections returns true while the platform still routes new connections to the gateway.
 func (g *gatewayRecord) receivesNewConnections() bool {
 	g.mu.Lock()
@@ -140,7 +150,8 @@
 		if err != nil {
 			c.closed = true
 			if !c.closedByClient && !errors.Is(err, io.EOF) && len(c.unanswered) == 0 {
-				g.addFault("a connection without unanswered requests ended with %v, expected EOF", err)
+				g.addFault("a connection without unanswered requests, opened %v earlier, ended with %v, expected EOF%s",
+					time.Since(c.openedAt), err, g.ending(c))
 			}
 			c.mu.Unlock()
 			return
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -414,6 +414,40 @@
 	}
 }
 
+// stoppedListener is a listener whose process is stopped when the context ends, until the deadline has passed.
+type stoppedListener struct {
+	*net.TCPListener
+	stopped   chan struct{} // closed when SetDeadline is called
+	onceStop  sync.Once
+	onceAwake sync.Once
+}
+
+func (l *stoppedListener) Accept() (net.Conn, error) {
+	<-l.stopped
+	l.onceAwake.Do(func() { time.Sleep(3 * finalAcceptTime) })
+	return l.TCPListener.Accept()
+}
+
+func (l *stoppedListener) SetDeadline(at time.Time) error {
+	l.onceStop.Do(func() { close(l.stopped) })
+	return l.TCPListener.SetDeadline(at)
+}
+
+// TestQueuedConnectionsOfStoppedProcess guards against the reset of connections that waited to be accepted while the process was stopped
+// after SIGTERM.
+func TestQueuedConnectionsOfStoppedProcess(t *testing.T) {
+	ln := &stoppedListener{TCPListener: listen(t), stopped: make(chan struct{})}
+	stop := startServer(t, &Server{Listener: ln, MaxSessions: 4})
+	first, second := dialClient(t, ln, ping), dialClient(t, ln, ping)
+	silent := dialClient(t, ln, "")
+	stop()
+	expectOK(t, first)
+	expectOK(t, second)
+	if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection of a silent client ended with %v, expected EOF", err)
+	}
+}
+
 // notifyingListener sends a message on accepted for each connection that it accepts.
 type notifyingListener struct {
 	*net.TCPListener
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -13,12 +13,6 @@
 	"dewhitch/internal/sockets"
 )
 
-const (
-	finalAcceptTime     = 20 * time.Millisecond // time at shutdown to accept connections that are in the queue of the system
-	maxUnplacedSessions = 16                    // sessions without a place that may be open in a drain before a new one waits
-	placeRetryInterval  = 10 * time.Millisecond // time between two evictions for a session that waits for a place
-)
-
 // Server accepts client sessions at one address. The exported fields must be set before Serve is called. The methods are safe for
 // concurrent use.
 type Server struct {
@@ -32,6 +26,8 @@
 	Fair            *fairqueue.Scheduler // divides the processor's time between the connections; may be nil
 	Ready           <-chan struct{}      // closed when sessions may be accepted; nil if they may be from the start
 
+	acceptUntil time.Time // end of the time to accept what is in the queue of the system at shutdown; only Serve's goroutine uses it
+
 	mu             sync.Mutex
 	sessions       map[*session]struct{}
 	placesTaken    int
@@ -74,47 +70,6 @@
 	return err
 }
 
-// acceptSessions accepts sessions until the listener fails. The error is sockets.ErrEnded after the context has ended.
-func (srv *Server) acceptSessions(ctx context.Context) error {
-	flow := srv.Fair.Open(fairqueue.Accepting, srv.Listener.Addr().String())
-	defer flow.Close()
-	for {
-		srv.awaitAccepting(ctx)
-		conn, err := sockets.Accept(srv.Listener, srv.Log, "a client session")
-		if err != nil {
-			return err
-		}
-		acceptedAt := time.Now()
-		if hungUp(conn) { // others are behind it in the queue of the system
-			srv.discard(conn)
-			flow.Use(time.Since(acceptedAt))
-			continue
-		}
-		srv.awaitAccepting(ctx) // a drain may have ended before the gateway is ready
-		sockets.LimitBuffers(conn, srv.Bounds.receiveBuffer, srv.Bounds.sendBuffer)
-		hasPlace := srv.acquirePlace(ctx)
-		s := srv.addSession(conn)
-		srv.running.Go(func() {
-			s.run()
-			srv.reportEnd(s)
-			srv.removeSession(s)
-			if hasPlace {
-				srv.releasePlace()
-			}
-		})
-		flow.Use(time.Since(acceptedAt))
-	}
-}
-
-// discard closes a connection whose client has closed it, or its sending side, already. Such a client gets no answers, but no reset either.
-func (srv *Server) discard(conn net.Conn) {
-	discardUnread(conn)
-	conn.Close()
-	if srv.Monitor != nil {
-		srv.Monitor.ConnectionClosed(ClosedByClient.String())
-	}
-}
-
 // addSession creates a session, which drains if the gateway does.
 func (srv *Server) addSession(conn net.Conn) *session {
 	s := newSession(conn, srv.NewCommands(), srv.Bounds)
@@ -185,92 +140,6 @@
 	}
 }
 
-// awaitAccepting waits until sessions may be accepted. This is when the gateway is ready, shuts down or drains: a drained gateway
-// must not keep connections waiting.
-func (srv *Server) awaitAccepting(ctx context.Context) {
-	for !srv.isReady() {
-		srv.mu.Lock()
-		draining := srv.drain != nil
-		if srv.drainChanged == nil {
-			srv.drainChanged = make(chan struct{})
-		}
-		changed := srv.drainChanged
-		srv.mu.Unlock()
-		if draining {
-			return
-		}
-		select {
-		case <-changed:
-		case <-srv.Ready:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// isReady reports whether sessions may be accepted.
-func (srv *Server) isReady() bool {
-	select {
-	case <-srv.Ready:
-		return true
-	default:
-		return srv.Ready == nil
-	}
-}
-
-// acquirePlace waits for a place for a new session, and returns true if it got one. While it waits, the connection uses a
-// descriptor that is reserved for this. It returns false if the gateway shuts down, or drains and has no place. The session is
-// then served without a place: its client may have sent a command, which would be lost if the connection was closed.
-func (srv *Server) acquirePlace(ctx context.Context) bool {
-	for {
-		if srv.takePlace() {
-			return true
-		}
-		if srv.mayExceedPlaces() {
-			return false
-		}
-		srv.evictLongestIdle()
-		select {
-		case <-srv.placeReleased:
-		case <-ctx.Done():
-			return srv.takePlace()
-		case <-time.After(placeRetryInterval):
-		}
-		if srv.isDraining() {
-			return false
-		}
-	}
-}
-
-// mayExceedPlaces reports whether the gateway drains and few sessions are open beyond its places. Then a new connection does not wait:
-// others would wait behind it, and the time of a drain is short.
-func (srv *Server) mayExceedPlaces() bool {
-	srv.mu.Lock()
-	defer srv.mu.Unlock()
-	return srv.drain != nil && len(srv.sessions) < srv.placesTaken+maxUnplacedSessions
-}
-
-// takePlace takes a place if one is free.
-func (srv *Server) takePlace() bool {
-	srv.mu.Lock()
-	defer srv.mu.Unlock()
-	if srv.placesTaken >= srv.MaxSessions {
-		return false
-	}
-	srv.placesTaken++
-	return true
-}
-
-func (srv *Server) releasePlace() {
-	srv.mu.Lock()
-	srv.placesTaken--
-	srv.mu.Unlock()
-	select {
-	case srv.placeReleased <- struct{}{}:
-	default:
-	}
-}
-
 // SetMaxSessions changes the maximum number of concurrent sessions. Sessions beyond it stay open, but idle ones of them are evicted.
 func (srv *Server) SetMaxSessions(n int) {
 	srv.mu.Lock()
@@ -287,11 +156,3 @@
 	defer srv.mu.Unlock()
 	return srv.drain != nil
 }
-
-// finishAccepting lets a listener accept the connections in the queue of the system for finalAcceptTime. Closing the listener
-// without this wait would reset these connections, and their clients may have sent a command.
-func finishAccepting(l net.Listener) {
-	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(finalAcceptTime)) != nil {
-		l.Close()
-	}
-}
