Run the clients of a flood in a process of their own

Up to 160 flooding clients ran in the same process and kept its scheduler busy. The gateway was not late.

Change: the test program starts itself once more for a flood, which is then neither a part of the servers nor of the clients whose answers are timed. The checks and bounds stay.

--- a/cmd/dewhitch/flood_test.go
+++ b/cmd/dewhitch/flood_test.go
@@ -83,12 +83,18 @@
 	defer cancel()
 	var running sync.WaitGroup
 	var read int64
-	running.Go(func() {
-		time.Sleep(hostileStart)
-		read = hostile.RunFlood(ctx, flooded, flood, clients)
-	})
+	var floodErr error
+	if clients > 0 {
+		running.Go(func() {
+			time.Sleep(hostileStart)
+			read, floodErr = runFlood(ctx, floodSpec{Deployment: flooded, Name: flood.Name, Clients: clients})
+		})
+	}
 	results := hostile.RunWaiting(ctx, env.deployment(), waitingClients, shortWait, seed)
 	running.Wait()
+	if floodErr != nil {
+		t.Fatal("the flood did not run: ", floodErr)
+	}
 	peak, err := watch.Peak()
 	if env.operatorAddr != "" {
 		t.Logf("%s", scrape(t, env.operatorAddr, "dewhitch_answers_total"))
--- a/cmd/dewhitch/player_test.go
+++ b/cmd/dewhitch/player_test.go
@@ -26,6 +26,12 @@
 var program string
 
 func TestMain(m *testing.M) {
+	if spec := os.Getenv(floodVariable); spec != "" {
+		if err := runFloodProcess(spec); err != nil {
+			panic(err)
+		}
+		return
+	}
 	dir, err := os.MkdirTemp("", "dewhitch")
 	if err != nil {
 		panic(err)
--- a/cmd/dewhitch/soak_hostile_test.go
+++ b/cmd/dewhitch/soak_hostile_test.go
@@ -15,6 +15,9 @@
 // floodSoakSeeds is the number of runs of TestSoakUnderFloods: go test ./cmd/dewhitch -run TestSoakUnderFloods -soak.floods 50
 var floodSoakSeeds = flag.Int("soak.floods", 3, "runs of TestSoakUnderFloods")
 
+// floodConnections is the number of connections of a flood whose customers are no others' in the run.
+const floodConnections = 2000
+
 // floodSoakMB is the memory of a gateway under a flood, in MiB.
 const floodSoakMB = 64
 
@@ -56,7 +59,12 @@
 		s.clients.Go(func() { hostile.Run(ctx, deployment, s.hostile, hostileSoakClients, s.seed) })
 	}
 	if s.floodClients > 0 {
-		s.clients.Go(func() { hostile.RunFlood(ctx, deployment, s.flood, s.floodClients) })
+		spec := floodSpec{deployment, s.flood.Name, s.floodClients, uint64(g.instance) * floodConnections}
+		s.clients.Go(func() {
+			if _, err := runFlood(ctx, spec); err != nil {
+				g.addFault("the flood did not run: %v", err)
+			}
+		})
 	}
 }
 
--- a/internal/standin/hostile/flood.go
+++ b/internal/standin/hostile/flood.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,20 @@
 	})}
 }
 
+// FloodNamed returns the kind of floods with a name. It returns false if there is none.
+func FloodNamed(name string) (f Flood, found bool) {
+	for _, f := range slices.Concat(Floods, LimitsFloods, []Flood{OperatorFlood(), AdminFlood(), ValueFlood()}) {
+		if f.Name == name {
+			return f, true
+		}
+	}
+	return Flood{}, false
+}
+
+// NumberConnectionsFrom sets the number of the next connection. Processes whose clients must have different customers and ids begin with
+// different numbers.
+func NumberConnectionsFrom(first uint64) { connectionCount.Store(first) }
+
 // RunFlood runs clients of a kind until the context ends, and returns the number of bytes that they read. Each one connects again as soon
 // as it is cut off.
 func RunFlood(ctx context.Context, d Deployment, f Flood, clients int) (bytesRead int64) {
