Take back from the throttle what unsent and abandoned requests say about servers

Beside a hundred clients that pipeline valid queries, requests of others were refused although their servers answered.

Cause: the adaptive throttle counts a request when it arrives, and an accept when it is answered in time. A request that was not sent, as no connection to a server was free here, or whose client left after a millisecond, stayed counted without an accept, as if a server had failed it.

Change: when such a request ends, what it was counted for is taken back; of one whose attempt was cancelled, the part stays that its elapsed time stands for, as with a client that gives that much time. Outcomes of servers count as before.

TestUnsentAndAbandonedRequestsDoNotShedOthers: 7 of 300 answered requests were admitted before, now 290 or more.

--- a/admission.go
+++ b/admission.go
@@ -102,6 +102,7 @@
 		units:      max(0, e.Units),
 		unitsOnly:  unitsOnly,
 		evidence:   evidenceOf(class, e.Remaining),
+		arrivedAt:  ad.ctx.now,
 		objective:  ad.ctx.now + Instant(class.Objective),
 		deadline:   ad.ctx.now + Instant(e.Remaining),
 	}
--- a/attempt.go
+++ b/attempt.go
@@ -80,6 +80,7 @@
 	a.ended = true
 	a.outcome = e.Outcome
 	c.release(r, a)
+	r.observed = max(r.observed, observedBy(r, a, e))
 	c.recordOutcome(r, a, e)
 	c.correctUnits(r, e)
 	if e.Final || e.Outcome == OutcomeOK {
@@ -92,6 +93,22 @@
 	case !c.retry(r):
 		c.giveUp(r)
 	}
+	if r.done && r.inFlight == 0 && r.observed < r.evidence {
+		c.traffic.withdraw(r.evidence-r.observed, r.arrivedAt)
+	}
+}
+
+// observedBy returns how much of r's evidence an outcome gives: none if the attempt was not sent, because what
+// is short here says nothing about a server, and as much as a client with that little time would give if the
+// attempt was cancelled.
+func observedBy(r *request, a *attempt, e AttemptEnded) float64 {
+	switch {
+	case e.Outcome == OutcomeNotSent:
+		return 0
+	case e.Outcome == OutcomeCancelled && !a.answering:
+		return min(r.evidence, evidenceOf(r.class, e.Latency))
+	}
+	return r.evidence
 }
 
 // release removes an ended attempt from the counts of attempts in flight.
--- a/load_shedding_test.go
+++ b/load_shedding_test.go
@@ -188,3 +188,42 @@
 		t.Errorf("%d of 1000 requests were admitted although all that had usual time failed", n)
 	}
 }
+
+// Requests that never left the gateway, or whose clients left soon, must not get the requests of others rejected: the servers have let none
+// of them fail (issue 71). One of ten arriving requests has usual time and is answered.
+func TestUnsentAndAbandonedRequestsDoNotShedOthers(t *testing.T) {
+	s := settings()
+	s.Plans[0] = dw.Plan{WeightFactor: 1}
+	s.MayCancel = true
+	h := newHarness(t, s, dw.Endpoint{ID: 7}, dw.Endpoint{ID: 8}, dw.Endpoint{ID: 9})
+	endAttempts := func(id dw.RequestID, outcome dw.Outcome) {
+		for n := 0; n < len(h.attempts); n++ { // each end may start the next attempt
+			h.handle(dw.AttemptEnded{Request: id, Attempt: n, Server: h.attempts[n].Server, Outcome: outcome, Latency: millisecond})
+		}
+		h.attempts = nil
+	}
+	admitted := 0
+	for range 300 {
+		for range 5 {
+			if id, ok := h.request(dw.Arrival{}); ok {
+				h.advance(millisecond)
+				endAttempts(id, dw.OutcomeNotSent)
+			}
+			if id, ok := h.request(dw.Arrival{}); ok {
+				h.advance(millisecond)
+				h.handle(dw.ClientDeparted{Request: id})
+				endAttempts(id, dw.OutcomeCancelled)
+			}
+		}
+		if id, ok := h.request(dw.Arrival{}); ok {
+			admitted++
+			h.advance(5 * millisecond)
+			h.handle(dw.AttemptEnded{Request: id, Server: h.attempts[0].Server, Outcome: dw.OutcomeOK, Final: true, Latency: 5 * millisecond})
+		}
+		h.attempts = nil
+		h.advance(5 * millisecond)
+	}
+	if admitted < 290 {
+		t.Errorf("%d of 300 requests that the servers answered were admitted", admitted)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -24,7 +24,9 @@
 	unitsOnly      bool    // the request takes units from the quota and is not forwarded
 	withinQuota    bool    // the units of the request are taken from the quota
 	consumedBefore float64 // units that the customer had consumed here when the limit query arrived
-	evidence       float64 // how much the outcome says about the servers, from 0 to 1
+	evidence       float64 // how much the outcome can say about the servers, from 0 to 1
+	observed       float64 // how much its attempts have said, up to evidence
+	arrivedAt      Instant
 	objective      Instant // time at which the latency objective ends
 	deadline       Instant // time at which the client gives up
 	attempts       []attempt
--- a/traffic.go
+++ b/traffic.go
@@ -50,6 +50,13 @@
 	t.throttleAccepts += evidence
 }
 
+// withdraw takes back a part of the evidence of a request that was counted for the throttle at a time.
+func (t *trafficStatistics) withdraw(evidence float64, countedAt Instant) {
+	t.decay()
+	evidence *= math.Exp(-seconds(t.ctx.now-countedAt) / seconds(trafficMemory))
+	t.throttleRequests = max(0, t.throttleRequests-evidence)
+}
+
 // recordZoneSuccess lowers a zone's failure fraction.
 func (t *trafficStatistics) recordZoneSuccess(zone int) {
 	t.zoneFailures[zone] *= 1 - zoneFailureWeight
