Share out the connections to servers evenly among the client connections

A hundred clients that pipeline valid queries left usual clients few answers in time.

Cause: while all connections to servers are in use, attempts waited for one in the order of coming, at most 0.1 s. One attempt of a client that sends little waited behind up to 64 of each of the others, and was late or not sent.

Change: a connection that becomes free goes to the waiting client connection that holds the fewest, of several to the one whose attempt has waited longest (max-min fairness). Requests carry the number of their client connection to the pools. Alone, a client gets all there are. The two kinds of floods with valid queries now have to leave usual clients half of their answers, as the others do.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -105,6 +105,7 @@
 	if err == nil {
 		err = p.begin(a)
 		if err != nil {
+			p.endUse(a)
 			p.release(c) // nothing was written to it
 		}
 	}
@@ -115,6 +116,7 @@
 	// closed, so that the backend notices.
 	detachContext := context.AfterFunc(a.ctx, func() { c.SetDeadline(expired) })
 	result, reusable := p.exchange(a, c, detachContext)
+	p.endUse(a)
 	streamed := !result.FirstByteAt.IsZero() // exchange has already called detachContext
 	if (detachContext() || streamed) && reusable {
 		p.release(c)
--- a/internal/backend/connections.go
+++ b/internal/backend/connections.go
@@ -48,12 +48,14 @@
 		if c == nil {
 			break
 		}
+		p.shares.take(a.Request.Client)
 		p.mu.Unlock()
 		// If the backend has closed the connection meanwhile, a command written to it would fail with a reset. Bytes received
 		// since the last answer are not an answer to the next command.
 		if now.Sub(c.idleSince) < p.maxIdleTime() && c.nothingReceived() {
 			return c, nil
 		}
+		p.endUse(a)
 		p.closeIdle(c)
 	}
 	p.mu.Unlock()
@@ -63,17 +65,26 @@
 	return p.open(a)
 }
 
-// reserve takes a descriptor from the budget for a new connection. If none is free, it closes the longest idle connection, to any
-// backend, or waits for a connection to close.
+// endUse counts that an attempt no longer uses a connection, before this is released or closed.
+func (p *Pools) endUse(a *attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares.giveBack(a.Request.Client)
+}
+
+// reserve takes a descriptor from the budget for a new connection of an attempt's client. If none is free, it closes the longest idle
+// connection, to any backend, or waits until it is granted one.
 func (p *Pools) reserve(a *attempt) error {
 	p.mu.Lock()
 	if p.openCount < p.limits.MaxConns {
 		p.openCount++
+		p.shares.take(a.Request.Client)
 		p.mu.Unlock()
 		p.countConnection()
 		return nil
 	}
 	if idle := p.takeLongestIdle(); idle != nil {
+		p.shares.take(a.Request.Client)
 		p.mu.Unlock()
 		idle.SetLinger(-1)
 		idle.Close() // this connection's place in the budget is used for the new one
@@ -83,8 +94,7 @@
 		p.mu.Unlock()
 		return errNoDescriptor
 	}
-	granted := make(chan struct{})
-	element := p.waiting.PushBack(granted)
+	wait := p.shares.wait(a.Request.Client)
 	p.mu.Unlock()
 	timeout := time.NewTimer(p.limits.DescriptorWait)
 	defer timeout.Stop()
@@ -93,7 +103,7 @@
 		defer p.limits.Memory.EndWait(memory.Connections)
 	}
 	select {
-	case <-granted:
+	case <-wait.granted:
 		return nil
 	case <-a.ctx.Done():
 	case <-timeout.C:
@@ -101,11 +111,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
-	case <-granted:
+	case <-wait.granted:
 		return nil
 	default:
 	}
-	p.waiting.Remove(element)
+	p.shares.leave(wait)
 	return errNoDescriptor
 }
 
@@ -120,6 +130,7 @@
 func (p *Pools) open(a *attempt) (*conn, error) {
 	netConn, err := p.connect(a)
 	if err != nil {
+		p.endUse(a)
 		p.unreserve()
 		return nil, err
 	}
@@ -131,6 +142,7 @@
 		c.rawConn, err = c.SyscallConn()
 	}
 	if err != nil {
+		p.endUse(a)
 		p.discard(c)
 		return nil, err
 	}
@@ -160,11 +172,10 @@
 	p.unreserve()
 }
 
-// unreserve returns a descriptor to the budget, or passes it on to the attempt that waits the longest.
+// unreserve returns a descriptor to the budget, or passes it on to an attempt that waits.
 func (p *Pools) unreserve() {
 	p.mu.Lock()
-	if first := p.waiting.Front(); first != nil && p.openCount <= p.limits.MaxConns {
-		close(p.waiting.Remove(first).(chan struct{}))
+	if p.openCount <= p.limits.MaxConns && p.shares.grant() {
 		p.mu.Unlock()
 		return
 	}
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -88,7 +88,7 @@
 	c.SetDeadline(time.Time{}) // removes the deadline of the attempt that has ended
 	c.idleSince = p.now()
 	p.mu.Lock()
-	reuse := !c.pool.forgotten && p.waiting.Len() == 0
+	reuse := !c.pool.forgotten && !p.shares.anyWaiting()
 	if reuse {
 		c.pool.idle = append(c.pool.idle, c)
 		c.idleElement = p.idle.PushBack(c)
--- a/internal/backend/pools.go
+++ b/internal/backend/pools.go
@@ -65,7 +65,7 @@
 	pools     map[core.Backend]*pool
 	attempts  map[attemptKey]*attempt // attempts that have not ended
 	openCount int                     // number of open and opening connections
-	waiting   *list.List              // attempts that wait for a descriptor (chan struct{}, closed to pass one on), the oldest first
+	shares    *connectionShares       // connections that clients use, and attempts that wait for one
 	idle      *list.List              // idle connections (*conn) of all pools, the longest idle first
 }
 
@@ -78,7 +78,7 @@
 		pools:    map[core.Backend]*pool{},
 		attempts: map[attemptKey]*attempt{},
 		idle:     list.New(),
-		waiting:  list.New(),
+		shares:   newConnectionShares(),
 		now:      time.Now,
 		dial: func(ctx context.Context, addr string, startBy time.Time) (net.Conn, error) {
 			dialer := net.Dialer{Timeout: l.ConnectTimeout, Deadline: startBy, KeepAlive: -1}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -38,6 +38,7 @@
 	LedgerRef       uint64              // number of the request in the ledger
 	LedgerKey       ledger.Key          // row of the ledger to which the request's events are posted
 	Answer          func(Answer)        // called at most once, on the planner's goroutine; must not block
+	Client          uint64              // number of the client's connection; its requests share what is short
 	Charge          func(time.Duration) // counts time that was used for the request; must not block, and is called from any goroutine. May be nil
 	Memory          *memory.Hold        // memory of the command, released once nothing refers to Message any more; nil if it is short
 	clientDeparted  atomic.Bool         // true once the client has disconnected
--- a/internal/front/platform/submit.go
+++ b/internal/front/platform/submit.go
@@ -50,6 +50,7 @@
 		c.Figures.AddOpen(1)
 	}
 	r.Answer = sub.answer
+	r.Client = s.Client()
 	r.Charge = s.Charge
 	r.Memory = s.CommandMemory()
 	sub.postReceived(r)
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -51,6 +51,9 @@
 // must not be carried out.
 func (slot *Slot) MustReject() bool { return slot.mustReject }
 
+// Client returns the number of the client's connection, which no other one of the process has.
+func (slot *Slot) Client() uint64 { return slot.session.id }
+
 // Charge counts time that was used for the command on another goroutine. The session pays for it. It is safe for concurrent use.
 func (slot *Slot) Charge(d time.Duration) { slot.session.reading.Charge(d) }
 
--- a/internal/standin/hostile/flood.go
+++ b/internal/standin/hostile/flood.go
@@ -18,7 +18,7 @@
 // Flood is a kind of clients that make a process work as fast as it can. All read their answers, unless the name says otherwise.
 type Flood struct {
 	Name string
-	// OccupiesServers tells that the requests are valid and take what the servers or the customer's limits allow. Others may then be refused.
+	// OccupiesServers tells that the requests take what the servers allow. Others may then be refused.
 	OccupiesServers bool
 	run             func(context.Context, *connection, *atomic.Int64) error
 }
@@ -33,10 +33,10 @@
 	{"unknown class", false, flood(func(c *connection, _ uint64) []byte {
 		return standin.AppendCommand(nil, "SVC.QUERY", customerID(c.number), "v10", c.deployment.arguments("novel", hostileDeadline))
 	})},
-	{"queries of one customer", true, flood(func(c *connection, n uint64) []byte {
+	{"queries of one customer", false, flood(func(c *connection, n uint64) []byte {
 		return c.deployment.query(c.number, c.floodID("v10", n))
 	})},
-	{"queries of new customers", true, flood(func(c *connection, n uint64) []byte {
+	{"queries of new customers", false, flood(func(c *connection, n uint64) []byte {
 		return c.deployment.query(c.number<<20+n, c.floodID("v10", n))
 	})},
 	{"queries with 1 ms left", false, queriesWithin(time.Millisecond)},
