End a session that is evicted at the moment its command gets memory

Cause: an eviction cancels a session's wait for the memory of a large command and sets the deadline of the command, unless the wait has taken that deadline away. If the memory was granted before the reading goroutine ran again, as happens when several waiting sessions are evicted together and each passes its memory on, the wait ended well and gave the command its old deadline back.

Change: a session that was evicted during the wait has no time left for its command, whichever way the wait ended.

TestEvictionWithinMemoryWait: the refusal came after 2.5 s before (the client is silent), at once now.

--- a/internal/front/command_memory.go
+++ b/internal/front/command_memory.go
@@ -59,6 +59,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.commandDeadline = now.Add(remaining)
+	if s.evicted { // during the wait, which may have ended with the memory nevertheless
+		s.commandDeadline = now
+	}
 	if !s.mayRead(now) {
 		s.finishReadBy = now.Add(minFinishTime)
 	}
--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"dewhitch/internal/memory"
 	"dewhitch/internal/resp"
 )
 
@@ -265,3 +266,29 @@
 		t.Error("a client whose only command was invalid counts as served")
 	}
 }
+
+// TestEvictionWithinMemoryWait guards against a session that is evicted at the moment at which the command that it reads gets its memory. A
+// slow writer kept its place for 10 s, and could not be evicted again.
+func TestEvictionWithinMemoryWait(t *testing.T) {
+	c, _, s := newSessionPair(t, okCommands{}, false)
+	release := acquireCommandMemory(t, s)
+	c.Write(largeCommand()[:minLargeCommand])
+	eventually(t, "the session does not wait for memory", func() bool { return s.bounds.account.Waiting(memory.Commands) > 0 })
+	evictedAt := time.Now()
+	s.mu.Lock()
+	release()
+	s.startEviction()
+	s.mu.Unlock()
+	expectRefusal(t, c, evictedAt)
+}
+
+// expectRefusal checks that a client that was evicted within a command gets its refusal and the end of the connection at once.
+func expectRefusal(t *testing.T, c net.Conn, evictedAt time.Time) {
+	t.Helper()
+	if got := readUntilClosed(t, c); got != "-BUSY\r\n" {
+		t.Errorf("the evicted client got %q, expected a refusal", got)
+	}
+	if elapsed := time.Since(evictedAt); elapsed > time.Second {
+		t.Errorf("the session ended %v after its eviction", elapsed)
+	}
+}
