Evict sessions that drain within a command when others wait for a place

Cause: only open sessions could be evicted. One that drains reads the command that its client is writing for up to 3 s after the call.

Change: a session that drains is evicted like an open one; its incomplete command is refused, as its drain would have done later.

--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -292,3 +292,17 @@
 		t.Errorf("the session ended %v after its eviction", elapsed)
 	}
 }
+
+// TestEvictionOfDrainingSession guards against a new connection that waits for the places of clients that write their commands slowly
+// through a drain: these had 3 s.
+func TestEvictionOfDrainingSession(t *testing.T) {
+	c, _, s := newSessionWithinCommand(t)
+	startedAt := time.Now()
+	s.drain(newDrainTimes(startedAt))
+	e, ok := s.evictable(time.Now())
+	if !ok {
+		t.Fatal("a session that drains and is within a command can't be evicted")
+	}
+	e.evict()
+	expectRefusal(t, c, startedAt)
+}
