--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -38,8 +39,8 @@
 // it, and that one that gives up lets the next one pass.
 func TestAcquisitionsWaitInOrder(t *testing.T) {
 	a := newTestAccount()
-	shortages := 0
-	a.OnShortage(Commands, func() { shortages++ })
+	var shortages atomic.Int64
+	a.OnShortage(Commands, func() { shortages.Add(1) })
 	if !a.TryAcquire(Commands, 80) || a.TryAcquire(Commands, 30) {
 		t.Fatal("80 of 100 bytes must be available, and then not 30 more")
 	}
@@ -63,8 +64,8 @@
 	hold := NewHold(a, Commands, 80)
 	hold.Release()
 	hold.Release()
-	if used, _ := a.Used(Commands); used != 10 || shortages != 2 {
-		t.Errorf("got %d bytes in use and %d shortages, expected 10 and 2", used, shortages)
+	if used, _ := a.Used(Commands); used != 10 || shortages.Load() != 2 {
+		t.Errorf("got %d bytes in use and %d shortages, expected 10 and 2", used, shortages.Load())
 	}
 }
 
