--- a/attempt.go
+++ b/attempt.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// observedBy returns how much of r's evidence an outcome gives: none if the attempt was not sent, because what
-// is short here says nothing about a server, and as much as a client with that little time would give if the
+// observedBy returns how much of r's evidence an outcome gives: none if the attempt was not sent, because a
+// shortage here says nothing about a server, and as much as a client with that little time would give if the
 // attempt was cancelled.
 func observedBy(r *request, a *attempt, e AttemptEnded) float64 {
 	switch {
