Count the work of connections that take turns in one place

The connections of the operators' listeners and that to discovery counted their time between reads with the same code twice.

--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -13,8 +13,7 @@
 // a long or slow list is read until that deadline while its bytes keep arriving. It is not safe for concurrent use.
 type connection struct {
 	net.Conn
-	flow            *fairqueue.Flow // turns of the connection; may be nil
-	workingSince    time.Time       // time since which received bytes are worked on, and the time is not counted
+	work            fairqueue.Meter // counts the time for which received bytes are worked on
 	idleTimeout     time.Duration
 	messageDeadline time.Time // time by which the message must be complete; zero before its first byte
 	firstByte       time.Time // time when the message's first byte was read; zero before that
@@ -22,14 +21,14 @@
 
 // Read implements io.Reader. It returns a contentError of errTooSlow if the message's deadline has passed.
 func (c *connection) Read(b []byte) (int, error) {
-	c.pay()
+	c.work.Pay()
 	deadline := time.Now().Add(c.idleTimeout)
 	if !c.messageDeadline.IsZero() && c.messageDeadline.Before(deadline) {
 		deadline = c.messageDeadline
 	}
 	c.SetReadDeadline(deadline)
 	n, err := c.Conn.Read(b)
-	c.workingSince = time.Now()
+	c.work.Resume()
 	if errors.Is(err, os.ErrDeadlineExceeded) && deadline.Equal(c.messageDeadline) {
 		err = contentError{errTooSlow}
 	}
@@ -42,15 +41,6 @@
 	return n, err
 }
 
-// pay counts the time for which received bytes were worked on, and waits if the connection has used its turn.
-func (c *connection) pay() {
-	if c.workingSince.IsZero() {
-		return
-	}
-	c.flow.Use(time.Since(c.workingSince))
-	c.workingSince = time.Now()
-}
-
 // beginMessage makes the next byte count as the first of a message.
 func (c *connection) beginMessage() {
 	c.firstByte = time.Time{}
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/http1"
 )
 
@@ -31,7 +32,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	c := &connection{Conn: conn, flow: d.flow, idleTimeout: d.watchTimeout}
+	c := &connection{Conn: conn, work: fairqueue.NewMeter(d.flow), idleTimeout: d.watchTimeout}
 	r := bufio.NewReaderSize(c, readBufferSize)
 	polled := false
 	if !d.hasList {
@@ -113,7 +114,7 @@
 			}
 		}
 		progress = true
-		c.pay()
+		c.work.Pay()
 	}
 }
 
--- a/internal/fairqueue/conn.go
+++ b/internal/fairqueue/conn.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"time"
 )
 
 // Listener is a listener whose connections take turns. What the process does between two reads or writes of a connection counts as work
@@ -27,7 +26,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, flow: l.scheduler.Open(l.kind, c.RemoteAddr().String()), workingSince: time.Now()}, nil
+	flow := l.scheduler.Open(l.kind, c.RemoteAddr().String())
+	accepted := &conn{Conn: c, flow: flow, work: NewMeter(flow)}
+	accepted.resume()
+	return accepted, nil
 }
 
 // Close implements net.Listener.
@@ -41,23 +43,22 @@
 	net.Conn
 	flow *Flow
 
-	mu           sync.Mutex // guards the use of flow and workingSince: a read and a write may run at the same time
-	workingSince time.Time
+	mu   sync.Mutex // guards work: a read and a write may run at the same time
+	work Meter
 }
 
 // pay counts the time since the last read or write, and waits if the connection has used its turn.
 func (c *conn) pay() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.flow.Use(time.Since(c.workingSince))
-	c.workingSince = time.Now()
+	c.work.Pay()
 }
 
 // resume begins to count time again after a read or write, which may have waited for the peer.
 func (c *conn) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.workingSince = time.Now()
+	c.work.Resume()
 }
 
 // Read implements net.Conn.
