Count the reading of commands with the meter of the fair queues; poll descriptors in one place

A session counted the time between its reads with a copy of fairqueue.Meter, which now returns the current time as that copy did, and asks the clock once less while its flow has time left. hungUp and hasQueued polled a descriptor with the same lines. line.pass did nothing but call line.start. No behaviour changes.

The tests of fairqueue, front, discovery and admin pass under the race detector.

--- a/internal/fairqueue/line.go
+++ b/internal/fairqueue/line.go
@@ -22,7 +22,8 @@
 	}
 }
 
-// start returns the virtual time at which a flow begins to use something, and advances the flow's time by that.
+// start returns the virtual time at which a flow begins to use something, and advances the flow's time by that. A flow that need not wait
+// for its turn does not join.
 func (l *line) start(f *Flow, use time.Duration) time.Duration {
 	at := max(l.now, f.paidUntil)
 	f.paidUntil = at + use
@@ -35,9 +36,6 @@
 	heap.Push(&l.waiting, waitingFlow{flow: f, use: use, startAt: l.start(f, use), joined: l.joined})
 }
 
-// pass lets a flow have its turn without a wait. No flow waits.
-func (l *line) pass(f *Flow, use time.Duration) { l.start(f, use) }
-
 // next removes the flow that has its turn next. At least one waits.
 func (l *line) next() waitingFlow { return heap.Pop(&l.waiting).(waitingFlow) }
 
--- a/internal/fairqueue/meter.go
+++ b/internal/fairqueue/meter.go
@@ -11,14 +11,21 @@
 // NewMeter returns a meter for a flow, or one that counts nothing if that is nil.
 func NewMeter(f *Flow) Meter { return Meter{flow: f} }
 
-// Pay counts the time since the last Pay or Resume, and waits if the flow has used its turn.
-func (m *Meter) Pay() {
+// Pay counts the time since the last Pay or Resume, and waits if the flow has used its turn. It returns the current time.
+func (m *Meter) Pay() (now time.Time) {
+	now = time.Now()
 	if m.workingSince.IsZero() {
-		return
+		return now
 	}
-	m.flow.Use(time.Since(m.workingSince))
-	m.workingSince = time.Now()
+	if m.flow.Use(now.Sub(m.workingSince)) {
+		now = time.Now()
+	}
+	m.workingSince = now
+	return now
 }
 
-// Resume begins to count after a wait for the peer, which is not counted.
-func (m *Meter) Resume() { m.workingSince = time.Now() }
+// Resume begins to count after a wait for the peer, which is not counted. It returns the current time.
+func (m *Meter) Resume() (now time.Time) {
+	m.workingSince = time.Now()
+	return m.workingSince
+}
--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -66,7 +66,7 @@
 func (s *Scheduler) awaitTurn(f *Flow, use time.Duration) {
 	s.mu.Lock()
 	if s.left > 0 && s.line.empty() {
-		s.line.pass(f, use)
+		s.line.start(f, use)
 		s.left -= use
 		s.mu.Unlock()
 		return
--- a/internal/front/accepting.go
+++ b/internal/front/accepting.go
@@ -6,8 +6,6 @@
 	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"dewhitch/internal/fairqueue"
 	"dewhitch/internal/sockets"
 )
@@ -19,6 +17,9 @@
 	placeRetryInterval  = 10 * time.Millisecond  // time between two evictions for a session that waits for a place
 )
 
+// connectionKind names the connections in errors and in the log.
+const connectionKind = "a client session"
+
 // acceptSessions accepts sessions until the listener fails. The error is sockets.ErrEnded after the context has ended.
 func (srv *Server) acceptSessions(ctx context.Context) error {
 	flow := srv.Fair.Open(fairqueue.Accepting, srv.Listener.Addr().String())
@@ -55,7 +56,7 @@
 // in the queue of the system, and returns sockets.ErrEnded when nothing is, or after maxFinalAcceptTime: a process that was stopped, or
 // whose other goroutines had their turns, may have accepted nothing before the deadline.
 func (srv *Server) accept(ctx context.Context) (net.Conn, error) {
-	conn, err := sockets.Accept(srv.Listener, srv.Log, "a client session")
+	conn, err := sockets.Accept(srv.Listener, srv.Log, connectionKind)
 	if !errors.Is(err, sockets.ErrEnded) || ctx.Err() == nil {
 		return conn, err
 	}
@@ -67,18 +68,7 @@
 		return nil, err
 	}
 	finishAccepting(srv.Listener)
-	return sockets.Accept(srv.Listener, srv.Log, "a client session")
-}
-
-// hasQueued reports whether a connection to a listener is in the queue of the system. It returns false if the listener is closed or the
-// system cannot tell. It does not block.
-func hasQueued(l net.Listener) (queued bool) {
-	sockets.WithDescriptor(l, func(fd int) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(p, 0)
-		queued = err == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
-	})
-	return queued
+	return sockets.Accept(srv.Listener, srv.Log, connectionKind)
 }
 
 // discard closes a connection whose client has closed it, or its sending side, already. Such a client gets no answers, but no reset either.
--- a/internal/front/flows.go
+++ b/internal/front/flows.go
@@ -12,6 +12,7 @@
 	label := "session " + strconv.FormatUint(s.id, 10)
 	s.reading = scheduler.Open(fairqueue.Reading, label)
 	s.writing = scheduler.Open(fairqueue.Writing, label)
+	s.readingWork = fairqueue.NewMeter(s.reading)
 }
 
 // closeFlows closes the flows of the session's goroutines.
@@ -20,17 +21,6 @@
 	s.writing.Close()
 }
 
-// useReading counts the time since the last bytes were received, or since the last call, as used for reading and starting commands. It
-// waits if the session has used its turn. It returns the current time.
-func (s *session) useReading() (now time.Time) {
-	now = time.Now()
-	if s.reading.Use(now.Sub(s.workingSince)) {
-		now = time.Now()
-	}
-	s.workingSince = now
-	return now
-}
-
 // reportWriterLate reports how long the writer has had something to write. The caller holds the lock.
 func (s *session) reportWriterLate() {
 	if s.wokenAt.IsZero() {
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -37,11 +37,22 @@
 
 // hungUp reports whether the peer has closed a connection or its sending side, even if earlier bytes are not read yet. It returns
 // false if the system cannot tell. It does not block.
-func hungUp(c net.Conn) (closed bool) {
+func hungUp(c net.Conn) bool {
+	return poll(c, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// hasQueued reports whether a connection to a listener is in the queue of the system. It returns false if the listener is closed or the
+// system cannot tell. It does not block.
+func hasQueued(l net.Listener) bool { return poll(l, unix.POLLIN)&unix.POLLIN != 0 }
+
+// poll returns the events of a connection or listener: those asked for, hang-ups and errors. It returns 0 if the system cannot tell. It
+// does not block.
+func poll(c any, asked int16) (events int16) {
 	sockets.WithDescriptor(c, func(fd int) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(p, 0)
-		closed = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		p := []unix.PollFd{{Fd: int32(fd), Events: asked}}
+		if n, err := unix.Poll(p, 0); err == nil && n > 0 {
+			events = p[0].Revents
+		}
 	})
-	return closed
+	return events
 }
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -35,7 +35,7 @@
 	r := resp.NewReader(s, readBufferSize)
 	r.BeforeBulk = s.reserveArgument
 	s.reading.AwaitFirst()
-	s.workingSince = time.Now()
+	s.readingWork.Resume()
 	for s.readCommand(r) {
 	}
 }
@@ -52,7 +52,7 @@
 
 // readCommand reads and starts one command. It returns false if no more commands are to be read.
 func (s *session) readCommand(r *resp.Reader) bool {
-	now := s.useReading()
+	now := s.readingWork.Pay()
 	if err := s.awaitCommand(r, now); err != nil {
 		s.endReading(err)
 		return false
@@ -185,7 +185,7 @@
 		return 0, errNoMoreCommands
 	}
 	if s.inCommand {
-		s.useReading()
+		s.readingWork.Pay()
 	}
 	s.mu.Lock()
 	now := time.Now()
@@ -202,9 +202,9 @@
 		return 0, errNoMoreCommands
 	}
 	n, err := s.conn.Read(b)
-	s.workingSince = time.Now()
+	now = s.readingWork.Resume()
 	if n > 0 {
-		s.lastReadAt = s.workingSince
+		s.lastReadAt = now
 	}
 	return n, err
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -43,10 +43,10 @@
 	wake         chan struct{} // signals the writer that there is something to write or that the session has ended; buffer of one
 	drainStarted chan struct{} // closed when the session starts to drain
 	acceptedAt   time.Time
-	workingSince time.Time // time since which the reading goroutine has worked and not counted it; used by it alone
-	inCommand    bool      // a command is being read; used by the reading goroutine alone
-	lastReadAt   time.Time // time of the last bytes received; used by the reading goroutine alone
-	refusing     bool      // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
+	readingWork  fairqueue.Meter // counts the time for which commands are read and started; used by the reading goroutine alone
+	inCommand    bool            // a command is being read; used by the reading goroutine alone
+	lastReadAt   time.Time       // time of the last bytes received; used by the reading goroutine alone
+	refusing     bool            // nothing more is read, and buffered commands are refused; used by the reading goroutine alone
 
 	reading   *fairqueue.Flow // of the reading goroutine
 	writing   *fairqueue.Flow // of the writing goroutine
